--- a/crates/app/src/agent_process.rs
+++ b/crates/app/src/agent_process.rs
@@ -4,7 +4,7 @@
 use crate::balancer_process::sleep_until;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::{self, PUBLISH_INTERVAL};
-use crate::sockets::{bind_tcp, bind_udp};
+use crate::sockets::{announce, bind_tcp, bind_udp};
 use anyhow::Result;
 use loftdrift_agent::{Agent, AgentSettings, Output};
 use loftdrift_configuration::{Configuration, ProcessEvent, ProcessState, agent_chart};
@@ -184,6 +184,7 @@
 /// Runs an agent as its own process, with its configuration and metrics.
 pub async fn run_process(settings: AgentProcess, stop: mpsc::Receiver<()>) -> Result<()> {
     let socket = bind_udp("listen", settings.listen).await?;
+    announce("listen", socket.local_addr())?;
     let (published, configuration) = watch::channel(None);
     let store = StoreClient::new(settings.platform.into());
     let mut background = JoinSet::new();
@@ -192,6 +193,7 @@
     background.spawn(metrics::log_periodically(published_counters.clone()));
     if let Some(address) = settings.metrics {
         let listener = bind_tcp("metrics", address).await?;
+        announce("metrics", listener.local_addr())?;
         background.spawn(metrics::serve(listener, published_counters));
     }
     let core = AgentSettings {
--- a/crates/app/src/balancer_process.rs
+++ b/crates/app/src/balancer_process.rs
@@ -2,7 +2,7 @@
 
 use crate::lifecycle::Lifecycle;
 use crate::metrics::{self, PUBLISH_INTERVAL};
-use crate::sockets::{bind_tcp, bind_udp};
+use crate::sockets::{announce, bind_tcp, bind_udp};
 use anyhow::Result;
 use loftdrift_balancer::{Balancer, HEADROOM_BYTES, Verdict};
 use loftdrift_configuration::{Configuration, ProcessEvent, ProcessState, balancer_chart};
@@ -176,6 +176,7 @@
 /// Runs a balancer as its own process, with its configuration and metrics.
 pub async fn run_process(settings: BalancerProcess, stop: mpsc::Receiver<()>) -> Result<()> {
     let socket = bind_udp("listen", settings.listen).await?;
+    announce("listen", socket.local_addr())?;
     let (published, configuration) = watch::channel(None);
     let store = StoreClient::new(settings.platform.into());
     let mut background = JoinSet::new();
@@ -184,6 +185,7 @@
     background.spawn(metrics::log_periodically(published_counters.clone()));
     if let Some(address) = settings.metrics {
         let listener = bind_tcp("metrics", address).await?;
+        announce("metrics", listener.local_addr())?;
         background.spawn(metrics::serve(listener, published_counters));
     }
     let task = BalancerTask {
--- a/crates/app/src/sockets.rs
+++ b/crates/app/src/sockets.rs
@@ -33,3 +33,12 @@
         std::net::SocketAddr::V6(address) => anyhow::bail!("{address} is no IPv4 address"),
     }
 }
+
+/// Tells on standard output where a process listens, so that whoever started it with port 0 knows.
+pub(crate) fn announce(
+    setting: &str,
+    address: std::io::Result<std::net::SocketAddr>,
+) -> Result<()> {
+    println!("listening {setting} {}", address?);
+    Ok(())
+}
--- a/crates/app/src/standins.rs
+++ b/crates/app/src/standins.rs
@@ -1,7 +1,7 @@
 //! Wires the stand-ins to their settings.
 
 use crate::command_line::EXIT_FAILED;
-use crate::sockets::{bind_tcp, bind_udp};
+use crate::sockets::{announce, bind_tcp, bind_udp};
 use anyhow::Result;
 use loftdrift_settings::{
     BackendProcess, CallersProcess, FabricProcess, ListenerTransport, PlatformProcess,
@@ -19,6 +19,7 @@
 /// Runs the platform until it is killed.
 pub async fn run_platform(settings: PlatformProcess) -> Result<()> {
     let listener = bind_tcp("listen", settings.listen).await?;
+    announce("listen", listener.local_addr())?;
     let faults = Faults {
         requests_per_second: settings.requests_per_second,
         machine_lag_ms: settings.machine_lag.as_millis() as u64,
@@ -31,6 +32,7 @@
 /// Runs a back end until it is killed.
 pub async fn run_backend(settings: BackendProcess) -> Result<()> {
     let listener = bind_tcp("listen", settings.listen).await?;
+    announce("listen", listener.local_addr())?;
     let behaviour = BackendSettings {
         service: settings.service,
         name: settings.name,
@@ -47,14 +49,19 @@
 /// Runs the fabric until it is killed.
 pub async fn run_fabric(settings: FabricProcess) -> Result<()> {
     let socket = bind_udp("listen", settings.listen).await?;
+    announce("listen", socket.local_addr())?;
     let mut listeners = Vec::new();
     for listener in &settings.listeners {
         let socket = match listener.transport {
             ListenerTransport::Tcp => {
-                ListenerSocket::Tcp(bind_tcp("listeners.listen", listener.listen).await?)
+                let port = bind_tcp("listeners.listen", listener.listen).await?;
+                announce("listeners.listen", port.local_addr())?;
+                ListenerSocket::Tcp(port)
             }
             ListenerTransport::Udp => {
-                ListenerSocket::Udp(bind_udp("listeners.listen", listener.listen).await?)
+                let port = bind_udp("listeners.listen", listener.listen).await?;
+                announce("listeners.listen", port.local_addr())?;
+                ListenerSocket::Udp(port)
             }
         };
         listeners.push(Listener {
