--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -28,6 +28,9 @@
 /// A back end that warms up counts each flow so many times.
 const JOINING_LOAD_FACTOR: u64 = 2;
 
+/// A caller that does not acknowledge the SYN-ACK for so long is forgotten.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(15);
+
 /// What the embedder does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Output {
@@ -423,9 +426,11 @@
             timestamps,
             sequence_seed: self.sequence_seed,
         };
+        let endpoint = Endpoint::listen(now, flow, &settings);
         SplicedFlow::new(
-            Endpoint::listen(now, flow, &settings),
+            endpoint,
             Arc::clone(&self.chart),
+            Some(now + HANDSHAKE_TIMEOUT),
         )
     }
 
--- /dev/null
+++ b/crates/agent/tests/limits.rs
@@ -0,0 +1,251 @@
+//! What an agent refuses, bounds and counts.
+
+use etherparse::PacketBuilder;
+use loftdrift_agent::{Agent, AgentSettings, Output};
+use loftdrift_configuration::{Configuration, apply, parse_script};
+use loftdrift_testkit::check_fixed_seeds;
+use loftdrift_wire::{
+    BackendId, Candidate, CandidateList, GenevePacket, SteeringMode, SteeringOption, encode_packet,
+};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+const SERVICE: [u8; 4] = [10, 20, 0, 1];
+const OTHER_SERVICE_VNI: u32 = 2;
+const TILES_VNI: u32 = 1;
+
+fn address(text: &str) -> SocketAddrV4 {
+    text.parse().expect("an address")
+}
+
+fn agent(connections: u32) -> Agent {
+    let mut agent = Agent::new(AgentSettings {
+        backend: "tiles-1".to_owned(),
+        fabric: address("10.0.0.1:6081"),
+        flow_buffer_bytes: 4_096,
+        cookies: true,
+        unknown_grace: Duration::from_secs(20),
+        udp_idle: Duration::from_secs(30),
+        seed: 7,
+    })
+    .expect("a chart");
+    let script = format!(
+        "create service tiles at 10.20.0.1:80\n\
+         create service sheets at 10.20.0.2:80\n\
+         attach backend tiles-1 to tiles at 127.0.0.1:9001 agent 10.2.0.1:6081 \
+         connections {connections} state active"
+    );
+    let statements = parse_script("test", &script).expect("a script");
+    let configuration = apply(&Configuration::default(), &statements).expect("a change that fits");
+    agent.adopt(&configuration);
+    agent
+}
+
+fn option(mode: SteeringMode) -> SteeringOption {
+    let mut candidates = CandidateList::new();
+    candidates.push(Candidate {
+        backend: BackendId(1),
+        agent: address("10.2.0.1:6081"),
+    });
+    SteeringOption {
+        mode,
+        cursor: 0,
+        hops_left: 16,
+        eligible: 1,
+        best: None,
+        epoch: 1,
+        candidates,
+    }
+}
+
+fn syn(port: u16, service: [u8; 4]) -> Vec<u8> {
+    let builder = PacketBuilder::ipv4([10, 9, 0, 1], service, 64)
+        .tcp(port, 80, 1_000, 8_192)
+        .syn();
+    let mut packet = Vec::new();
+    builder.write(&mut packet, &[]).expect("a packet");
+    packet
+}
+
+fn data(port: u16) -> Vec<u8> {
+    let builder = PacketBuilder::ipv4([10, 9, 0, 1], SERVICE, 64)
+        .tcp(port, 80, 1_001, 8_192)
+        .ack(5_000);
+    let mut packet = Vec::new();
+    builder.write(&mut packet, b"hello").expect("a packet");
+    packet
+}
+
+fn send(agent: &mut Agent, now: Duration, vni: u32, mode: SteeringMode, packet: &[u8]) {
+    let datagram = encode_packet(vni, Some(&option(mode)), packet);
+    agent.handle_datagram(now, address("10.1.0.1:6081"), &datagram);
+}
+
+/// Resets among the packets that the agent sends back.
+fn resets(agent: &mut Agent) -> usize {
+    const RST: u8 = 0x04;
+    const FLAGS: usize = 20 + 13;
+    let mut count = 0;
+    while let Some(output) = agent.take_output() {
+        let Output::Transmit { datagram, .. } = output else {
+            continue;
+        };
+        let packet = GenevePacket::parse(&datagram).expect("a packet");
+        count += usize::from(packet.inner[FLAGS] & RST != 0);
+    }
+    count
+}
+
+#[test]
+fn a_packet_of_another_service_is_refused_and_counted() {
+    let mut agent = agent(10);
+    send(
+        &mut agent,
+        Duration::ZERO,
+        OTHER_SERVICE_VNI,
+        SteeringMode::Tour,
+        &syn(4_000, SERVICE),
+    );
+    send(
+        &mut agent,
+        Duration::ZERO,
+        TILES_VNI,
+        SteeringMode::Tour,
+        &syn(4_000, [10, 20, 0, 2]),
+    );
+    assert_eq!(agent.counters.refused_other_service, 2);
+    assert_eq!(agent.counters.flows_opened, 0);
+    assert!(agent.take_output().is_none());
+}
+
+#[test]
+fn a_full_back_end_takes_nothing_more_and_says_so() {
+    let mut agent = agent(2);
+    for port in 4_000..4_003 {
+        send(
+            &mut agent,
+            Duration::ZERO,
+            TILES_VNI,
+            SteeringMode::Tour,
+            &syn(port, SERVICE),
+        );
+    }
+    assert_eq!(agent.counters.flows_opened, 2);
+    assert_eq!(agent.counters.passed_over_full, 1);
+    assert_eq!(agent.counters.opens_refused, 1);
+    assert_eq!(resets(&mut agent), 1);
+}
+
+#[test]
+fn a_handshake_that_is_never_finished_is_forgotten() {
+    let mut agent = agent(10);
+    send(
+        &mut agent,
+        Duration::ZERO,
+        TILES_VNI,
+        SteeringMode::Tour,
+        &syn(4_000, SERVICE),
+    );
+    assert_eq!(agent.flow_count(), 1);
+    while let Some(next) = agent
+        .next_timeout()
+        .filter(|next| *next <= Duration::from_secs(20))
+    {
+        agent.handle_timeout(next);
+    }
+    assert_eq!(agent.flow_count(), 0);
+    assert_eq!(resets(&mut agent), 0);
+}
+
+#[test]
+fn a_doubled_syn_opens_one_flow() {
+    let mut agent = agent(10);
+    for _ in 0..3 {
+        send(
+            &mut agent,
+            Duration::ZERO,
+            TILES_VNI,
+            SteeringMode::Tour,
+            &syn(4_000, SERVICE),
+        );
+    }
+    assert_eq!(agent.counters.flows_opened, 1);
+}
+
+#[test]
+fn an_unknown_flow_meets_silence_and_then_a_reset() {
+    let mut agent = agent(10);
+    let packet = data(4_000);
+    send(
+        &mut agent,
+        Duration::from_secs(1),
+        TILES_VNI,
+        SteeringMode::Locate,
+        &packet,
+    );
+    send(
+        &mut agent,
+        Duration::from_secs(20),
+        TILES_VNI,
+        SteeringMode::Locate,
+        &packet,
+    );
+    assert_eq!(resets(&mut agent), 0);
+    assert_eq!(agent.counters.unknown_silent, 2);
+    send(
+        &mut agent,
+        Duration::from_secs(22),
+        TILES_VNI,
+        SteeringMode::Locate,
+        &packet,
+    );
+    assert_eq!(resets(&mut agent), 1);
+}
+
+#[test]
+fn a_wrong_transport_checksum_is_dropped_under_its_counter() {
+    let mut agent = agent(10);
+    let mut packet = syn(4_000, SERVICE);
+    let last = packet.len() - 1;
+    packet[last] ^= 0x55;
+    send(
+        &mut agent,
+        Duration::ZERO,
+        TILES_VNI,
+        SteeringMode::Tour,
+        &packet,
+    );
+    assert_eq!(agent.counters.dropped_transport_checksum, 1);
+    assert_eq!(agent.counters.flows_opened, 0);
+}
+
+#[test]
+fn arbitrary_datagrams_never_panic_and_are_all_counted() {
+    check_fixed_seeds(|input| {
+        let mut agent = agent(10);
+        let datagram: Vec<u8> = input.arbitrary()?;
+        agent.handle_datagram(Duration::ZERO, address("10.1.0.1:6081"), &datagram);
+        assert_eq!(agent.counters.received, 1);
+        Ok(())
+    });
+}
+
+#[test]
+fn damaged_packets_never_panic() {
+    check_fixed_seeds(|input| {
+        let mut agent = agent(10);
+        let mut datagram = encode_packet(
+            TILES_VNI,
+            Some(&option(SteeringMode::Tour)),
+            &syn(4_000, SERVICE),
+        );
+        for _ in 0..input.int_in_range(1..=4)? {
+            let place = input.int_in_range(0..=datagram.len() - 1)?;
+            datagram[place] = input.arbitrary()?;
+        }
+        datagram.truncate(input.int_in_range(0..=datagram.len())?);
+        agent.handle_datagram(Duration::ZERO, address("10.1.0.1:6081"), &datagram);
+        while agent.take_output().is_some() {}
+        Ok(())
+    });
+}
--- a/crates/configuration/src/language.rs
+++ b/crates/configuration/src/language.rs
@@ -172,6 +172,11 @@
         Rule::transport => "tcp or udp",
         Rule::site => "left or right",
         Rule::first_state => "joining or active",
+        Rule::word_service => "service",
+        Rule::word_backend => "backend",
+        Rule::word_at => "at",
+        Rule::word_to => "to",
+        Rule::word_agent => "agent",
         Rule::EOI => "the end of the script",
         Rule::WHITESPACE | Rule::COMMENT => "a space",
     }
@@ -179,7 +184,9 @@
 
 fn read(findings: &mut Collector<'_>, pair: Pair<'_, Rule>) -> Option<StatementKind> {
     let rule = pair.as_rule();
-    let mut parts = pair.into_inner();
+    let mut parts = pair
+        .into_inner()
+        .filter(|part| !is_plain_word(part.as_rule()));
     match rule {
         Rule::create_service => {
             let name = parts.next()?.as_str().to_owned();
@@ -256,6 +263,14 @@
     }
 }
 
+/// Whether a rule is a word between names, which carries nothing to read.
+fn is_plain_word(rule: Rule) -> bool {
+    matches!(
+        rule,
+        Rule::word_service | Rule::word_backend | Rule::word_at | Rule::word_to | Rule::word_agent
+    )
+}
+
 fn change(name: Pair<'_, Rule>, event: BackendEvent) -> Option<StatementKind> {
     Some(StatementKind::ChangeBackend {
         name: name.as_str().to_owned(),
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -105,8 +105,11 @@
         ServiceId(self.id)
     }
 
-    /// Records a new generation when the set of back ends that take new flows has changed.
+    /// Records a new generation when the set of back ends that take new flows has changed. All
+    /// statements of one script make one generation, so that scripts do not use up the history.
     pub fn renew_generation(&mut self, epoch: u64) {
+        self.generations
+            .retain(|generation| generation.epoch != epoch);
         let members: Vec<Member> = self
             .backends
             .values()
--- /dev/null
+++ b/crates/configuration/tests/edits.rs
@@ -0,0 +1,87 @@
+//! What statements do to a configuration.
+
+use loftdrift_configuration::{Configuration, EditError, apply, parse_script};
+
+fn edit(configuration: &Configuration, script: &str) -> Configuration {
+    let statements = parse_script("test", script).expect("a script");
+    apply(configuration, &statements).expect("a change that fits")
+}
+
+fn refusals(configuration: &Configuration, script: &str) -> Vec<EditError> {
+    let statements = parse_script("test", script).expect("a script");
+    let errors = apply(configuration, &statements).expect_err("a change that does not fit");
+    errors.into_iter().map(|(_, error)| error).collect()
+}
+
+fn two_backends() -> Configuration {
+    let script = "create service tiles at 10.20.0.1:80\n\
+         attach backend a to tiles at 127.0.0.1:9001 agent 127.0.0.1:6001 state active\n\
+         attach backend b to tiles at 127.0.0.1:9002 agent 127.0.0.1:6002 state active";
+    edit(&Configuration::default(), script)
+}
+
+#[test]
+fn one_script_makes_one_generation() {
+    let before = two_backends();
+    assert_eq!(before.services["tiles"].generations.len(), 1);
+    let script = "attach backend c to tiles at 127.0.0.1:9003 agent 127.0.0.1:6003\n\
+                  drain backend a";
+    let after = edit(&before, script);
+    assert_eq!(after.services["tiles"].generations.len(), 2);
+    assert_eq!(after.version.revision, 2);
+}
+
+#[test]
+fn a_change_that_alters_no_members_makes_no_generation() {
+    let before = two_backends();
+    let joined = edit(
+        &before,
+        "attach backend c to tiles at 127.0.0.1:9003 agent 127.0.0.1:6003",
+    );
+    let activated = edit(&joined, "activate backend c");
+    assert_eq!(activated.services["tiles"].generations.len(), 2);
+}
+
+#[test]
+fn identities_are_never_used_again() {
+    let before = two_backends();
+    let gone = edit(&edit(&before, "drain backend b"), "detach backend b");
+    let again = edit(
+        &gone,
+        "attach backend b to tiles at 127.0.0.1:9002 agent 127.0.0.1:6002",
+    );
+    let old = before.services["tiles"].backends["b"].id;
+    assert_ne!(again.services["tiles"].backends["b"].id, old);
+}
+
+#[test]
+fn a_script_with_any_refusal_changes_nothing_and_names_them_all() {
+    let script = "create service tiles at 10.20.0.9:80\n\
+                  create service other at 10.20.0.1:80\n\
+                  drain backend nobody\n\
+                  detach backend a\n\
+                  attach backend c to tiles at 127.0.0.1:9003 agent 127.0.0.1:6001";
+    let found = refusals(&two_backends(), script);
+    assert!(matches!(&found[0], EditError::ServiceExists(name) if name == "tiles"));
+    assert!(matches!(&found[1], EditError::AddressTaken(name) if name == "tiles"));
+    assert!(matches!(&found[2], EditError::UnknownBackend(name) if name == "nobody"));
+    assert!(matches!(
+        &found[3],
+        EditError::NotAllowed {
+            state: "active",
+            ..
+        }
+    ));
+    assert!(matches!(&found[4], EditError::AgentTaken(name) if name == "a"));
+    assert_eq!(found.len(), 5);
+}
+
+#[test]
+fn a_misspelt_statement_is_shown_with_its_place_and_what_was_expected() {
+    let findings = parse_script("test", "show services\ndrain bakend a").expect_err("a finding");
+    assert_eq!(
+        (findings.list[0].place.line, findings.list[0].place.column),
+        (2, 7)
+    );
+    assert_eq!(findings.list[0].expected, "backend");
+}
--- a/crates/flow/src/splice.rs
+++ b/crates/flow/src/splice.rs
@@ -57,12 +57,19 @@
     socket_finished: bool,
     backend_finish_passed: bool,
     caller_finish_passed: bool,
+    /// When a handshake that is not done is given up.
+    handshake_deadline: Option<Duration>,
     commands: VecDeque<SocketCommand>,
 }
 
 impl SplicedFlow {
-    /// A flow whose socket is opened once the handshake is done.
-    pub fn new(endpoint: Endpoint, chart: Arc<FlowChart>) -> Self {
+    /// A flow whose socket is opened once the handshake is done, which is given up silently at
+    /// `handshake_deadline`: another candidate may have been offered the same flow and got it.
+    pub fn new(
+        endpoint: Endpoint,
+        chart: Arc<FlowChart>,
+        handshake_deadline: Option<Duration>,
+    ) -> Self {
         SplicedFlow {
             endpoint,
             state: chart.initial(),
@@ -73,6 +80,7 @@
             socket_finished: false,
             backend_finish_passed: false,
             caller_finish_passed: false,
+            handshake_deadline,
             commands: VecDeque::new(),
         }
     }
@@ -114,6 +122,10 @@
 
     /// Does what is due at `now`: transfers bytes both ways and follows the chart.
     pub fn pump(&mut self, now: Duration) {
+        if self.handshake_is_late(now) {
+            self.step(FlowEvent::Closed);
+            return;
+        }
         self.endpoint.poll(now);
         self.pass_handshake();
         self.pass_to_socket();
@@ -134,7 +146,21 @@
 
     /// When [`SplicedFlow::pump`] must be called next though nothing arrives.
     pub fn next_timeout(&mut self, now: Duration) -> Option<Duration> {
-        self.endpoint.next_timeout(now)
+        let next = self.endpoint.next_timeout(now);
+        let deadline = self
+            .handshake_deadline
+            .filter(|_| self.state == FlowState::Handshake);
+        match (next, deadline) {
+            (Some(next), Some(deadline)) => Some(next.min(deadline)),
+            (next, deadline) => next.or(deadline),
+        }
+    }
+
+    fn handshake_is_late(&self, now: Duration) -> bool {
+        let deadline = self
+            .handshake_deadline
+            .filter(|_| self.state == FlowState::Handshake);
+        deadline.is_some_and(|deadline| deadline <= now)
     }
 
     fn step(&mut self, event: FlowEvent) {
--- /dev/null
+++ b/crates/lab/src/backend.rs
@@ -0,0 +1,146 @@
+//! A simulated back end: reads request lines, works, answers.
+//!
+//! A request is the line `ID SIZE SERVICE`; its answer the line `ID SIZE SERVICE` of the back
+//! end's own service, followed by `SIZE` bytes that the identity determines.
+
+use bytes::{Bytes, BytesMut};
+use loftdrift_flow::FlowId;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+const CHUNK_BYTES: usize = 4 * 1024;
+
+/// How a back end behaves.
+#[derive(Clone, Debug)]
+pub struct BackendBehaviour {
+    /// The service that it belongs to.
+    pub service: String,
+    /// Time from a request to its answer.
+    pub work: Duration,
+}
+
+#[derive(Debug, Default)]
+struct Connection {
+    received: BytesMut,
+    to_send: VecDeque<Bytes>,
+    /// The flow takes one more chunk.
+    credit: bool,
+    finished: bool,
+}
+
+/// A back end with its connections.
+#[derive(Debug)]
+pub(crate) struct SimulatedBackend {
+    behaviour: BackendBehaviour,
+    connections: BTreeMap<FlowId, Connection>,
+}
+
+/// A request that a back end has begun to run.
+#[derive(Clone, Debug)]
+pub(crate) struct RunningRequest {
+    pub(crate) id: u64,
+    pub(crate) size: usize,
+    /// The request was meant for another service.
+    pub(crate) foreign: bool,
+}
+
+impl SimulatedBackend {
+    pub(crate) fn new(behaviour: BackendBehaviour) -> Self {
+        SimulatedBackend {
+            behaviour,
+            connections: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn work(&self) -> Duration {
+        self.behaviour.work
+    }
+
+    pub(crate) fn connect(&mut self, flow: FlowId) {
+        self.connections.insert(
+            flow,
+            Connection {
+                credit: true,
+                ..Connection::default()
+            },
+        );
+    }
+
+    pub(crate) fn drop_connection(&mut self, flow: FlowId) {
+        self.connections.remove(&flow);
+    }
+
+    pub(crate) fn finish(&mut self, flow: FlowId) {
+        if let Some(connection) = self.connections.get_mut(&flow) {
+            connection.finished = true;
+        }
+    }
+
+    /// Whether the flow has no more to say and its peer has finished.
+    pub(crate) fn is_over(&self, flow: FlowId) -> bool {
+        let connection = self.connections.get(&flow);
+        connection.is_some_and(|connection| connection.finished && connection.to_send.is_empty())
+    }
+
+    pub(crate) fn give_credit(&mut self, flow: FlowId) {
+        if let Some(connection) = self.connections.get_mut(&flow) {
+            connection.credit = true;
+        }
+    }
+
+    /// Takes bytes of a flow and tells which requests begin to run.
+    pub(crate) fn receive(&mut self, flow: FlowId, bytes: &[u8]) -> Vec<RunningRequest> {
+        let Some(connection) = self.connections.get_mut(&flow) else {
+            return Vec::new();
+        };
+        connection.received.extend_from_slice(bytes);
+        let mut running = Vec::new();
+        while let Some(end) = connection.received.iter().position(|byte| *byte == b'\n') {
+            let line = connection.received.split_to(end + 1);
+            let line = String::from_utf8_lossy(&line);
+            let mut words = line.split_whitespace();
+            let id = words.next().and_then(|word| word.parse().ok());
+            let size = words.next().and_then(|word| word.parse().ok());
+            if let (Some(id), Some(size)) = (id, size) {
+                let foreign = words.next() != Some(self.behaviour.service.as_str());
+                running.push(RunningRequest { id, size, foreign });
+            }
+        }
+        running
+    }
+
+    /// The work on a request is done: queues its answer.
+    pub(crate) fn answer(&mut self, flow: FlowId, request: &RunningRequest) {
+        let Some(connection) = self.connections.get_mut(&flow) else {
+            return;
+        };
+        let head = format!(
+            "{} {} {}\n",
+            request.id, request.size, self.behaviour.service
+        );
+        let mut answer = BytesMut::from(head.as_bytes());
+        answer.resize(head.len() + request.size, body_byte(request.id));
+        let mut answer = answer.freeze();
+        while !answer.is_empty() {
+            connection
+                .to_send
+                .push_back(answer.split_to(answer.len().min(CHUNK_BYTES)));
+        }
+    }
+
+    /// The next chunk for a flow that takes one.
+    pub(crate) fn take_chunk(&mut self, flow: FlowId) -> Option<Bytes> {
+        let connection = self.connections.get_mut(&flow)?;
+        if !connection.credit {
+            return None;
+        }
+        let chunk = connection.to_send.pop_front()?;
+        connection.credit = false;
+        Some(chunk)
+    }
+}
+
+/// The byte that fills a request's answer.
+pub(crate) fn body_byte(id: u64) -> u8 {
+    (id % 251) as u8
+}
--- /dev/null
+++ b/crates/lab/src/caller.rs
@@ -0,0 +1,121 @@
+//! A simulated caller's flow: request after request, each answer checked byte by byte.
+
+use crate::backend::body_byte;
+use crate::outcome::Outcome;
+use bytes::{Buf, Bytes, BytesMut};
+use std::time::Duration;
+
+/// What callers do on each flow.
+#[derive(Clone, Debug)]
+pub struct CallerBehaviour {
+    /// The service that they call.
+    pub service: String,
+    /// Requests on one flow.
+    pub requests: u32,
+    /// Size of each answer, in bytes.
+    pub answer_bytes: usize,
+    /// Pause from an answer to the next request.
+    pub pause: Duration,
+    /// Whether flows offer TCP timestamps.
+    pub timestamps: bool,
+}
+
+/// What a flow does after bytes have arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Progress {
+    /// Waits for more bytes.
+    Waiting,
+    /// An answer is whole; the next request comes after the pause.
+    NextRequest,
+    /// The last answer is whole.
+    Finished,
+}
+
+/// One flow of a caller.
+#[derive(Debug)]
+pub(crate) struct CallerFlow {
+    behaviour: CallerBehaviour,
+    requests_left: u32,
+    current: u64,
+    received: BytesMut,
+    body_left: Option<usize>,
+    pub(crate) finished: bool,
+}
+
+impl CallerFlow {
+    pub(crate) fn new(behaviour: CallerBehaviour) -> Self {
+        CallerFlow {
+            requests_left: behaviour.requests,
+            behaviour,
+            current: 0,
+            received: BytesMut::new(),
+            body_left: None,
+            finished: false,
+        }
+    }
+
+    pub(crate) fn pause(&self) -> Duration {
+        self.behaviour.pause
+    }
+
+    /// The next request, with an identity that no other request has.
+    pub(crate) fn next_request(&mut self, id: u64, outcome: &mut Outcome) -> Bytes {
+        self.current = id;
+        self.requests_left -= 1;
+        outcome.requests_sent += 1;
+        let CallerBehaviour {
+            answer_bytes,
+            service,
+            ..
+        } = &self.behaviour;
+        Bytes::from(format!("{id} {answer_bytes} {service}\n"))
+    }
+
+    /// Takes bytes of an answer.
+    pub(crate) fn receive(&mut self, bytes: &[u8], outcome: &mut Outcome) -> Progress {
+        self.received.extend_from_slice(bytes);
+        if self.body_left.is_none() {
+            let Some(end) = self.received.iter().position(|byte| *byte == b'\n') else {
+                return Progress::Waiting;
+            };
+            let line = self.received.split_to(end + 1);
+            self.check_head(&String::from_utf8_lossy(&line), outcome);
+            self.body_left = Some(self.behaviour.answer_bytes);
+        }
+        let left = self.body_left.unwrap_or(0);
+        let taken = left.min(self.received.len());
+        let filler = body_byte(self.current);
+        if self.received[..taken].iter().any(|byte| *byte != filler) {
+            outcome.wrong_answers += 1;
+        }
+        self.received.advance(taken);
+        self.body_left = Some(left - taken);
+        if left > taken {
+            return Progress::Waiting;
+        }
+        self.body_left = None;
+        outcome.answered_whole += 1;
+        if self.requests_left == 0 {
+            Progress::Finished
+        } else {
+            Progress::NextRequest
+        }
+    }
+
+    fn check_head(&self, line: &str, outcome: &mut Outcome) {
+        let CallerBehaviour {
+            answer_bytes,
+            service,
+            ..
+        } = &self.behaviour;
+        let mut words = line.split_whitespace();
+        let id = words.next().and_then(|word| word.parse().ok());
+        let size = words.next().and_then(|word| word.parse().ok());
+        if id != Some(self.current) || size != Some(*answer_bytes) {
+            outcome.wrong_answers += 1;
+        }
+        if words.next() != Some(service.as_str()) {
+            outcome.misdelivered += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world.rs
@@ -0,0 +1,586 @@
+//! The simulated world.
+
+use crate::backend::{BackendBehaviour, RunningRequest, SimulatedBackend};
+use crate::caller::{CallerBehaviour, CallerFlow, Progress};
+use crate::network::NetworkSettings;
+use crate::outcome::Outcome;
+use crate::queue::EventQueue;
+use loftdrift_agent::{Agent, AgentSettings, Output};
+use loftdrift_balancer::{Balancer, HEADROOM_BYTES, Verdict};
+use loftdrift_configuration::Configuration;
+use loftdrift_findings::Findings;
+use loftdrift_flow::{
+    Endpoint, EndpointSettings, FlowChart, FlowId, FlowState, FlowTable, SocketCommand,
+    SocketEvent, SplicedFlow, Timestamps, flow_chart,
+};
+use loftdrift_liveness::ProbeSettings;
+use loftdrift_wire::{FlowKey, GenevePacket, Transport, encode_packet, parse_inner};
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// UDP address of the fabric.
+pub const FABRIC: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 6081);
+
+const GENEVE_PORT: u16 = 6081;
+const BALANCER_TICK: Duration = Duration::from_millis(100);
+const PROBING: ProbeSettings = ProbeSettings {
+    interval: Duration::from_secs(1),
+    timeout: Duration::from_millis(400),
+    misses: 3,
+    most_per_second: 40,
+};
+const CALLER_BUFFER_BYTES: usize = 16 * 1024;
+
+/// How a world is set up.
+#[derive(Clone, Debug)]
+pub struct WorldSettings {
+    /// Seed of every random choice.
+    pub seed: u64,
+    /// The network between all nodes.
+    pub network: NetworkSettings,
+    /// Whether agents send flow cookies.
+    pub cookies: bool,
+    /// How long a flow stays unknown before it is reset.
+    pub unknown_grace: Duration,
+    /// Size of each of a flow's buffers at an agent, in bytes.
+    pub flow_buffer_bytes: usize,
+}
+
+impl Default for WorldSettings {
+    fn default() -> Self {
+        WorldSettings {
+            seed: 1,
+            network: NetworkSettings::default(),
+            cookies: true,
+            unknown_grace: Duration::from_secs(20),
+            flow_buffer_bytes: 8 * 1024,
+        }
+    }
+}
+
+enum Event {
+    Datagram {
+        to: SocketAddrV4,
+        from: SocketAddrV4,
+        datagram: Vec<u8>,
+    },
+    AgentTimer(SocketAddrV4),
+    BalancerTick(SocketAddrV4),
+    CallerTimer,
+    NextRequest(FlowId),
+    Answer {
+        agent: SocketAddrV4,
+        flow: FlowId,
+        request: RunningRequest,
+    },
+    Script(Script),
+}
+
+type Script = Box<dyn FnOnce(&mut World)>;
+
+struct SimulatedAgent {
+    core: Agent,
+    backend: SimulatedBackend,
+    timer: Option<Duration>,
+}
+
+struct OpenFlow {
+    splice: SplicedFlow,
+    caller: CallerFlow,
+}
+
+/// Balancers, agents, back ends and callers on one virtual clock.
+pub struct World {
+    settings: WorldSettings,
+    now: Duration,
+    queue: EventQueue<Event>,
+    random: ChaCha8Rng,
+    chart: Arc<FlowChart>,
+    balancers: BTreeMap<SocketAddrV4, Balancer>,
+    /// Balancers to which the fabric sprays.
+    in_use: Vec<SocketAddrV4>,
+    agents: BTreeMap<SocketAddrV4, SimulatedAgent>,
+    callers: FlowTable<OpenFlow>,
+    caller_timer: Option<Duration>,
+    next_request: u64,
+    next_caller: u32,
+    buffer: Vec<u8>,
+    outcome: Outcome,
+    packets: u64,
+}
+
+impl World {
+    /// An empty world. Fails only when the built-in chart is broken.
+    pub fn new(settings: WorldSettings) -> Result<Self, Findings> {
+        Ok(World {
+            now: Duration::ZERO,
+            queue: EventQueue::default(),
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            chart: Arc::new(flow_chart()?),
+            balancers: BTreeMap::new(),
+            in_use: Vec::new(),
+            agents: BTreeMap::new(),
+            callers: FlowTable::default(),
+            caller_timer: None,
+            next_request: 0,
+            next_caller: 0,
+            buffer: vec![0; HEADROOM_BYTES + usize::from(u16::MAX)],
+            outcome: Outcome::default(),
+            packets: 0,
+            settings,
+        })
+    }
+
+    /// The address of the balancer with that number.
+    pub fn balancer_address(number: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), GENEVE_PORT)
+    }
+
+    /// The address of the agent with that number.
+    pub fn agent_address(number: u8) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(10, 2, 0, number), GENEVE_PORT)
+    }
+
+    /// The virtual time.
+    pub fn now(&self) -> Duration {
+        self.now
+    }
+
+    /// Datagrams that have arrived somewhere.
+    pub fn packets(&self) -> u64 {
+        self.packets
+    }
+
+    /// What the run has shown so far.
+    pub fn outcome(&self) -> &Outcome {
+        &self.outcome
+    }
+
+    /// Adds a balancer, to which the fabric sprays from now on.
+    pub fn add_balancer(&mut self, number: u8) {
+        let address = Self::balancer_address(number);
+        self.balancers.insert(address, Balancer::new(PROBING));
+        self.in_use.push(address);
+        self.queue.push(self.now, Event::BalancerTick(address));
+    }
+
+    /// The fabric sends no more packets to a balancer, which still forwards those it has.
+    pub fn withdraw_balancer(&mut self, number: u8) {
+        let address = Self::balancer_address(number);
+        self.in_use.retain(|in_use| *in_use != address);
+    }
+
+    /// A balancer dies; the fabric sends packets to it until it is withdrawn.
+    pub fn kill_balancer(&mut self, number: u8) {
+        self.balancers.remove(&Self::balancer_address(number));
+    }
+
+    /// Adds an agent beside a back end.
+    pub fn add_agent(
+        &mut self,
+        number: u8,
+        backend: &str,
+        behaviour: BackendBehaviour,
+    ) -> Result<(), Findings> {
+        let core = Agent::new(AgentSettings {
+            backend: backend.to_owned(),
+            fabric: FABRIC,
+            flow_buffer_bytes: self.settings.flow_buffer_bytes,
+            cookies: self.settings.cookies,
+            unknown_grace: self.settings.unknown_grace,
+            udp_idle: Duration::from_secs(30),
+            seed: self.random.random(),
+        })?;
+        let backend = SimulatedBackend::new(behaviour);
+        let agent = SimulatedAgent {
+            core,
+            backend,
+            timer: None,
+        };
+        self.agents.insert(Self::agent_address(number), agent);
+        Ok(())
+    }
+
+    /// An agent dies with all of its flows.
+    pub fn kill_agent(&mut self, number: u8) {
+        self.agents.remove(&Self::agent_address(number));
+    }
+
+    /// The core of an agent.
+    pub fn agent(&self, number: u8) -> Option<&Agent> {
+        self.agents
+            .get(&Self::agent_address(number))
+            .map(|agent| &agent.core)
+    }
+
+    /// The core of a balancer.
+    pub fn balancer(&self, number: u8) -> Option<&Balancer> {
+        self.balancers.get(&Self::balancer_address(number))
+    }
+
+    /// A balancer learns a configuration.
+    pub fn configure_balancer(&mut self, number: u8, configuration: &Configuration) {
+        if let Some(core) = self.balancers.get_mut(&Self::balancer_address(number)) {
+            core.adopt(self.now, configuration);
+        }
+    }
+
+    /// An agent learns a configuration.
+    pub fn configure_agent(&mut self, number: u8, configuration: &Configuration) {
+        if let Some(agent) = self.agents.get_mut(&Self::agent_address(number)) {
+            agent.core.adopt(configuration);
+        }
+    }
+
+    /// Every node learns a configuration.
+    pub fn configure_all(&mut self, configuration: &Configuration) {
+        for core in self.balancers.values_mut() {
+            core.adopt(self.now, configuration);
+        }
+        for agent in self.agents.values_mut() {
+            agent.core.adopt(configuration);
+        }
+    }
+
+    /// Runs a script at a virtual time.
+    pub fn at(&mut self, time: Duration, script: impl FnOnce(&mut World) + 'static) {
+        self.queue.push(time, Event::Script(Box::new(script)));
+    }
+
+    /// A caller opens a flow to a service.
+    pub fn open_flow(&mut self, service: SocketAddrV4, behaviour: &CallerBehaviour) {
+        let caller = self.next_caller_address();
+        let key = FlowKey {
+            caller,
+            service,
+            transport: Transport::Tcp,
+        };
+        let timestamps = if behaviour.timestamps {
+            Timestamps::Clock
+        } else {
+            Timestamps::Off
+        };
+        let endpoint_settings = EndpointSettings {
+            buffer_bytes: CALLER_BUFFER_BYTES,
+            timestamps,
+            sequence_seed: self.random.random(),
+        };
+        let endpoint = Endpoint::connect(self.now, &key, &endpoint_settings);
+        let splice = SplicedFlow::new(endpoint, Arc::clone(&self.chart), None);
+        let caller = CallerFlow::new(behaviour.clone());
+        let flow = self.callers.insert(key, OpenFlow { splice, caller });
+        self.outcome.flows_opened += 1;
+        if let Some(open) = self.callers.get_mut(flow) {
+            open.body.splice.pump(self.now);
+        }
+        self.settle_caller(flow);
+    }
+
+    fn next_caller_address(&mut self) -> SocketAddrV4 {
+        const FIRST_CALLER: u32 = 0x0A09_0001;
+        const CALLERS_PER_HOST: u32 = 20_000;
+        const FIRST_PORT: u32 = 40_000;
+        let number = self.next_caller;
+        self.next_caller += 1;
+        let host = Ipv4Addr::from(FIRST_CALLER + number / CALLERS_PER_HOST);
+        SocketAddrV4::new(host, (FIRST_PORT + number % CALLERS_PER_HOST) as u16)
+    }
+
+    /// Lets virtual time pass.
+    pub fn run_until(&mut self, end: Duration) {
+        while let Some((at, event)) = self.queue.pop_until(end) {
+            self.now = at;
+            self.handle(event);
+        }
+        self.now = end;
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Datagram { to, from, datagram } => self.handle_datagram(to, from, &datagram),
+            Event::AgentTimer(address) => self.handle_agent_timer(address),
+            Event::BalancerTick(address) => self.handle_balancer_tick(address),
+            Event::CallerTimer => self.handle_caller_timer(),
+            Event::NextRequest(flow) => self.send_request(flow),
+            Event::Answer {
+                agent,
+                flow,
+                request,
+            } => self.answer(agent, flow, &request),
+            Event::Script(script) => script(self),
+        }
+    }
+
+    fn transmit(&mut self, from: SocketAddrV4, to: SocketAddrV4, datagram: &[u8]) {
+        for delay in self.settings.network.arrivals(&mut self.random) {
+            let datagram = datagram.to_vec();
+            self.queue
+                .push(self.now + delay, Event::Datagram { to, from, datagram });
+        }
+    }
+
+    fn handle_datagram(&mut self, to: SocketAddrV4, from: SocketAddrV4, datagram: &[u8]) {
+        self.packets += 1;
+        if to == FABRIC {
+            self.deliver_to_caller(datagram);
+        } else if let Some(agent) = self.agents.get_mut(&to) {
+            agent.core.handle_datagram(self.now, from, datagram);
+            self.settle_agent(to);
+        } else if self.balancers.contains_key(&to) {
+            self.forward(to, from, datagram);
+        }
+    }
+
+    fn forward(&mut self, balancer: SocketAddrV4, from: SocketAddrV4, datagram: &[u8]) {
+        let Some(core) = self.balancers.get_mut(&balancer) else {
+            return;
+        };
+        let mut buffer = std::mem::take(&mut self.buffer);
+        let end = HEADROOM_BYTES + datagram.len();
+        buffer[HEADROOM_BYTES..end].copy_from_slice(datagram);
+        match core.handle(self.now, from, &mut buffer, end) {
+            Verdict::Forward(forward) => {
+                self.transmit(balancer, forward.to, &buffer[forward.start..forward.end]);
+            }
+            Verdict::Answer(echo) => self.transmit(balancer, from, &echo.encode()),
+            Verdict::Done => {}
+        }
+        self.buffer = buffer;
+    }
+
+    fn handle_balancer_tick(&mut self, address: SocketAddrV4) {
+        let Some(core) = self.balancers.get_mut(&address) else {
+            return;
+        };
+        for probe in core.tick(self.now) {
+            self.transmit(address, probe.to, &probe.echo.encode());
+        }
+        self.queue
+            .push(self.now + BALANCER_TICK, Event::BalancerTick(address));
+    }
+
+    fn handle_agent_timer(&mut self, address: SocketAddrV4) {
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return;
+        };
+        if agent.timer.is_some_and(|timer| timer <= self.now) {
+            agent.timer = None;
+        }
+        agent.core.handle_timeout(self.now);
+        self.settle_agent(address);
+    }
+
+    /// Carries out what an agent wants done and sets its timer.
+    fn settle_agent(&mut self, address: SocketAddrV4) {
+        while let Some(agent) = self.agents.get_mut(&address) {
+            let Some(output) = agent.core.take_output() else {
+                break;
+            };
+            match output {
+                Output::Transmit { to, datagram } => self.transmit(address, to, &datagram),
+                Output::Socket { flow, command } => self.handle_command(address, flow, command),
+                Output::StartSocket { .. } => {}
+                Output::Ended { flow } => agent.backend.drop_connection(flow),
+            }
+        }
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return;
+        };
+        let Some(next) = agent.core.next_timeout() else {
+            return;
+        };
+        if agent.timer.is_none_or(|timer| next < timer) {
+            agent.timer = Some(next);
+            self.queue.push(next, Event::AgentTimer(address));
+        }
+    }
+
+    fn handle_command(&mut self, address: SocketAddrV4, flow: FlowId, command: SocketCommand) {
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return;
+        };
+        match command {
+            SocketCommand::Open => {
+                agent.backend.connect(flow);
+                agent
+                    .core
+                    .handle_socket(self.now, flow, SocketEvent::Opened);
+            }
+            SocketCommand::Write(bytes) => {
+                let work = agent.backend.work();
+                for request in agent.backend.receive(flow, &bytes) {
+                    *self.outcome.runs.entry(request.id).or_default() += 1;
+                    self.outcome.misdelivered += u64::from(request.foreign);
+                    let event = Event::Answer {
+                        agent: address,
+                        flow,
+                        request,
+                    };
+                    self.queue.push(self.now + work, event);
+                }
+                agent
+                    .core
+                    .handle_socket(self.now, flow, SocketEvent::Written(bytes.len()));
+            }
+            SocketCommand::ReadMore => {
+                agent.backend.give_credit(flow);
+                self.offer_chunk(address, flow);
+            }
+            SocketCommand::FinishWriting => {
+                agent.backend.finish(flow);
+                self.offer_chunk(address, flow);
+            }
+            SocketCommand::Abort => agent.backend.drop_connection(flow),
+        }
+    }
+
+    fn answer(&mut self, address: SocketAddrV4, flow: FlowId, request: &RunningRequest) {
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return;
+        };
+        agent.backend.answer(flow, request);
+        self.offer_chunk(address, flow);
+        self.settle_agent(address);
+    }
+
+    fn offer_chunk(&mut self, address: SocketAddrV4, flow: FlowId) {
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return;
+        };
+        if let Some(chunk) = agent.backend.take_chunk(flow) {
+            agent
+                .core
+                .handle_socket(self.now, flow, SocketEvent::Received(chunk));
+        } else if agent.backend.is_over(flow) {
+            agent.backend.drop_connection(flow);
+            agent
+                .core
+                .handle_socket(self.now, flow, SocketEvent::Finished);
+        }
+    }
+
+    fn deliver_to_caller(&mut self, datagram: &[u8]) {
+        let Ok(packet) = GenevePacket::parse(datagram) else {
+            return;
+        };
+        let Ok(inner) = parse_inner(packet.inner) else {
+            return;
+        };
+        let Some(flow) = self.callers.find(&inner.flow.reversed()) else {
+            return;
+        };
+        if let Some(open) = self.callers.get_mut(flow) {
+            open.body.splice.on_packet(self.now, packet.inner);
+        }
+        self.settle_caller(flow);
+    }
+
+    fn handle_caller_timer(&mut self) {
+        if self.caller_timer.is_some_and(|timer| timer <= self.now) {
+            self.caller_timer = None;
+        }
+        while let Some(flow) = self.callers.pop_due(self.now) {
+            if let Some(open) = self.callers.get_mut(flow) {
+                open.body.splice.pump(self.now);
+            }
+            self.settle_caller(flow);
+        }
+        self.schedule_callers();
+    }
+
+    fn send_request(&mut self, flow: FlowId) {
+        let Some(open) = self.callers.get_mut(flow) else {
+            return;
+        };
+        let id = self.next_request;
+        self.next_request += 1;
+        let request = open.body.caller.next_request(id, &mut self.outcome);
+        open.body
+            .splice
+            .on_socket(self.now, SocketEvent::Received(request));
+        self.settle_caller(flow);
+    }
+
+    /// Carries out what a caller's flow wants done and sets its timer.
+    fn settle_caller(&mut self, flow: FlowId) {
+        while let Some(open) = self.callers.get_mut(flow) {
+            let Some(command) = open.body.splice.take_command() else {
+                break;
+            };
+            self.handle_caller_command(flow, command);
+        }
+        let Some(open) = self.callers.get_mut(flow) else {
+            return;
+        };
+        let mut packets = Vec::new();
+        while let Some(packet) = open.body.splice.take_packet() {
+            packets.push(packet);
+        }
+        let gone = open.body.splice.state() == FlowState::Gone;
+        let finished = open.body.caller.finished;
+        let deadline = open.body.splice.next_timeout(self.now);
+        for packet in packets {
+            self.spray(&packet);
+        }
+        if gone && !finished {
+            self.outcome.flows_broken += 1;
+        }
+        if gone {
+            self.callers.remove(flow);
+        } else {
+            self.callers.set_deadline(flow, deadline);
+        }
+        self.schedule_callers();
+    }
+
+    fn handle_caller_command(&mut self, flow: FlowId, command: SocketCommand) {
+        let Some(open) = self.callers.get_mut(flow) else {
+            return;
+        };
+        let OpenFlow { splice, caller } = &mut open.body;
+        match command {
+            SocketCommand::Open => {
+                splice.on_socket(self.now, SocketEvent::Opened);
+                self.queue.push(self.now, Event::NextRequest(flow));
+            }
+            SocketCommand::Write(bytes) => {
+                splice.on_socket(self.now, SocketEvent::Written(bytes.len()));
+                match caller.receive(&bytes, &mut self.outcome) {
+                    Progress::Waiting => {}
+                    Progress::NextRequest => {
+                        let at = self.now + caller.pause();
+                        self.queue.push(at, Event::NextRequest(flow));
+                    }
+                    Progress::Finished => {
+                        caller.finished = true;
+                        self.outcome.flows_finished += 1;
+                        splice.on_socket(self.now, SocketEvent::Finished);
+                    }
+                }
+            }
+            SocketCommand::ReadMore | SocketCommand::FinishWriting | SocketCommand::Abort => {}
+        }
+    }
+
+    fn schedule_callers(&mut self) {
+        let Some(next) = self.callers.next_deadline() else {
+            return;
+        };
+        if self.caller_timer.is_none_or(|timer| next < timer) {
+            self.caller_timer = Some(next);
+            self.queue.push(next, Event::CallerTimer);
+        }
+    }
+
+    fn spray(&mut self, packet: &[u8]) {
+        let Some(balancer) = self.in_use.choose(&mut self.random).copied() else {
+            return;
+        };
+        self.transmit(FABRIC, balancer, &encode_packet(0, None, packet));
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/planned_changes.rs
@@ -0,0 +1,202 @@
+//! Established flows survive every planned change, a balancer's death and a bad network.
+
+mod support;
+
+use loftdrift_lab::{NetworkSettings, Outcome, WorldSettings};
+use support::{attach, callers, configurations, create, drain, open_flows, seconds, world};
+
+const SEEDS: std::ops::Range<u64> = 0..4;
+
+fn assert_clean(outcome: &Outcome, seed: u64) {
+    assert!(outcome.is_clean(), "seed {seed}: {outcome:?}");
+}
+
+#[test]
+fn every_balancer_is_replaced_under_long_flows() {
+    for seed in SEEDS {
+        let mut world = world(
+            WorldSettings {
+                seed,
+                ..WorldSettings::default()
+            },
+            3,
+            4,
+        );
+        let list = configurations(&[create(4)]);
+        world.configure_all(&list[0]);
+        open_flows(
+            &mut world,
+            40,
+            seconds(0.0),
+            seconds(4.0),
+            &callers(20, seconds(0.5), true),
+        );
+        for number in 1..=3_u8 {
+            let at = seconds(1.0 + f64::from(number) * 2.0);
+            let newest = list[0].clone();
+            world.at(at, move |world| {
+                world.add_balancer(number + 3);
+                world.configure_balancer(number + 3, &newest);
+                world.withdraw_balancer(number);
+            });
+            world.at(at + seconds(1.0), move |world| world.kill_balancer(number));
+        }
+        world.run_until(seconds(60.0));
+        assert_clean(world.outcome(), seed);
+    }
+}
+
+#[test]
+fn a_balancer_dies_without_notice() {
+    for seed in SEEDS {
+        let mut world = world(
+            WorldSettings {
+                seed,
+                ..WorldSettings::default()
+            },
+            3,
+            4,
+        );
+        world.configure_all(&configurations(&[create(4)])[0]);
+        open_flows(
+            &mut world,
+            40,
+            seconds(0.0),
+            seconds(4.0),
+            &callers(20, seconds(0.5), true),
+        );
+        world.at(seconds(3.0), |world| world.kill_balancer(2));
+        world.at(seconds(3.5), |world| world.withdraw_balancer(2));
+        world.run_until(seconds(90.0));
+        assert_clean(world.outcome(), seed);
+    }
+}
+
+#[test]
+fn every_back_end_is_drained_and_replaced_in_turn() {
+    for timestamps in [true, false] {
+        for seed in SEEDS {
+            let mut world = world(
+                WorldSettings {
+                    seed,
+                    ..WorldSettings::default()
+                },
+                3,
+                8,
+            );
+            let mut scripts = vec![create(4)];
+            scripts
+                .extend((1..=4).map(|number| format!("{}\n{}", attach(number + 4), drain(number))));
+            let list = configurations(&scripts);
+            world.configure_all(&list[0]);
+            let long = callers(30, seconds(0.5), timestamps);
+            open_flows(&mut world, 60, seconds(0.0), seconds(12.0), &long);
+            for (index, configuration) in list.into_iter().enumerate().skip(1) {
+                let at = seconds(index as f64 * 2.5);
+                world.at(at, move |world| world.configure_all(&configuration));
+            }
+            world.run_until(seconds(90.0));
+            assert_clean(world.outcome(), seed);
+        }
+    }
+}
+
+#[test]
+fn a_draining_back_end_opens_no_flow() {
+    let mut world = world(WorldSettings::default(), 2, 3);
+    let list = configurations(&[create(3), drain(1)]);
+    world.configure_all(&list[0]);
+    open_flows(
+        &mut world,
+        200,
+        seconds(0.0),
+        seconds(20.0),
+        &callers(3, seconds(0.2), true),
+    );
+    let drained = list[1].clone();
+    // The agent learns of the drain; the balancers never do.
+    world.at(seconds(8.0), move |world| {
+        world.configure_agent(1, &drained)
+    });
+    world.run_until(seconds(8.1));
+    let opened = |world: &loftdrift_lab::World| {
+        world
+            .agent(1)
+            .map_or(0, |agent| agent.counters.flows_opened)
+    };
+    let before = opened(&world);
+    assert!(before > 0);
+    world.run_until(seconds(60.0));
+    assert_eq!(opened(&world), before);
+    assert_clean(world.outcome(), 1);
+}
+
+#[test]
+fn a_bad_network_breaks_nothing() {
+    for seed in SEEDS {
+        let network = NetworkSettings {
+            delay: seconds(0.0015),
+            jitter: seconds(0.003),
+            loss: 0.02,
+            duplicates: 0.05,
+        };
+        let settings = WorldSettings {
+            seed,
+            network,
+            ..WorldSettings::default()
+        };
+        let mut world = world(settings, 3, 4);
+        world.configure_all(&configurations(&[create(4)])[0]);
+        open_flows(
+            &mut world,
+            40,
+            seconds(0.0),
+            seconds(5.0),
+            &callers(10, seconds(0.2), true),
+        );
+        world.run_until(seconds(120.0));
+        assert_clean(world.outcome(), seed);
+    }
+}
+
+#[test]
+fn an_agents_death_breaks_only_its_own_flows() {
+    for seed in SEEDS {
+        let mut world = world(
+            WorldSettings {
+                seed,
+                ..WorldSettings::default()
+            },
+            3,
+            4,
+        );
+        world.configure_all(&configurations(&[create(4)])[0]);
+        open_flows(
+            &mut world,
+            40,
+            seconds(0.0),
+            seconds(2.0),
+            &callers(20, seconds(0.5), true),
+        );
+        world.run_until(seconds(4.0));
+        let own = world.agent(1).map_or(0, loftdrift_agent::Agent::flow_count) as u64;
+        assert!(own > 0);
+        world.kill_agent(1);
+        // New flows pass the dead agent by once the balancers have found it silent.
+        open_flows(
+            &mut world,
+            40,
+            seconds(8.0),
+            seconds(9.0),
+            &callers(5, seconds(0.2), true),
+        );
+        world.run_until(seconds(200.0));
+        let outcome = world.outcome();
+        assert_eq!(outcome.flows_broken, own, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.flows_finished, 80 - own, "seed {seed}: {outcome:?}");
+        assert_eq!(
+            outcome.wrong_answers + outcome.misdelivered + outcome.doubled(),
+            0
+        );
+    }
+}
--- /dev/null
+++ b/crates/lab/tests/support/mod.rs
@@ -0,0 +1,94 @@
+//! Worlds and configurations that several proofs use.
+
+#![allow(dead_code)]
+
+use loftdrift_configuration::{Configuration, apply, parse_script};
+use loftdrift_lab::{BackendBehaviour, CallerBehaviour, World, WorldSettings};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+pub const TILES: &str = "10.20.0.1:80";
+
+pub fn seconds(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds)
+}
+
+pub fn tiles() -> SocketAddrV4 {
+    TILES.parse().expect("an address")
+}
+
+/// The configuration after each script, in order.
+pub fn configurations(scripts: &[String]) -> Vec<Configuration> {
+    let mut current = Configuration::default();
+    let mut list = Vec::new();
+    for script in scripts {
+        let statements = parse_script("test", script).expect("a script");
+        current = apply(&current, &statements).expect("a change that fits");
+        list.push(current.clone());
+    }
+    list
+}
+
+/// The statement that attaches the tile back end with that number, beside the agent of that number.
+pub fn attach(number: u8) -> String {
+    format!(
+        "attach backend tiles-{number} to tiles at 127.0.0.1:{} agent {} slots 7 state active",
+        9000 + u16::from(number),
+        World::agent_address(number),
+    )
+}
+
+pub fn drain(number: u8) -> String {
+    format!("drain backend tiles-{number}")
+}
+
+/// The script that creates the tile service with back ends `1..=count`.
+pub fn create(count: u8) -> String {
+    let attached = (1..=count).map(attach);
+    let lines = std::iter::once(format!("create service tiles at {TILES}")).chain(attached);
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// A world with balancers `1..=balancers` and tile agents `1..=agents`.
+pub fn world(settings: WorldSettings, balancers: u8, agents: u8) -> World {
+    let mut world = World::new(settings).expect("a chart");
+    for number in 1..=balancers {
+        world.add_balancer(number);
+    }
+    for number in 1..=agents {
+        let behaviour = BackendBehaviour {
+            service: "tiles".to_owned(),
+            work: Duration::from_millis(5),
+        };
+        world
+            .add_agent(number, &format!("tiles-{number}"), behaviour)
+            .expect("a chart");
+    }
+    world
+}
+
+/// Callers with flows of `requests` requests, `pause` apart.
+pub fn callers(requests: u32, pause: Duration, timestamps: bool) -> CallerBehaviour {
+    CallerBehaviour {
+        service: "tiles".to_owned(),
+        requests,
+        answer_bytes: 6_000,
+        pause,
+        timestamps,
+    }
+}
+
+/// Opens `count` flows evenly between two times.
+pub fn open_flows(
+    world: &mut World,
+    count: u32,
+    from: Duration,
+    to: Duration,
+    behaviour: &CallerBehaviour,
+) {
+    for number in 0..count {
+        let behaviour = behaviour.clone();
+        let at = from + (to - from) * number / count;
+        world.at(at, move |world| world.open_flow(tiles(), &behaviour));
+    }
+}
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -366,7 +366,7 @@
             sequence_seed: self.random.random(),
         };
         let endpoint = Endpoint::connect(now, &key, &settings);
-        let splice = SplicedFlow::new(endpoint, Arc::clone(&self.chart));
+        let splice = SplicedFlow::new(endpoint, Arc::clone(&self.chart), None);
         let events = self.events.clone();
         let flow = self.flows.insert_with(key, |flow| {
             let source = SocketSource::Accepted(stream);
--- a/crates/steering/src/service.rs
+++ b/crates/steering/src/service.rs
@@ -5,7 +5,7 @@
 use loftdrift_configuration::Service;
 use loftdrift_wire::{
     BackendId, Candidate, CandidateList, FlowCookie, FlowKey, MAX_CANDIDATES, ServiceId,
-    SteeringMode, SteeringOption,
+    SteeringMode, SteeringOption, Transport,
 };
 use std::collections::BTreeMap;
 
@@ -109,6 +109,8 @@
                 filled.eligible = filled.length;
             }
         }
+        // Flows older than the kept generations may live on any other back end.
+        (0..self.agents.len()).for_each(|agent| filled.push(agent as u16));
         filled
     }
 
@@ -133,8 +135,12 @@
         self.any_suspect = self.suspects.contains(&true);
     }
 
-    /// The option of a packet that opens a flow: a tour of the newest generation's candidates,
-    /// suspects left out unless all are, with older ones behind that may hold the flow already.
+    /// The option of a packet that may open a flow: a tour of the newest generation's candidates,
+    /// suspects left out unless all are.
+    ///
+    /// A datagram may as well be of a flow that exists, so its tour goes on to every other
+    /// candidate that may hold it. A SYN needs no more: an agent that is offered a flow which
+    /// another one holds never gets that flow's acknowledgement.
     pub fn open(&self, flow: &FlowKey) -> SteeringOption {
         let bucket = self.bucket(flow);
         let agents = &bucket.agents[..usize::from(bucket.length)];
@@ -145,7 +151,9 @@
             self.push_suspects(&mut candidates, newest);
         }
         let open_to = candidates.as_slice().len();
-        self.push_living(&mut candidates, older);
+        if flow.transport == Transport::Udp {
+            self.push_living(&mut candidates, older);
+        }
         self.option(SteeringMode::Tour, open_to, candidates)
     }
 
