Process tests under kills, freezes, cuts and outages; a dead back end attracts no flow

Cause: writing the test that kills a back end showed a flaw in choosing by load: an agent whose back end refuses connections loses its flows, so its load is the lowest, so every tour picks it. Ruled out: asking the back end before the SYN-ACK, which would let forged SYNs open real connections.

Change: the agent tries a connection every second (250 ms while refused) and at start; while none is accepted it takes no new flow, under its own counter. A refused connection of a flow has the same effect at once.

Process tests on kernel ports: balancers SIGKILLed, frozen and stopped; a cut link to a balancer and to an agent; agent and back end frozen; agent and back end killed; key-value service refusing, silent, killed; lost answers; operators' race; drain and planned stop; a 20 MB body compared byte by byte while balancers come and go.

Conclusion: load may choose among back ends only after reachability has.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,6 +1,7 @@
 //! The agent.
 
 use crate::counters::AgentCounters;
+use crate::health::BackendHealth;
 use crate::pass_on::{self, Next};
 use crate::settings::AgentSettings;
 use crate::udp::{self, UdpFlow};
@@ -50,6 +51,11 @@
         /// TCP or UDP.
         transport: Transport,
     },
+    /// Try a TCP connection to the back end and report to [`Agent::handle_probe`].
+    ProbeBackend {
+        /// The back end.
+        server: SocketAddrV4,
+    },
     /// Pass a command to a flow's socket task.
     Socket {
         /// The flow.
@@ -89,6 +95,7 @@
     chart: Arc<FlowChart>,
     version: Version,
     place: Option<Place>,
+    health: BackendHealth,
     stopping: bool,
     flows: FlowTable<FlowBody>,
     unknown: UnknownFlows,
@@ -105,6 +112,7 @@
             chart: Arc::new(flow_chart()?),
             version: Version::default(),
             place: None,
+            health: BackendHealth::default(),
             stopping: false,
             flows: FlowTable::default(),
             unknown: UnknownFlows::new(settings.unknown_grace),
@@ -116,7 +124,7 @@
     }
 
     /// Puts a configuration in force when it is newer than the one in force.
-    pub fn adopt(&mut self, configuration: &Configuration) -> bool {
+    pub fn adopt(&mut self, now: Duration, configuration: &Configuration) -> bool {
         if configuration.version <= self.version {
             self.counters.configurations_passed_over += 1;
             return false;
@@ -124,6 +132,9 @@
         self.version = configuration.version;
         let found = configuration.find_backend(&self.settings.backend);
         self.place = found.map(|(service, backend)| Place::new(service, backend));
+        if self.place.is_some() {
+            self.health.start(now);
+        }
         self.counters.configurations_adopted += 1;
         self.counters.configuration_incarnation = self.version.incarnation;
         self.counters.configuration_revision = self.version.revision;
@@ -157,11 +168,15 @@
 
     /// When [`Agent::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Option<Duration> {
-        self.flows.next_deadline()
+        let deadlines = [self.flows.next_deadline(), self.health.next_probe()];
+        deadlines.into_iter().flatten().min()
     }
 
     /// Does what is due at `now`.
     pub fn handle_timeout(&mut self, now: Duration) {
+        if self.health.take_due_probe(now) {
+            self.probe_backend(now);
+        }
         while let Some(flow) = self.flows.pop_due(now) {
             match self.flows.get_mut(flow).map(|flow| &mut flow.body) {
                 Some(FlowBody::Tcp(splice)) => splice.pump(now),
@@ -175,12 +190,40 @@
         }
     }
 
+    fn probe_backend(&mut self, now: Duration) {
+        match &self.place {
+            Some(place) if place.transport == Transport::Tcp => {
+                self.outputs.push_back(Output::ProbeBackend {
+                    server: place.backend.server,
+                });
+            }
+            // UDP has no connections to try.
+            _ => self.handle_probe(now, true),
+        }
+    }
+
+    /// Takes the answer to [`Output::ProbeBackend`].
+    pub fn handle_probe(&mut self, now: Duration, accepts: bool) {
+        self.health.on_probe(now, accepts);
+        self.counters.backend_accepts = u64::from(accepts);
+    }
+
     /// Takes what a flow's socket task reports; reports of flows that are over are passed over.
     pub fn handle_socket(&mut self, now: Duration, flow: FlowId, event: SocketEvent) {
         let Some(entry) = self.flows.get_mut(flow) else {
             return;
         };
-        self.counters.flows_failed += u64::from(event == SocketEvent::Failed);
+        let is_refused = match &entry.body {
+            FlowBody::Tcp(splice) => splice.state() == FlowState::Connecting,
+            FlowBody::Udp(_) => false,
+        };
+        if event == SocketEvent::Failed {
+            self.counters.flows_failed += 1;
+        }
+        if event == SocketEvent::Failed && is_refused {
+            self.health.on_refused(now);
+            self.counters.backend_accepts = 0;
+        }
         match (&mut entry.body, event) {
             (FlowBody::Tcp(splice), event) => splice.on_socket(now, event),
             (FlowBody::Udp(body), SocketEvent::Received(payload)) => {
@@ -371,6 +414,10 @@
             self.counters.passed_over_leaving += 1;
             return None;
         }
+        if !self.health.accepts() {
+            self.counters.passed_over_unreachable += 1;
+            return None;
+        }
         let flows = self.flows.busy() as u64;
         if flows >= u64::from(place.backend.connections) {
             self.counters.passed_over_full += 1;
--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -22,6 +22,8 @@
         opens_refused,
         /// New flows passed over here because the back end is full.
         passed_over_full,
+        /// New flows passed over here because the back end accepts no connections.
+        passed_over_unreachable,
         /// New flows passed over here because the back end is leaving or the agent is stopping.
         passed_over_leaving,
         /// Refused: the packet is of another service.
@@ -68,6 +70,8 @@
         configurations_passed_over,
     }
     gauges {
+        /// 1 when the back end accepts connections.
+        backend_accepts,
         /// Flows that live here.
         flows,
         /// Incarnation of the configuration in force.
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod agent;
 mod counters;
+mod health;
 mod pass_on;
 mod settings;
 mod udp;
--- a/crates/agent/tests/limits.rs
+++ b/crates/agent/tests/limits.rs
@@ -37,7 +37,8 @@
     );
     let statements = parse_script("test", &script).expect("a script");
     let configuration = apply(&Configuration::default(), &statements).expect("a change that fits");
-    agent.adopt(&configuration);
+    agent.adopt(Duration::ZERO, &configuration);
+    agent.handle_probe(Duration::ZERO, true);
     agent
 }
 
@@ -157,6 +158,30 @@
     assert_eq!(resets(&mut agent), 0);
 }
 
+#[test]
+fn an_unreachable_back_end_opens_nothing_until_a_probe_is_accepted() {
+    let mut agent = agent(10);
+    agent.handle_probe(Duration::ZERO, false);
+    send(
+        &mut agent,
+        Duration::ZERO,
+        TILES_VNI,
+        SteeringMode::Tour,
+        &syn(4_000, SERVICE),
+    );
+    assert_eq!(agent.counters.flows_opened, 0);
+    assert_eq!(agent.counters.passed_over_unreachable, 1);
+    agent.handle_probe(Duration::ZERO, true);
+    send(
+        &mut agent,
+        Duration::ZERO,
+        TILES_VNI,
+        SteeringMode::Tour,
+        &syn(4_000, SERVICE),
+    );
+    assert_eq!(agent.counters.flows_opened, 1);
+}
+
 #[test]
 fn a_doubled_syn_opens_one_flow() {
     let mut agent = agent(10);
--- a/crates/app/src/agent_process.rs
+++ b/crates/app/src/agent_process.rs
@@ -15,16 +15,17 @@
 use loftdrift_splice::{CommandSender, FlowSocketEvent, SocketSource};
 use loftdrift_wire::Transport;
 use std::collections::HashMap;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::net::UdpSocket;
+use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 const MAX_DATAGRAM_BYTES: usize = 65_535;
 const DATAGRAMS_A_TURN: usize = 64;
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const EVENT_QUEUE: usize = 4_096;
 
 /// What an agent's task works with.
@@ -48,6 +49,7 @@
 pub async fn run(task: AgentTask) -> Result<()> {
     let name = format!("agent {}", task.settings.backend);
     let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
+    let (probe_sender, probes) = mpsc::channel(1);
     let shell = Shell {
         socket: task.socket,
         core: Agent::new(task.settings)?,
@@ -55,11 +57,12 @@
         started: Instant::now(),
         tasks: HashMap::new(),
         event_sender,
+        probe_sender,
     };
     shell
         .run(
             task.drain,
-            events,
+            Inputs { events, probes },
             task.configuration,
             task.stop,
             task.counters,
@@ -68,6 +71,20 @@
     Ok(())
 }
 
+/// What the shell's own tasks report.
+struct Inputs {
+    events: mpsc::Receiver<FlowSocketEvent>,
+    probes: mpsc::Receiver<bool>,
+}
+
+/// Tries a connection to the back end and reports whether it was accepted.
+async fn probe(server: SocketAddrV4, answer: mpsc::Sender<bool>) {
+    let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(server)).await;
+    let accepts = matches!(connected, Ok(Ok(_)));
+    // Without a listener the agent has ended.
+    let _ = answer.send(accepts).await;
+}
+
 struct Shell {
     socket: UdpSocket,
     core: Agent,
@@ -75,13 +92,14 @@
     started: Instant,
     tasks: HashMap<FlowId, CommandSender>,
     event_sender: mpsc::Sender<FlowSocketEvent>,
+    probe_sender: mpsc::Sender<bool>,
 }
 
 impl Shell {
     async fn run(
         mut self,
         drain: Duration,
-        mut events: mpsc::Receiver<FlowSocketEvent>,
+        mut inputs: Inputs,
         mut configuration: watch::Receiver<Option<Arc<Configuration>>>,
         mut stop: mpsc::Receiver<()>,
         counters: watch::Sender<PublishedSet>,
@@ -101,10 +119,13 @@
                         self.receive(&mut buffer);
                     }
                 }
-                Some(event) = events.recv() => {
+                Some(event) = inputs.events.recv() => {
                     let now = self.started.elapsed();
                     self.core.handle_socket(now, event.flow, event.event);
                 }
+                Some(accepts) = inputs.probes.recv() => {
+                    self.core.handle_probe(self.started.elapsed(), accepts);
+                }
                 () = sleep_until(timeout) => self.core.handle_timeout(self.started.elapsed()),
                 Ok(()) = configuration.changed() => self.adopt(&configuration),
                 _ = publish_tick.tick() => metrics::publish(&counters, &self.core.counters),
@@ -129,7 +150,8 @@
     fn adopt(&mut self, configuration: &watch::Receiver<Option<Arc<Configuration>>>) {
         let newest = configuration.borrow().clone();
         let Some(newest) = newest else { return };
-        if self.core.adopt(&newest) && self.core.is_placed() {
+        let now = self.started.elapsed();
+        if self.core.adopt(now, &newest) && self.core.is_placed() {
             let version = newest.version;
             log::info!(revision = version.revision; "configuration {version} in force");
             self.lifecycle.step(ProcessEvent::Configured);
@@ -173,6 +195,9 @@
                         let _ = task.send(command);
                     }
                 }
+                Output::ProbeBackend { server } => {
+                    tokio::spawn(probe(server, self.probe_sender.clone()));
+                }
                 Output::Ended { flow } => {
                     self.tasks.remove(&flow);
                 }
--- /dev/null
+++ b/crates/app/tests/processes.rs
@@ -0,0 +1,243 @@
+//! The promises with real processes: kills, freezes, cuts and platform outages under load.
+
+mod support;
+
+use nix::sys::signal::Signal;
+use support::link::Link;
+use support::{Cluster, Seen, finish_callers, http, pause, wait_for};
+
+fn assert_unbroken(seen: &Seen) {
+    assert!(seen.succeeded, "{seen:?}");
+    assert!(seen.count("flows_opened") > 0, "{seen:?}");
+    let answered = seen.count("answered_whole") + seen.count("refused_not_run");
+    assert_eq!(answered, seen.count("requests_sent"), "{seen:?}");
+}
+
+#[test]
+fn balancers_are_killed_frozen_and_stopped_under_load() {
+    let mut cluster = Cluster::start(4, 3);
+    let callers = cluster.start_callers(6, 200);
+    pause(1_000);
+    cluster.balancers[0].signal(Signal::SIGKILL);
+    pause(700);
+    cluster.balancers[1].signal(Signal::SIGSTOP);
+    pause(1_000);
+    cluster.balancers[1].signal(Signal::SIGCONT);
+    cluster.balancers[2].signal(Signal::SIGTERM);
+    let address = cluster.start_balancer();
+    cluster.list_balancer(5, address);
+    assert!(cluster.balancers[2].wait().success());
+    assert_unbroken(&finish_callers(callers));
+}
+
+#[test]
+fn a_large_body_arrives_whole_while_balancers_come_and_go() {
+    const BYTES: usize = 20_000_000;
+    let mut cluster = Cluster::start(3, 2);
+    let port = cluster.service_port();
+    let path = format!("/bytes/{BYTES}?seed=5");
+    let expected = http::request(cluster.backends[0].addresses[0], "GET", &path, "");
+    let expected = expected.expect("the body from the back end itself");
+    let fetching = std::thread::spawn(move || http::request(port, "GET", &path, ""));
+    pause(150);
+    cluster.balancers[0].signal(Signal::SIGKILL);
+    let address = cluster.start_balancer();
+    cluster.list_balancer(4, address);
+    cluster.balancers[1].signal(Signal::SIGTERM);
+    let fetched = fetching
+        .join()
+        .expect("a thread")
+        .expect("the body through the path");
+    assert_eq!(fetched.len(), BYTES);
+    assert!(fetched == expected);
+}
+
+#[test]
+fn a_balancer_is_cut_off_and_comes_back() {
+    let mut cluster = Cluster::start(2, 2);
+    let link = Link::to(cluster.start_balancer());
+    cluster.list_balancer(3, link.address);
+    let balancer = &cluster.balancers[2];
+    wait_for("the linked balancer", || {
+        Cluster::metric(balancer, "loftdrift_balancer_echoes_answered_total") > Some(0)
+    });
+    let callers = cluster.start_callers(5, 200);
+    pause(1_000);
+    link.set_cut(true);
+    pause(1_500);
+    link.set_cut(false);
+    assert_unbroken(&finish_callers(callers));
+}
+
+#[test]
+fn an_agent_is_cut_off_and_its_flows_live_on() {
+    let mut cluster = Cluster::start(2, 2);
+    let link = Link::to(cluster.start_backend());
+    cluster.attach(3, link.address);
+    let callers = cluster.start_callers(6, 200);
+    pause(1_500);
+    link.set_cut(true);
+    pause(1_000);
+    link.set_cut(false);
+    assert_unbroken(&finish_callers(callers));
+}
+
+#[test]
+fn an_agent_and_a_back_end_are_frozen_and_their_flows_live_on() {
+    let cluster = Cluster::start(2, 3);
+    let callers = cluster.start_callers(6, 200);
+    pause(1_000);
+    cluster.agents[0].signal(Signal::SIGSTOP);
+    cluster.backends[1].signal(Signal::SIGSTOP);
+    pause(1_000);
+    cluster.agents[0].signal(Signal::SIGCONT);
+    cluster.backends[1].signal(Signal::SIGCONT);
+    assert_unbroken(&finish_callers(callers));
+}
+
+#[test]
+fn a_killed_agent_or_back_end_breaks_only_its_own_flows() {
+    let cluster = Cluster::start(2, 4);
+    // Twelve callers keep one flow each for the whole time unless it breaks.
+    let callers = cluster.start_callers(7, 1_000_000);
+    let flows_of = |number: usize| {
+        Cluster::metric(&cluster.agents[number], "loftdrift_agent_flows").unwrap_or(0)
+    };
+    wait_for("twelve flows", || (0..4).map(flows_of).sum::<u64>() == 12);
+    let own = flows_of(0) + flows_of(1);
+    cluster.agents[0].signal(Signal::SIGKILL);
+    cluster.backends[1].signal(Signal::SIGKILL);
+    let seen = finish_callers(callers);
+    assert_eq!(
+        seen.count("wrong") + seen.count("misdelivered"),
+        0,
+        "{seen:?}"
+    );
+    let broken: u64 = ["broken_cut", "broken_refused", "broken_timeout"]
+        .iter()
+        .map(|name| seen.count(name))
+        .sum();
+    assert!(broken >= own, "{own} flows were lost: {seen:?}");
+    // The other back ends' flows never broke.
+    for number in 2..4 {
+        let failed = Cluster::metric(
+            &cluster.agents[number],
+            "loftdrift_agent_flows_failed_total",
+        );
+        assert_eq!(failed, Some(0), "{seen:?}");
+    }
+    // The dead agent and the dead back end attract no new flow.
+    wait_for("the agent to find its back end dead", || {
+        Cluster::metric(&cluster.agents[1], "loftdrift_agent_backend_accepts") == Some(0)
+    });
+    wait_for("the balancers to find the agent dead", || {
+        let suspects = |balancer| Cluster::metric(balancer, "loftdrift_balancer_suspects");
+        cluster
+            .balancers
+            .iter()
+            .all(|balancer| suspects(balancer) == Some(1))
+    });
+    assert_unbroken(&finish_callers(cluster.start_callers(3, 20)));
+}
+
+#[test]
+fn the_platform_fails_and_everything_else_goes_on() {
+    let cluster = Cluster::start(2, 2);
+    let callers = cluster.start_callers(5, 50);
+    pause(500);
+    cluster.set_faults(r#"{"outage": true}"#);
+    pause(1_000);
+    cluster.set_faults(r#"{"silent": true}"#);
+    pause(1_000);
+    cluster.platform.signal(Signal::SIGKILL);
+    assert_unbroken(&finish_callers(callers));
+}
+
+#[test]
+fn a_command_whose_answer_is_lost_takes_effect_once_and_is_told_as_accepted() {
+    let mut cluster = Cluster::start(1, 1);
+    let agent = cluster.start_backend();
+    cluster.set_faults(r#"{"lose_every": 1}"#);
+    cluster.attach(2, agent);
+    cluster.set_faults("{}");
+    let (_, shown) = cluster.ctl_outcome("show backends");
+    assert_eq!(shown.matches("tiles-2").count(), 1, "{shown}");
+    // Service, first back end, second back end: one revision each.
+    assert!(shown.ends_with("revision 0.3\n"), "{shown}");
+}
+
+#[test]
+fn an_outage_is_told_as_not_applied() {
+    let cluster = Cluster::start(1, 1);
+    cluster.set_faults(r#"{"outage": true}"#);
+    let (code, printed) = cluster.ctl_outcome("drain backend tiles-1");
+    assert_eq!(code, Some(1), "{printed}");
+    assert!(printed.contains("nothing was changed"), "{printed}");
+    cluster.set_faults("{}");
+    let (_, shown) = cluster.ctl_outcome("show draining");
+    assert!(!shown.contains("tiles-1"), "{shown}");
+}
+
+#[test]
+fn operators_race_and_each_is_told_the_truth() {
+    let cluster = Cluster::start(1, 3);
+    cluster.set_faults(r#"{"delay_ms": 100}"#);
+    let (first, second) = std::thread::scope(|scope| {
+        let first = scope.spawn(|| cluster.ctl_outcome("drain backend tiles-1"));
+        let second = scope.spawn(|| cluster.ctl_outcome("drain backend tiles-2"));
+        (
+            first.join().expect("a thread"),
+            second.join().expect("a thread"),
+        )
+    });
+    cluster.set_faults("{}");
+    let (_, shown) = cluster.ctl_outcome("show draining");
+    for ((code, printed), name) in [(first, "tiles-1"), (second, "tiles-2")] {
+        assert_eq!(
+            shown.contains(name),
+            code == Some(0),
+            "{printed} but {shown}"
+        );
+        assert!(
+            code == Some(0) || printed.contains("another operator"),
+            "{printed}"
+        );
+    }
+    assert!(shown.contains("tiles-"), "{shown}");
+}
+
+#[test]
+fn a_drained_back_end_and_a_stopped_agent_cut_no_request() {
+    let mut cluster = Cluster::start(2, 3);
+    let callers = cluster.start_callers(6, 40);
+    pause(1_000);
+    cluster.ctl("drain backend tiles-1");
+    cluster.agents[1].signal(Signal::SIGTERM);
+    // The agent ends by itself once its last flow has ended.
+    assert!(cluster.agents[1].wait().success());
+    assert_unbroken(&finish_callers(callers));
+}
+
+#[test]
+fn a_second_signal_stops_an_agent_at_once() {
+    let mut cluster = Cluster::start(1, 1);
+    let callers = cluster.start_callers(30, 1_000_000);
+    wait_for("flows", || {
+        Cluster::metric(&cluster.agents[0], "loftdrift_agent_flows") > Some(0)
+    });
+    cluster.agents[0].signal(Signal::SIGTERM);
+    pause(300);
+    cluster.agents[0].signal(Signal::SIGTERM);
+    assert!(cluster.agents[0].wait().success());
+    drop(KillOnDrop(callers));
+}
+
+struct KillOnDrop(std::process::Child);
+
+impl Drop for KillOnDrop {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
--- /dev/null
+++ b/crates/app/tests/support/http.rs
@@ -0,0 +1,39 @@
+//! A plain HTTP request over a plain TCP connection.
+
+use std::io::{Error, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// The body of the answer, when it is whole and its status is 200.
+pub fn request(server: SocketAddr, method: &str, path: &str, body: &str) -> Result<Vec<u8>, Error> {
+    let mut stream = TcpStream::connect_timeout(&server, TIMEOUT)?;
+    stream.set_read_timeout(Some(TIMEOUT))?;
+    let length = body.len();
+    write!(
+        stream,
+        "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+         content-length: {length}\r\n\r\n{body}"
+    )?;
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer)?;
+    let invalid = |text: &str| Error::new(ErrorKind::InvalidData, text.to_owned());
+    let end = answer.windows(4).position(|window| window == b"\r\n\r\n");
+    let end = end.ok_or_else(|| invalid("no end of the head"))?;
+    let head = String::from_utf8_lossy(&answer[..end]).to_lowercase();
+    if !head.starts_with("http/1.1 200") {
+        return Err(invalid(&head));
+    }
+    let body = answer.split_off(end + 4);
+    let length = head
+        .lines()
+        .find_map(|line| line.strip_prefix("content-length: "));
+    if length
+        .and_then(|length| length.parse().ok())
+        .is_some_and(|length: usize| length != body.len())
+    {
+        return Err(invalid("the body is not whole"));
+    }
+    Ok(body)
+}
--- a/crates/lab/src/backend.rs
+++ b/crates/lab/src/backend.rs
@@ -33,6 +33,7 @@
 pub(crate) struct SimulatedBackend {
     behaviour: BackendBehaviour,
     connections: BTreeMap<FlowId, Connection>,
+    dead: bool,
 }
 
 /// A request that a back end has begun to run.
@@ -49,6 +50,7 @@
         SimulatedBackend {
             behaviour,
             connections: BTreeMap::new(),
+            dead: false,
         }
     }
 
@@ -56,14 +58,27 @@
         self.behaviour.work
     }
 
-    pub(crate) fn connect(&mut self, flow: FlowId) {
-        self.connections.insert(
-            flow,
-            Connection {
+    /// Whether it accepts connections.
+    pub(crate) fn accepts(&self) -> bool {
+        !self.dead
+    }
+
+    /// Dies; returns the connections that it had.
+    pub(crate) fn kill(&mut self) -> Vec<FlowId> {
+        self.dead = true;
+        std::mem::take(&mut self.connections).into_keys().collect()
+    }
+
+    /// Accepts a connection unless it is dead.
+    pub(crate) fn connect(&mut self, flow: FlowId) -> bool {
+        if !self.dead {
+            let connection = Connection {
                 credit: true,
                 ..Connection::default()
-            },
-        );
+            };
+            self.connections.insert(flow, connection);
+        }
+        !self.dead
     }
 
     pub(crate) fn drop_connection(&mut self, flow: FlowId) {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -211,6 +211,20 @@
         self.agents.remove(&Self::agent_address(number));
     }
 
+    /// A back end dies with all of its connections; its agent lives on.
+    pub fn kill_backend(&mut self, number: u8) {
+        let address = Self::agent_address(number);
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return;
+        };
+        for flow in agent.backend.kill() {
+            agent
+                .core
+                .handle_socket(self.now, flow, SocketEvent::Failed);
+        }
+        self.settle_agent(address);
+    }
+
     /// The core of an agent.
     pub fn agent(&self, number: u8) -> Option<&Agent> {
         self.agents
@@ -233,8 +247,9 @@
     /// An agent learns a configuration.
     pub fn configure_agent(&mut self, number: u8, configuration: &Configuration) {
         if let Some(agent) = self.agents.get_mut(&Self::agent_address(number)) {
-            agent.core.adopt(configuration);
+            agent.core.adopt(self.now, configuration);
         }
+        self.settle_agent(Self::agent_address(number));
     }
 
     /// Every node learns a configuration.
@@ -242,8 +257,12 @@
         for core in self.balancers.values_mut() {
             core.adopt(self.now, configuration);
         }
-        for agent in self.agents.values_mut() {
-            agent.core.adopt(configuration);
+        let addresses: Vec<SocketAddrV4> = self.agents.keys().copied().collect();
+        for address in addresses {
+            if let Some(agent) = self.agents.get_mut(&address) {
+                agent.core.adopt(self.now, configuration);
+            }
+            self.settle_agent(address);
         }
     }
 
@@ -385,6 +404,9 @@
                 Output::Transmit { to, datagram } => self.transmit(address, to, &datagram),
                 Output::Socket { flow, command } => self.handle_command(address, flow, command),
                 Output::StartSocket { .. } => {}
+                Output::ProbeBackend { .. } => {
+                    agent.core.handle_probe(self.now, agent.backend.accepts());
+                }
                 Output::Ended { flow } => agent.backend.drop_connection(flow),
             }
         }
--- a/crates/lab/tests/planned_changes.rs
+++ b/crates/lab/tests/planned_changes.rs
@@ -200,3 +200,45 @@
         );
     }
 }
+
+#[test]
+fn a_back_ends_death_breaks_only_its_own_flows_and_attracts_no_new_ones() {
+    for seed in SEEDS {
+        let mut world = world(
+            WorldSettings {
+                seed,
+                ..WorldSettings::default()
+            },
+            3,
+            4,
+        );
+        world.configure_all(&configurations(&[create(4)])[0]);
+        open_flows(
+            &mut world,
+            40,
+            seconds(0.5),
+            seconds(2.0),
+            &callers(20, seconds(0.5), true),
+        );
+        world.run_until(seconds(4.0));
+        let own = world.agent(1).map_or(0, loftdrift_agent::Agent::flow_count) as u64;
+        assert!(own > 0);
+        world.kill_backend(1);
+        // Its agent now has the lowest load of all. Its next probe comes within a second.
+        open_flows(
+            &mut world,
+            60,
+            seconds(5.5),
+            seconds(8.0),
+            &callers(5, seconds(0.2), true),
+        );
+        world.run_until(seconds(200.0));
+        let outcome = world.outcome();
+        assert_eq!(outcome.flows_broken, own, "seed {seed}: {outcome:?}");
+        assert_eq!(
+            outcome.flows_finished,
+            100 - own,
+            "seed {seed}: {outcome:?}"
+        );
+    }
+}
