Measure decision, forwarding, agent and state; cut the cost per packet

Change: bucket lists, distinct already, are copied unchecked; agents stand in the order of identity and are found by binary search. Flows live in slots found by one hash look-up; a deadline that moves later leaves the earlier wake-up in place; a received packet is handed to the stack without a copy, and the stack is polled a second time only when bytes moved.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -168,7 +168,7 @@
 
     /// When [`Agent::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Option<Duration> {
-        let deadlines = [self.flows.next_deadline(), self.health.next_probe()];
+        let deadlines = [self.flows.next_wake_up(), self.health.next_probe()];
         deadlines.into_iter().flatten().min()
     }
 
@@ -180,10 +180,11 @@
         while let Some(flow) = self.flows.pop_due(now) {
             match self.flows.get_mut(flow).map(|flow| &mut flow.body) {
                 Some(FlowBody::Tcp(splice)) => splice.pump(now),
-                Some(FlowBody::Udp(_)) => {
+                Some(FlowBody::Udp(body)) if body.ends_at(self.settings.udp_idle) <= now => {
                     self.end(flow);
                     continue;
                 }
+                Some(FlowBody::Udp(_)) => {}
                 None => {}
             }
             self.settle(now, flow);
@@ -490,7 +491,7 @@
             FlowBody::Tcp(splice) => splice,
             FlowBody::Udp(body) => {
                 let deadline = body.ends_at(self.settings.udp_idle);
-                self.flows.set_deadline(flow, Some(deadline));
+                self.flows.wake_by(flow, Some(deadline));
                 self.counters.flows = self.flows.busy() as u64;
                 return;
             }
@@ -511,7 +512,7 @@
         if gone {
             self.end(flow);
         } else {
-            self.flows.set_deadline(flow, deadline);
+            self.flows.wake_by(flow, deadline);
         }
         if released {
             self.flows.release(flow);
--- /dev/null
+++ b/crates/balancer/tests/allocations.rs
@@ -0,0 +1,51 @@
+//! Forwarding allocates nothing.
+
+use etherparse::PacketBuilder;
+use loftdrift_balancer::{Balancer, HEADROOM_BYTES, Verdict};
+use loftdrift_configuration::{Configuration, apply, parse_script};
+use loftdrift_liveness::ProbeSettings;
+use loftdrift_wire::encode_packet;
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+fn packet(syn: bool) -> Vec<u8> {
+    let builder = PacketBuilder::ipv4([10, 9, 0, 1], [10, 20, 0, 1], 64).tcp(4_000, 80, 1, 8_192);
+    let builder = if syn { builder.syn() } else { builder.ack(1) };
+    let mut packet = Vec::new();
+    builder.write(&mut packet, &[7; 500]).expect("a packet");
+    encode_packet(0, None, &packet)
+}
+
+// The only test of its binary: nothing else may allocate meanwhile.
+#[test]
+fn a_packet_is_forwarded_without_allocation() {
+    let script = "create service tiles at 10.20.0.1:80\n\
+         attach backend tiles-1 to tiles at 127.0.0.1:9001 agent 10.2.0.1:6081 state active\n\
+         attach backend tiles-2 to tiles at 127.0.0.1:9002 agent 10.2.0.2:6081 state active";
+    let statements = parse_script("test", script).expect("a script");
+    let configuration = apply(&Configuration::default(), &statements).expect("a change that fits");
+    let mut balancer = Balancer::new(ProbeSettings {
+        interval: Duration::from_secs(1),
+        timeout: Duration::from_millis(400),
+        misses: 3,
+        most_per_second: 10,
+    });
+    balancer.adopt(Duration::ZERO, &configuration);
+    let from: SocketAddrV4 = "10.0.0.1:6081".parse().expect("an address");
+    let datagrams = [packet(true), packet(false)];
+    let mut buffer = vec![0; HEADROOM_BYTES + 2_048];
+    let region = Region::new(ALLOCATOR);
+    for number in 0..10_000 {
+        let datagram = &datagrams[number % 2];
+        let end = HEADROOM_BYTES + datagram.len();
+        buffer[HEADROOM_BYTES..end].copy_from_slice(datagram);
+        let verdict = balancer.handle(Duration::ZERO, from, &mut buffer, end);
+        assert!(matches!(verdict, Verdict::Forward(_)));
+    }
+    assert_eq!(region.change().allocations, 0);
+}
--- /dev/null
+++ b/crates/bench/benches/agent.rs
@@ -0,0 +1,181 @@
+//! The agent's cost per packet with few and with many flows.
+
+use loftdrift_agent::{Agent, AgentSettings, Output};
+use loftdrift_bench::{caller_address, configuration, median, nanoseconds_each, service_address};
+use loftdrift_flow::{Endpoint, EndpointSettings, FlowId, SocketCommand, SocketEvent, Timestamps};
+use loftdrift_wire::{
+    BackendId, Candidate, CandidateList, FlowKey, GenevePacket, SteeringMode, SteeringOption,
+    Transport, encode_packet,
+};
+use std::net::SocketAddrV4;
+use std::time::{Duration, Instant};
+
+const FEW_FLOWS: u64 = 20;
+const MANY_FLOWS: u64 = 2_000;
+const ROUNDS: usize = 9;
+const PACKETS: usize = 20_000;
+const PAYLOAD: [u8; 1_000] = [7; 1_000];
+const VNI: u32 = 1;
+
+fn option(mode: SteeringMode, agent: SocketAddrV4) -> SteeringOption {
+    let mut candidates = CandidateList::new();
+    candidates.push(Candidate {
+        backend: BackendId(1),
+        agent,
+    });
+    SteeringOption {
+        mode,
+        cursor: 0,
+        hops_left: 16,
+        eligible: 1,
+        best: None,
+        epoch: 1,
+        candidates,
+    }
+}
+
+/// Callers with open flows to one agent, whose back end takes every byte and answers nothing.
+struct Bench {
+    agent: Agent,
+    address: SocketAddrV4,
+    callers: Vec<Endpoint>,
+    now: Duration,
+    /// Time spent in the agent.
+    spent: Duration,
+}
+
+impl Bench {
+    fn new(flows: u64) -> Self {
+        let configuration = configuration(1, 1);
+        let address = configuration.services["s0"].backends["b0"].agent;
+        let mut agent = Agent::new(AgentSettings {
+            backend: "b0".to_owned(),
+            fabric: SocketAddrV4::new([10, 0, 0, 1].into(), 1),
+            flow_buffer_bytes: 16 * 1024,
+            cookies: true,
+            unknown_grace: Duration::from_secs(20),
+            udp_idle: Duration::from_secs(30),
+            seed: 1,
+        })
+        .expect("a chart");
+        agent.adopt(Duration::ZERO, &configuration);
+        agent.handle_probe(Duration::ZERO, true);
+        let mut bench = Bench {
+            agent,
+            address,
+            callers: Vec::new(),
+            now: Duration::ZERO,
+            spent: Duration::ZERO,
+        };
+        (0..flows).for_each(|flow| bench.open(flow));
+        assert_eq!(bench.agent.flow_count() as u64, flows);
+        bench
+    }
+
+    fn open(&mut self, flow: u64) {
+        let key = FlowKey {
+            caller: caller_address(flow),
+            service: service_address(0),
+            transport: Transport::Tcp,
+        };
+        let settings = EndpointSettings {
+            buffer_bytes: 16 * 1024,
+            timestamps: Timestamps::Clock,
+            sequence_seed: flow,
+        };
+        self.callers
+            .push(Endpoint::connect(self.now, &key, &settings));
+        let caller = self.callers.len() - 1;
+        for _ in 0..4 {
+            self.exchange(caller);
+        }
+    }
+
+    /// Carries packets both ways once.
+    fn exchange(&mut self, caller: usize) {
+        self.callers[caller].poll(self.now);
+        while let Some(packet) = self.callers[caller].take_packet() {
+            let syn = packet[20 + 13] & 0x02 != 0;
+            let mode = if syn {
+                SteeringMode::Tour
+            } else {
+                SteeringMode::Locate
+            };
+            let datagram = encode_packet(VNI, Some(&option(mode, self.address)), &packet);
+            let start = Instant::now();
+            self.agent
+                .handle_datagram(self.now, self.address, &datagram);
+            self.spent += start.elapsed();
+        }
+        self.carry_out(caller);
+        self.callers[caller].poll(self.now);
+    }
+
+    fn carry_out(&mut self, caller: usize) {
+        while let Some(output) = self.agent.take_output() {
+            match output {
+                Output::Transmit { datagram, .. } => {
+                    let packet = GenevePacket::parse(&datagram).expect("a packet");
+                    self.callers[caller].receive(self.now, packet.inner);
+                }
+                Output::Socket { flow, command } => self.handle_command(flow, &command),
+                _ => {}
+            }
+        }
+    }
+
+    fn handle_command(&mut self, flow: FlowId, command: &SocketCommand) {
+        match command {
+            SocketCommand::Open => {
+                self.agent
+                    .handle_socket(self.now, flow, SocketEvent::Opened);
+            }
+            SocketCommand::Write(bytes) => {
+                let event = SocketEvent::Written(bytes.len());
+                let start = Instant::now();
+                self.agent.handle_socket(self.now, flow, event);
+                self.spent += start.elapsed();
+            }
+            _ => {}
+        }
+    }
+
+    /// Sends data packets over all flows in turn, `burst` of each at a time; returns the time spent
+    /// in the agent.
+    fn run(&mut self, burst: usize) -> Duration {
+        let before = self.agent.counters.delivered;
+        self.spent = Duration::ZERO;
+        for packet in 0..PACKETS {
+            self.now += Duration::from_micros(20);
+            let caller = packet / burst % self.callers.len();
+            assert_eq!(self.callers[caller].write(&PAYLOAD), PAYLOAD.len());
+            self.exchange(caller);
+        }
+        assert!(self.agent.counters.delivered >= before + PACKETS as u64);
+        self.spent
+    }
+}
+
+fn compare(few: &mut Bench, many: &mut Bench, burst: usize) {
+    let mut times = (Vec::new(), Vec::new());
+    for _ in 0..ROUNDS {
+        times.0.push(many.run(burst));
+        times.1.push(few.run(burst));
+    }
+    let (many_time, few_time) = (median(times.0), median(times.1));
+    println!(
+        "agent, packets of 1,000 bytes in bursts of {burst}: {:.0} ns at {MANY_FLOWS} flows, \
+         {:.0} ns at {FEW_FLOWS} flows, ratio {:.2}",
+        nanoseconds_each(many_time, PACKETS),
+        nanoseconds_each(few_time, PACKETS),
+        many_time.as_secs_f64() / few_time.as_secs_f64(),
+    );
+}
+
+fn main() {
+    let mut few = Bench::new(FEW_FLOWS);
+    let mut many = Bench::new(MANY_FLOWS);
+    for burst in [1, 10] {
+        compare(&mut few, &mut many, burst);
+    }
+}
--- /dev/null
+++ b/crates/bench/benches/state.rs
@@ -0,0 +1,122 @@
+//! Bytes and times that grow with the configuration and with open flows: the slopes behind
+//! `docs/CAPACITY.md`.
+
+use loftdrift_agent::{Agent, AgentSettings};
+use loftdrift_bench::{
+    BACKENDS, SERVICES, caller_address, configuration, median, service_address, time,
+};
+use loftdrift_configuration::{Configuration, Documents, StoreWrite};
+use loftdrift_flow::{Endpoint, EndpointSettings, Timestamps};
+use loftdrift_steering::SteeringMap;
+use loftdrift_wire::{FlowKey, Transport};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const RUNS: usize = 5;
+const FLOWS: u64 = 500;
+
+/// Bytes that stay allocated after `make`, together with what it made.
+fn held_by<T>(make: impl FnOnce() -> T) -> (T, usize) {
+    let region = Region::new(ALLOCATOR);
+    let made = make();
+    let change = region.change();
+    (
+        made,
+        change
+            .bytes_allocated
+            .saturating_sub(change.bytes_deallocated),
+    )
+}
+
+fn store_bytes(writes: &[StoreWrite]) -> usize {
+    let bytes = |write: &StoreWrite| match write {
+        StoreWrite::Put { key, value } => key.len() + value.len(),
+        StoreWrite::Delete { key } => key.len(),
+    };
+    writes.iter().map(bytes).sum()
+}
+
+fn configuration_state(services: u32, backends: u32) {
+    let (held, held_bytes) = held_by(|| configuration(services, backends));
+    let (map, map_bytes) = held_by(|| SteeringMap::new(&held));
+    let build = (0..RUNS).map(|_| time(&mut || drop(SteeringMap::new(&held))));
+    let build = median(build.collect());
+    let writes = Documents::writes(&Configuration::default(), &held, "command");
+    println!(
+        "{services} services, {backends} back ends: configuration {} kB, steering tables {} kB, \
+         tables built in {:.2} ms, documents in the store {} kB",
+        held_bytes / 1_000,
+        map_bytes / 1_000,
+        build.as_secs_f64() * 1e3,
+        store_bytes(&writes) / 1_000,
+    );
+    drop(map);
+}
+
+/// What one change sends to each process that follows the store.
+fn change_bytes() {
+    let before = configuration(SERVICES, BACKENDS);
+    let statements =
+        loftdrift_configuration::parse_script("bench", "drain backend b7").expect("a script");
+    let after = loftdrift_configuration::apply(&before, &statements).expect("a change that fits");
+    let writes = Documents::writes(&before, &after, "command");
+    println!(
+        "one change of a back end: {} bytes of documents",
+        store_bytes(&writes)
+    );
+}
+
+fn agent_state() {
+    let (agent, bytes) = held_by(|| {
+        let mut agent = Agent::new(AgentSettings {
+            backend: "b0".to_owned(),
+            fabric: SocketAddrV4::new([10, 0, 0, 1].into(), 1),
+            flow_buffer_bytes: 16 * 1024,
+            cookies: true,
+            unknown_grace: Duration::from_secs(20),
+            udp_idle: Duration::from_secs(30),
+            seed: 1,
+        })
+        .expect("a chart");
+        agent.adopt(Duration::ZERO, &configuration(SERVICES, BACKENDS));
+        agent
+    });
+    println!("agent without flows: {} kB", bytes / 1_000);
+    drop(agent);
+    for buffer_bytes in [4 * 1024, 16 * 1024] {
+        let settings = EndpointSettings {
+            buffer_bytes,
+            timestamps: Timestamps::Clock,
+            sequence_seed: 1,
+        };
+        let (endpoints, bytes) = held_by(|| {
+            let endpoint = |flow| {
+                let key = FlowKey {
+                    caller: caller_address(flow),
+                    service: service_address(0),
+                    transport: Transport::Tcp,
+                };
+                Endpoint::listen(Duration::ZERO, &key, &settings)
+            };
+            (0..FLOWS).map(endpoint).collect::<Vec<Endpoint>>()
+        });
+        println!(
+            "one TCP flow with two buffers of {buffer_bytes} bytes: {} bytes",
+            bytes / FLOWS as usize
+        );
+        drop(endpoints);
+    }
+}
+
+fn main() {
+    configuration_state(99, 340);
+    configuration_state(495, 1_700);
+    configuration_state(SERVICES, BACKENDS);
+    change_bytes();
+    agent_state();
+}
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,96 @@
+//! What the benches share: configurations of a size, packets, and paired timing.
+//!
+//! Each bench prints ratios of two things timed in turn in one run, so that a machine whose speed
+//! drifts does not decide the result.
+
+use etherparse::PacketBuilder;
+use loftdrift_configuration::{Configuration, apply, parse_script};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::{Duration, Instant};
+
+/// Services at the size that decides the design.
+pub const SERVICES: u32 = 990;
+/// Back ends at that size.
+pub const BACKENDS: u32 = 3_400;
+
+const ROUNDS: usize = 15;
+const FIRST_SERVICE: u32 = 0x0A14_0001;
+const FIRST_AGENT: u32 = 0x0A02_0001;
+const FIRST_CALLER: u32 = 0x0B00_0001;
+const SERVICE_PORT: u16 = 443;
+const GENEVE_PORT: u16 = 6_081;
+const PORTS_PER_CALLER: u64 = 50_000;
+const FIRST_CALLER_PORT: u64 = 10_000;
+
+/// The address of the service with that number.
+pub fn service_address(number: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(FIRST_SERVICE + number), SERVICE_PORT)
+}
+
+/// The address of the caller of the flow with that number.
+pub fn caller_address(flow: u64) -> SocketAddrV4 {
+    let host = Ipv4Addr::from(FIRST_CALLER + (flow / PORTS_PER_CALLER) as u32);
+    SocketAddrV4::new(host, (FIRST_CALLER_PORT + flow % PORTS_PER_CALLER) as u16)
+}
+
+/// A configuration with so many services, over which the back ends are spread evenly.
+pub fn configuration(services: u32, backends: u32) -> Configuration {
+    let mut script = String::new();
+    for service in 0..services {
+        let address = service_address(service);
+        script.push_str(&format!("create service s{service} at {address}\n"));
+    }
+    for backend in 0..backends {
+        let agent = SocketAddrV4::new(Ipv4Addr::from(FIRST_AGENT + backend), GENEVE_PORT);
+        let service = backend % services;
+        script.push_str(&format!(
+            "attach backend b{backend} to s{service} at 127.0.0.1:8080 agent {agent} state active\n"
+        ));
+    }
+    let statements = parse_script("bench", &script).expect("a script");
+    apply(&Configuration::default(), &statements).expect("a change that fits")
+}
+
+/// A TCP segment of a flow; `echo` is its TSecr.
+pub fn segment(flow: u64, service: SocketAddrV4, echo: u32, payload: &[u8]) -> Vec<u8> {
+    use etherparse::TcpOptionElement::{Noop, Timestamp};
+    let caller = caller_address(flow);
+    let builder = PacketBuilder::ipv4(caller.ip().octets(), service.ip().octets(), 64)
+        .tcp(caller.port(), service.port(), 1, 8_192)
+        .ack(1)
+        .options(&[Noop, Noop, Timestamp(1, echo)])
+        .expect("options that fit");
+    let mut packet = Vec::new();
+    builder.write(&mut packet, payload).expect("a packet");
+    packet
+}
+
+/// Times `first` and `second` in turn and returns the median time of each.
+pub fn paired(mut first: impl FnMut(), mut second: impl FnMut()) -> (Duration, Duration) {
+    first();
+    second();
+    let mut times = (Vec::new(), Vec::new());
+    for _ in 0..ROUNDS {
+        times.0.push(time(&mut first));
+        times.1.push(time(&mut second));
+    }
+    (median(times.0), median(times.1))
+}
+
+/// How long `work` takes once.
+pub fn time(work: &mut impl FnMut()) -> Duration {
+    let start = Instant::now();
+    work();
+    start.elapsed()
+}
+
+/// The middle one of an odd number of times.
+pub fn median(mut times: Vec<Duration>) -> Duration {
+    times.sort_unstable();
+    times[times.len() / 2]
+}
+
+/// Nanoseconds for each of `count`.
+pub fn nanoseconds_each(time: Duration, count: usize) -> f64 {
+    time.as_nanos() as f64 / count as f64
+}
--- /dev/null
+++ b/crates/charts/tests/loading.rs
@@ -0,0 +1,85 @@
+//! Broken charts are refused with the place of each fault; good ones are interpreted.
+
+use loftdrift_charts::{Chart, ChartNames, TypedChart, TypedStep};
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Door {
+    Open,
+    Shut,
+}
+
+impl ChartNames for Door {
+    const NAMES: &'static [(Self, &'static str)] = &[(Self::Open, "open"), (Self::Shut, "shut")];
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Push {
+    In,
+    Out,
+}
+
+impl ChartNames for Push {
+    const NAMES: &'static [(Self, &'static str)] = &[(Self::In, "in"), (Self::Out, "out")];
+}
+
+const GOOD: &str = "initial = \"shut\"\nevents = [\"in\", \"out\"]\n\
+    [states.shut]\nin = \"open\"\nout = \"refuse\"\n\
+    [states.open]\nin = \"stay\"\nout = \"shut\"\n";
+
+#[test]
+fn a_good_chart_is_interpreted() {
+    let chart: TypedChart<Door, Push> = TypedChart::parse("door", GOOD).expect("a chart");
+    assert_eq!(chart.initial(), Door::Shut);
+    assert_eq!(chart.step(Door::Shut, Push::In), TypedStep::To(Door::Open));
+    assert_eq!(chart.step(Door::Shut, Push::Out), TypedStep::Refuse);
+    assert_eq!(chart.step(Door::Open, Push::In), TypedStep::Stay);
+    assert_eq!(chart.next(Door::Open, Push::Out), Door::Shut);
+}
+
+#[test]
+fn each_fault_is_found_at_its_place() {
+    let text = "initial = \"shut\"\nevents = [\"in\", \"out\"]\n\
+        [states.shut]\nin = \"ajar\"\nout = \"refuse\"\n\
+        [states.open]\nin = \"stay\"\nknock = \"shut\"\n";
+    let shown = Chart::parse("door", text)
+        .expect_err("findings")
+        .to_string();
+    assert!(
+        shown.contains("door:4:6: target state `ajar` is missing"),
+        "{shown}"
+    );
+    assert!(
+        shown.contains("door:6:9: state `open` does not handle event `out`"),
+        "{shown}"
+    );
+    assert!(
+        shown.contains("door:6:9: state `open` is unreachable"),
+        "{shown}"
+    );
+    assert!(shown.contains("door:8:1: unknown event `knock`"), "{shown}");
+    assert_eq!(shown.lines().count(), 4, "{shown}");
+}
+
+#[test]
+fn a_missing_initial_state_is_found() {
+    let text = GOOD.replace("initial = \"shut\"", "initial = \"ajar\"");
+    let shown = Chart::parse("door", &text)
+        .expect_err("findings")
+        .to_string();
+    assert!(
+        shown.contains("door:1:11: initial state `ajar` is missing"),
+        "{shown}"
+    );
+}
+
+#[test]
+fn a_chart_must_name_exactly_the_programs_states() {
+    let text = GOOD.replace("shut", "closed");
+    let found = TypedChart::<Door, Push>::parse("door", &text).expect_err("findings");
+    let shown = found.to_string();
+    assert!(
+        shown.contains("the program has no state `closed`"),
+        "{shown}"
+    );
+    assert!(shown.contains("the chart has no state `shut`"), "{shown}");
+}
--- a/crates/flow/src/endpoint.rs
+++ b/crates/flow/src/endpoint.rs
@@ -45,18 +45,18 @@
     pub sequence_seed: u64,
 }
 
-#[derive(Debug, Default)]
-struct PacketQueues {
-    received: VecDeque<Vec<u8>>,
-    to_send: VecDeque<Vec<u8>>,
+/// The device of one poll: at most one received packet in, any number of packets out.
+struct OnePoll<'p> {
+    received: Option<&'p [u8]>,
+    to_send: &'p mut VecDeque<Vec<u8>>,
 }
 
-struct Received(Vec<u8>);
+struct Received<'p>(&'p [u8]);
 struct Sending<'a>(&'a mut VecDeque<Vec<u8>>);
 
-impl RxToken for Received {
+impl RxToken for Received<'_> {
     fn consume<R, F: FnOnce(&[u8]) -> R>(self, read: F) -> R {
-        read(&self.0)
+        read(self.0)
     }
 }
 
@@ -69,17 +69,23 @@
     }
 }
 
-impl Device for PacketQueues {
-    type RxToken<'a> = Received;
-    type TxToken<'a> = Sending<'a>;
-
-    fn receive(&mut self, _: Instant) -> Option<(Received, Sending<'_>)> {
-        let packet = self.received.pop_front()?;
-        Some((Received(packet), Sending(&mut self.to_send)))
+impl<'p> Device for OnePoll<'p> {
+    type RxToken<'a>
+        = Received<'p>
+    where
+        Self: 'a;
+    type TxToken<'a>
+        = Sending<'a>
+    where
+        Self: 'a;
+
+    fn receive(&mut self, _: Instant) -> Option<(Received<'p>, Sending<'_>)> {
+        let packet = self.received.take()?;
+        Some((Received(packet), Sending(self.to_send)))
     }
 
     fn transmit(&mut self, _: Instant) -> Option<Sending<'_>> {
-        Some(Sending(&mut self.to_send))
+        Some(Sending(self.to_send))
     }
 
     fn capabilities(&self) -> DeviceCapabilities {
@@ -109,7 +115,7 @@
     interface: Interface,
     sockets: SocketSet<'static>,
     socket: SocketHandle,
-    queues: PacketQueues,
+    to_send: VecDeque<Vec<u8>>,
     timestamps: Timestamps,
     initial_sequence: Option<u32>,
 }
@@ -158,10 +164,14 @@
     }
 
     fn new(now: Duration, address: std::net::Ipv4Addr, settings: &EndpointSettings) -> Self {
-        let mut queues = PacketQueues::default();
+        let mut to_send = VecDeque::new();
         let mut config = Config::new(HardwareAddress::Ip);
         config.random_seed = settings.sequence_seed;
-        let mut interface = Interface::new(config, &mut queues, instant(now));
+        let mut device = OnePoll {
+            received: None,
+            to_send: &mut to_send,
+        };
+        let mut interface = Interface::new(config, &mut device, instant(now));
         interface.update_ip_addrs(|addresses| {
             // The list is empty, so there is room for one.
             let _ = addresses.push(IpCidr::new(IpAddress::Ipv4(address), PREFIX_BITS));
@@ -183,7 +193,7 @@
             interface,
             sockets,
             socket,
-            queues,
+            to_send,
             timestamps,
             initial_sequence: None,
         }
@@ -197,23 +207,31 @@
         self.sockets.get_mut(self.socket)
     }
 
-    /// Hands over a received IPv4 packet whose checksums are right; call [`Endpoint::poll`] next.
-    pub fn receive(&mut self, packet: &[u8]) {
-        self.queues.received.push_back(packet.to_vec());
+    /// Takes an IPv4 packet whose checksums are right and does all that is due.
+    pub fn receive(&mut self, now: Duration, packet: &[u8]) {
+        self.poll_with(now, Some(packet));
     }
 
     /// Does all that is due; collect the packets with [`Endpoint::take_packet`] next.
     pub fn poll(&mut self, now: Duration) {
+        self.poll_with(now, None);
+    }
+
+    fn poll_with(&mut self, now: Duration, received: Option<&[u8]>) {
         let value = match self.timestamps {
             Timestamps::Cookie(cookie) => cookie.0,
             Timestamps::Clock => (now.as_millis() as u32).max(1),
             Timestamps::Off => 0,
         };
         TIMESTAMP_VALUE.with(|cell| cell.set(value));
+        let mut device = OnePoll {
+            received,
+            to_send: &mut self.to_send,
+        };
         self.interface
-            .poll(instant(now), &mut self.queues, &mut self.sockets);
+            .poll(instant(now), &mut device, &mut self.sockets);
         if self.initial_sequence.is_none() {
-            self.initial_sequence = self.queues.to_send.front().and_then(|packet| {
+            self.initial_sequence = self.to_send.front().and_then(|packet| {
                 let outer = Ipv4Packet::new_checked(packet.as_slice()).ok()?;
                 let segment = TcpPacket::new_checked(outer.payload()).ok()?;
                 segment.syn().then(|| segment.seq_number().0 as u32)
@@ -223,7 +241,7 @@
 
     /// The next packet to send.
     pub fn take_packet(&mut self) -> Option<Vec<u8>> {
-        self.queues.to_send.pop_front()
+        self.to_send.pop_front()
     }
 
     /// When [`Endpoint::poll`] must be called next though nothing arrives.
--- a/crates/flow/src/lib.rs
+++ b/crates/flow/src/lib.rs
@@ -4,16 +4,14 @@
 //! cost does not grow with the number of flows. [`SplicedFlow`] joins an endpoint to a socket of
 //! the host and follows the state chart `charts/flow.toml`; agents use it for flows that callers
 //! open, the fabric stand-in for flows that it opens on behalf of callers.
-//! [`FlowTable`] keeps the flows of a process with their deadlines.
+//! [`FlowTable`] keeps the flows of a process with their wake-ups.
 
 mod endpoint;
 mod lifecycle;
 mod splice;
 mod table;
-mod timers;
 
 pub use endpoint::{Endpoint, EndpointSettings, Timestamps, segment_checksum_is_right};
 pub use lifecycle::{FlowChart, FlowEvent, FlowState, flow_chart};
 pub use splice::{SocketCommand, SocketEvent, SplicedFlow};
-pub use table::{Flow, FlowTable};
-pub use timers::{FlowId, Timers};
+pub use table::{Flow, FlowId, FlowTable};
--- a/crates/flow/src/splice.rs
+++ b/crates/flow/src/splice.rs
@@ -97,8 +97,8 @@
 
     /// Takes a packet whose checksums are right.
     pub fn on_packet(&mut self, now: Duration, packet: &[u8]) {
-        self.endpoint.receive(packet);
-        self.pump(now);
+        self.endpoint.receive(now, packet);
+        self.transfer(now);
     }
 
     /// Takes what the socket task reports.
@@ -127,10 +127,16 @@
             return;
         }
         self.endpoint.poll(now);
+        self.transfer(now);
+    }
+
+    /// Transfers bytes both ways, and lets the endpoint speak when that has changed anything.
+    fn transfer(&mut self, now: Duration) {
         self.pass_handshake();
-        self.pass_to_socket();
-        self.pass_to_caller();
-        self.endpoint.poll(now);
+        let changed = self.pass_to_socket() | self.pass_to_caller();
+        if changed {
+            self.endpoint.poll(now);
+        }
         self.pass_end();
     }
 
@@ -174,10 +180,12 @@
         }
     }
 
-    fn pass_to_socket(&mut self) {
+    /// Passes bytes and the end of bytes on to the socket; `true` when any were.
+    fn pass_to_socket(&mut self) -> bool {
         if !self.socket_open {
-            return;
+            return false;
         }
+        let commands_before = self.commands.len();
         while let Some(bytes) = self
             .endpoint
             .read(SOCKET_WINDOW_BYTES - self.unwritten.min(SOCKET_WINDOW_BYTES))
@@ -190,12 +198,16 @@
             self.commands.push_back(SocketCommand::FinishWriting);
             self.step(FlowEvent::CallerFinished);
         }
+        self.commands.len() != commands_before
     }
 
-    fn pass_to_caller(&mut self) {
+    /// Passes bytes and the end of bytes on to the caller; `true` when any were.
+    fn pass_to_caller(&mut self) -> bool {
+        let mut passed = false;
         if !self.unsent.is_empty() {
             let taken = self.endpoint.write(&self.unsent);
             self.unsent.advance(taken);
+            passed = taken > 0;
             if self.unsent.is_empty() {
                 self.commands.push_back(SocketCommand::ReadMore);
             }
@@ -204,7 +216,9 @@
             self.backend_finish_passed = true;
             self.endpoint.finish();
             self.step(FlowEvent::BackendFinished);
+            passed = true;
         }
+        passed
     }
 
     fn pass_end(&mut self) {
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -555,7 +555,7 @@
         if gone {
             self.callers.remove(flow);
         } else {
-            self.callers.set_deadline(flow, deadline);
+            self.callers.wake_by(flow, deadline);
         }
         self.schedule_callers();
     }
@@ -590,7 +590,7 @@
     }
 
     fn schedule_callers(&mut self) {
-        let Some(next) = self.callers.next_deadline() else {
+        let Some(next) = self.callers.next_wake_up() else {
             return;
         };
         if self.caller_timer.is_none_or(|timer| next < timer) {
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -247,7 +247,7 @@
         loop {
             let deadline = self
                 .flows
-                .next_deadline()
+                .next_wake_up()
                 .map(|deadline| self.started + deadline);
             tokio::select! {
                 readable = self.socket.readable() => {
@@ -430,7 +430,7 @@
         if body.splice.state() == FlowState::Gone {
             self.flows.remove(flow);
         } else {
-            self.flows.set_deadline(flow, deadline);
+            self.flows.wake_by(flow, deadline);
         }
         packets.iter().for_each(|packet| self.spray(packet));
     }
--- a/crates/steering/src/service.rs
+++ b/crates/steering/src/service.rs
@@ -2,12 +2,11 @@
 
 use crate::buckets::{best_members, bucket_count};
 use crate::hash::flow_hash;
-use loftdrift_configuration::Service;
+use loftdrift_configuration::{Member, Service};
 use loftdrift_wire::{
     BackendId, Candidate, CandidateList, FlowCookie, FlowKey, MAX_CANDIDATES, ServiceId,
     SteeringMode, SteeringOption, Transport,
 };
-use std::collections::BTreeMap;
 
 /// Most times that agents pass one packet on: every candidate once, the way back to the best of a
 /// tour, and room for the candidates that a newer agent adds.
@@ -41,70 +40,55 @@
     /// The hash's bits that choose the bucket.
     mask: usize,
     buckets: Vec<Bucket>,
-    /// Every back end of the kept generations and of the configuration.
+    /// Every back end of the kept generations and of the configuration, in the order of identity.
     agents: Vec<Candidate>,
     /// Whether the agent in that place is believed dead by this node.
     suspects: Vec<bool>,
     any_suspect: bool,
-    places: BTreeMap<BackendId, u16>,
 }
 
 impl ServiceTable {
     /// The table of a service as it stands in a configuration.
     pub fn new(service: &Service) -> Self {
-        let mut table = ServiceTable {
-            id: service.service_id(),
-            epoch: service.generations.first().map_or(0, |newest| newest.epoch),
-            mask: 0,
-            buckets: Vec::new(),
-            agents: Vec::new(),
-            suspects: Vec::new(),
-            any_suspect: false,
-            places: BTreeMap::new(),
-        };
-        for generation in &service.generations {
-            for member in &generation.members {
-                table.place(member.candidate());
-            }
-        }
-        for backend in service.backends.values() {
-            table.place(Candidate {
-                backend: BackendId(backend.id),
-                agent: backend.agent,
-            });
-        }
-        table.suspects = vec![false; table.agents.len()];
+        let agents = all_agents(service);
         let count = service
             .generations
             .iter()
             .map(bucket_count)
             .max()
             .unwrap_or(1);
-        table.mask = count - 1;
+        let mut table = ServiceTable {
+            id: service.service_id(),
+            epoch: service.generations.first().map_or(0, |newest| newest.epoch),
+            mask: count - 1,
+            buckets: Vec::new(),
+            suspects: vec![false; agents.len()],
+            any_suspect: false,
+            agents,
+        };
         table.buckets = (0..count)
             .map(|bucket| table.fill(service, bucket))
             .collect();
         table
     }
 
-    fn place(&mut self, candidate: Candidate) -> u16 {
-        let next = self.agents.len() as u16;
-        let place = *self.places.entry(candidate.backend).or_insert(next);
-        if place == next {
-            self.agents.push(candidate);
-        }
-        place
+    /// Where a back end stands in [`ServiceTable::agents`].
+    fn place(&self, backend: BackendId) -> Option<u16> {
+        let found = self
+            .agents
+            .binary_search_by_key(&backend, |candidate| candidate.backend);
+        found.ok().map(|place| place as u16)
     }
 
-    fn fill(&mut self, service: &Service, bucket: usize) -> Bucket {
+    fn fill(&self, service: &Service, bucket: usize) -> Bucket {
         let most = usize::from(service.candidates);
         let mut filled = Bucket::default();
         for (age, generation) in service.generations.iter().enumerate() {
             let own_bucket = bucket & (bucket_count(generation) - 1);
-            for index in best_members(generation, own_bucket, most) {
-                let agent = self.place(generation.members[index].candidate());
-                filled.push(agent);
-            }
+            let best = best_members(generation, own_bucket, most).into_iter();
+            let best = best.map(|index| BackendId(generation.members[index].backend));
+            best.filter_map(|backend| self.place(backend))
+                .for_each(|agent| filled.push(agent));
             if age == 0 {
                 filled.eligible = filled.length;
             }
@@ -146,13 +130,19 @@
         let agents = &bucket.agents[..usize::from(bucket.length)];
         let (newest, older) = agents.split_at(usize::from(bucket.eligible));
         let mut candidates = CandidateList::new();
-        self.push_living(&mut candidates, newest);
+        self.push(
+            &mut candidates,
+            newest.iter().filter(|agent| self.is_living(**agent)),
+        );
         if candidates.as_slice().is_empty() {
-            self.push_suspects(&mut candidates, newest);
+            self.push(&mut candidates, newest.iter());
         }
         let open_to = candidates.as_slice().len();
         if flow.transport == Transport::Udp {
-            self.push_living(&mut candidates, older);
+            self.push(
+                &mut candidates,
+                older.iter().filter(|agent| self.is_living(**agent)),
+            );
         }
         self.option(SteeringMode::Tour, open_to, candidates)
     }
@@ -161,14 +151,24 @@
     /// candidates of every kept generation, newest first, suspects last.
     pub fn locate(&self, flow: &FlowKey, timestamp_echo: Option<u32>) -> SteeringOption {
         let bucket = self.bucket(flow);
+        let agents = &bucket.agents[..usize::from(bucket.length)];
         let mut candidates = CandidateList::new();
         let named = timestamp_echo.and_then(|echo| FlowCookie::backend(echo, self.id));
-        if let Some(place) = named.and_then(|backend| self.places.get(&backend)) {
-            candidates.push(self.agents[usize::from(*place)]);
+        let named = named.and_then(|backend| self.place(backend));
+        if let Some(place) = named {
+            candidates.push_distinct(self.agents[usize::from(place)]);
+        }
+        let others = agents.iter().filter(|agent| Some(**agent) != named);
+        if self.any_suspect {
+            let living = others.clone().filter(|agent| self.is_living(**agent));
+            self.push(&mut candidates, living);
+            self.push(
+                &mut candidates,
+                others.filter(|agent| !self.is_living(**agent)),
+            );
+        } else {
+            self.push(&mut candidates, others);
         }
-        let agents = &bucket.agents[..usize::from(bucket.length)];
-        self.push_living(&mut candidates, agents);
-        self.push_suspects(&mut candidates, agents);
         self.option(SteeringMode::Locate, 0, candidates)
     }
 
@@ -176,25 +176,13 @@
         &self.buckets[flow_hash(flow) as usize & self.mask]
     }
 
-    fn push_living(&self, candidates: &mut CandidateList, agents: &[u16]) {
-        for agent in agents {
-            let place = usize::from(*agent);
-            if !self.suspects[place] {
-                candidates.push(self.agents[place]);
-            }
-        }
+    /// Appends agents that are not listed yet.
+    fn push<'a>(&self, candidates: &mut CandidateList, agents: impl Iterator<Item = &'a u16>) {
+        agents.for_each(|agent| candidates.push_distinct(self.agents[usize::from(*agent)]));
     }
 
-    fn push_suspects(&self, candidates: &mut CandidateList, agents: &[u16]) {
-        if !self.any_suspect {
-            return;
-        }
-        for agent in agents {
-            let place = usize::from(*agent);
-            if self.suspects[place] {
-                candidates.push(self.agents[place]);
-            }
-        }
+    fn is_living(&self, agent: u16) -> bool {
+        !self.suspects[usize::from(agent)]
     }
 
     fn option(
@@ -214,3 +202,20 @@
         }
     }
 }
+
+/// Every back end of the kept generations and of the configuration, in the order of identity.
+fn all_agents(service: &Service) -> Vec<Candidate> {
+    let members = service
+        .generations
+        .iter()
+        .flat_map(|generation| &generation.members);
+    let attached = service.backends.values();
+    let attached = attached.map(|backend| Candidate {
+        backend: BackendId(backend.id),
+        agent: backend.agent,
+    });
+    let mut agents: Vec<Candidate> = members.map(Member::candidate).chain(attached).collect();
+    agents.sort_by_key(|candidate| candidate.backend);
+    agents.dedup_by_key(|candidate| candidate.backend);
+    agents
+}
--- a/crates/wire/src/steering_option.rs
+++ b/crates/wire/src/steering_option.rs
@@ -86,6 +86,14 @@
         self.length += 1;
     }
 
+    /// Appends a candidate whose back end the caller knows not to be listed; a full list stays.
+    pub fn push_distinct(&mut self, candidate: Candidate) {
+        if let Some(entry) = self.entries.get_mut(usize::from(self.length)) {
+            *entry = candidate;
+            self.length += 1;
+        }
+    }
+
     /// The candidates in the order of asking.
     pub fn as_slice(&self) -> &[Candidate] {
         &self.entries[..usize::from(self.length)]
