--- a/crates/app/tests/processes.rs
+++ b/crates/app/tests/processes.rs
@@ -3,6 +3,8 @@
 mod support;
 
 use nix::sys::signal::Signal;
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
 use support::link::Link;
 use support::{Cluster, Seen, finish_callers, http, pause, wait_for};
 
@@ -232,6 +234,58 @@
     drop(KillOnDrop(callers));
 }
 
+#[test]
+fn udp_datagrams_reach_their_back_end_and_their_caller_through_changes() {
+    const DATAGRAMS: u32 = 200;
+    let mut cluster = Cluster::start(3, 1);
+    let echo = udp_echo();
+    let (agent, port) = cluster.start_udp_service(echo);
+    let caller = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    caller
+        .set_read_timeout(Some(Duration::from_millis(300)))
+        .expect("a time-out");
+    let mut answered = 0;
+    let mut buffer = [0; 100];
+    for number in 0..DATAGRAMS {
+        if number == DATAGRAMS / 2 {
+            cluster.ctl("drain backend echo-1");
+            cluster.balancers[0].signal(Signal::SIGTERM);
+        }
+        let text = format!("datagram {number}");
+        // A datagram may be lost like on any network; a repeat then gets its answer.
+        for _ in 0..20 {
+            caller.send_to(text.as_bytes(), port).expect("a send");
+            match caller.recv(&mut buffer) {
+                Ok(length) if buffer[..length] == *text.as_bytes() => {
+                    answered += 1;
+                    break;
+                }
+                _ => {}
+            }
+        }
+    }
+    assert_eq!(answered, DATAGRAMS);
+    wait_for("the agent to publish the last datagram", || {
+        let delivered = Cluster::metric(&agent, "loftdrift_agent_delivered_total");
+        delivered >= Some(u64::from(DATAGRAMS))
+    });
+    let opened = Cluster::metric(&agent, "loftdrift_agent_flows_opened_total");
+    assert_eq!(opened, Some(1));
+}
+
+/// A UDP back end that sends each datagram back.
+fn udp_echo() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port");
+    let address = socket.local_addr().expect("an address");
+    std::thread::spawn(move || {
+        let mut buffer = [0; 100];
+        while let Ok((length, from)) = socket.recv_from(&mut buffer) {
+            socket.send_to(&buffer[..length], from).expect("a send");
+        }
+    });
+    address
+}
+
 struct KillOnDrop(std::process::Child);
 
 impl Drop for KillOnDrop {
--- a/crates/app/tests/support/mod.rs
+++ b/crates/app/tests/support/mod.rs
@@ -15,6 +15,7 @@
 const LOFTDRIFT: &str = env!("CARGO_BIN_EXE_loftdrift");
 const STANDIN: &str = env!("CARGO_BIN_EXE_loftdrift-standin");
 const SERVICE: &str = "10.20.0.1:80";
+const UDP_SERVICE: &str = "10.20.0.9:53";
 const ANY: &str = "127.0.0.1:0";
 /// Bounds every wait; reaching it fails the test.
 const PATIENCE: Duration = Duration::from_secs(60);
@@ -96,13 +97,15 @@
         let platform = Process::start(STANDIN, &["platform", "--listen", ANY], 1);
         let settings = format!(
             "role = \"fabric\"\nlisten = \"{ANY}\"\nplatform = \"{}\"\n\
-             [[listeners]]\nlisten = \"{ANY}\"\nservice = \"{SERVICE}\"\n",
+             [[listeners]]\nlisten = \"{ANY}\"\nservice = \"{SERVICE}\"\n\
+             [[listeners]]\nlisten = \"{ANY}\"\nservice = \"{UDP_SERVICE}\"\n\
+             transport = \"udp\"\n",
             platform.addresses[0]
         );
         let file = std::env::temp_dir().join(format!("loftdrift-fabric-{}.toml", unique()));
         std::fs::write(&file, settings).expect("a settings file");
         let path = file.to_str().expect("a path");
-        let fabric = Process::start(STANDIN, &["fabric", "--config", path], 2);
+        let fabric = Process::start(STANDIN, &["fabric", "--config", path], 3);
         std::fs::remove_file(&file).expect("the settings file");
         let mut cluster = Cluster {
             platform,
@@ -137,6 +140,13 @@
             &name,
         ];
         self.backends.push(Process::start(STANDIN, &arguments, 1));
+        let agent = self.start_agent(&name);
+        let address = agent.addresses[0];
+        self.agents.push(agent);
+        address
+    }
+
+    fn start_agent(&self, backend: &str) -> Process {
         let fabric = self.fabric.addresses[0].to_string();
         let platform = self.platform_address();
         let arguments = [
@@ -146,16 +156,13 @@
             "--metrics",
             ANY,
             "--backend",
-            &name,
+            backend,
             "--fabric",
             &fabric,
             "--platform",
             &platform,
         ];
-        let agent = Process::start(LOFTDRIFT, &arguments, 2);
-        let address = agent.addresses[0];
-        self.agents.push(agent);
-        address
+        Process::start(LOFTDRIFT, &arguments, 2)
     }
 
     /// Attaches the back end of that number, reached through `agent`.
@@ -166,6 +173,20 @@
         ));
     }
 
+    /// Starts an agent beside a UDP back end that takes part in a service of its own; returns the
+    /// agent and the port where callers reach the service.
+    pub fn start_udp_service(&mut self, server: SocketAddr) -> (Process, SocketAddr) {
+        let agent = self.start_agent("echo-1");
+        self.ctl(&format!(
+            "create service echo at {UDP_SERVICE} transport udp"
+        ));
+        let address = agent.addresses[0];
+        self.ctl(&format!(
+            "attach backend echo-1 to echo at {server} agent {address} state active"
+        ));
+        (agent, self.fabric.addresses[2])
+    }
+
     pub fn start_balancer(&mut self) -> SocketAddr {
         let platform = self.platform_address();
         let arguments = [
