Prove each promise with its mechanism off

Cause: a proof counts only once it has been seen to fail. Each mechanism was switched off by a one-line change on a scratch copy and its test run.

Found by it: three mechanisms could be switched off unnoticed, because another one covered for them in the scenarios there were: the check that a handshake's acknowledgement is of the agent's own SYN, the kept generations, and the search of all other back ends. Three tests now need just these: an acknowledgement of another agent's handshake, a pool of 20 back ends whose members change, and seven drains in a pool of eight, both without timestamps.

Also new: a key-value service that lost everything and starts over does not roll any node back, in real processes.

--- a/crates/agent/tests/limits.rs
+++ b/crates/agent/tests/limits.rs
@@ -158,6 +158,37 @@
     assert_eq!(resets(&mut agent), 0);
 }
 
+#[test]
+fn an_acknowledgement_of_another_agents_handshake_is_passed_on() {
+    let mut agent = agent(10);
+    send(
+        &mut agent,
+        Duration::ZERO,
+        TILES_VNI,
+        SteeringMode::Tour,
+        &syn(4_000, SERVICE),
+    );
+    assert_eq!(resets(&mut agent), 0);
+    let other = Candidate {
+        backend: BackendId(2),
+        agent: address("10.2.0.2:6081"),
+    };
+    let mut option = option(SteeringMode::Locate);
+    option.candidates.push(other);
+    // The caller acknowledges a SYN-ACK that this agent has not sent.
+    let datagram = encode_packet(TILES_VNI, Some(&option), &data(4_000));
+    agent.handle_datagram(Duration::ZERO, address("10.1.0.1:6081"), &datagram);
+    let Some(Output::Transmit { to, datagram }) = agent.take_output() else {
+        panic!("the packet was kept")
+    };
+    assert_eq!(to, other.agent);
+    assert_eq!(
+        GenevePacket::parse(&datagram).expect("a packet").inner,
+        data(4_000)
+    );
+    assert!(agent.take_output().is_none());
+}
+
 #[test]
 fn an_unreachable_back_end_opens_nothing_until_a_probe_is_accepted() {
     let mut agent = agent(10);
--- a/crates/app/tests/processes.rs
+++ b/crates/app/tests/processes.rs
@@ -155,6 +155,24 @@
     assert_unbroken(&finish_callers(callers));
 }
 
+#[test]
+fn a_store_that_lost_everything_rolls_nothing_back() {
+    const REVISION: &str = "loftdrift_balancer_configuration_revision";
+    const PASSED_OVER: &str = "loftdrift_balancer_configurations_passed_over_total";
+    let mut cluster = Cluster::start(1, 3);
+    let revision = Cluster::metric(&cluster.balancers[0], REVISION);
+    let callers = cluster.start_callers(6, 50);
+    cluster.restart_platform();
+    cluster.ctl("create service other at 10.20.0.2:80");
+    let balancer = &cluster.balancers[0];
+    let reconnected = || cluster.store_watchers() >= 4;
+    wait_for("balancer and agents to follow the new store", reconnected);
+    cluster.ctl("create service another at 10.20.0.3:80");
+    assert_unbroken(&finish_callers(callers));
+    assert_eq!(Cluster::metric(balancer, REVISION), revision);
+    assert_eq!(Cluster::metric(balancer, PASSED_OVER), Some(0));
+}
+
 #[test]
 fn a_command_whose_answer_is_lost_takes_effect_once_and_is_told_as_accepted() {
     let mut cluster = Cluster::start(1, 1);
--- a/crates/app/tests/support/mod.rs
+++ b/crates/app/tests/support/mod.rs
@@ -224,6 +224,24 @@
         assert!(answer.is_ok(), "{answer:?}");
     }
 
+    /// Kills the platform and starts an empty one at the same address.
+    pub fn restart_platform(&mut self) {
+        let address = self.platform_address();
+        self.platform.signal(Signal::SIGKILL);
+        self.platform.wait();
+        self.platform = Process::start(STANDIN, &["platform", "--listen", &address], 1);
+        for (number, balancer) in self.balancers.iter().enumerate() {
+            self.list_balancer(number + 1, balancer.addresses[0]);
+        }
+    }
+
+    /// How many watches are open on the key-value store.
+    pub fn store_watchers(&self) -> u64 {
+        let answer = http::request(self.platform.addresses[0], "GET", "/standin/watchers", "");
+        let answer = String::from_utf8(answer.expect("an answer")).expect("a number");
+        answer.parse().expect("a number")
+    }
+
     pub fn platform_address(&self) -> String {
         self.platform.addresses[0].to_string()
     }
--- a/crates/lab/tests/planned_changes.rs
+++ b/crates/lab/tests/planned_changes.rs
@@ -242,3 +242,58 @@
         );
     }
 }
+
+/// Callers without timestamps, more back ends than a packet can ask: history must find the flows.
+#[test]
+fn members_of_a_large_pool_change_and_history_finds_the_flows() {
+    const BACKENDS: u8 = 20;
+    let settings = WorldSettings {
+        seed: 5,
+        ..WorldSettings::default()
+    };
+    let mut world = world(settings, 2, BACKENDS + 4);
+    let mut scripts = vec![create(BACKENDS)];
+    scripts.extend((1..=4).map(|number| attach(BACKENDS + number)));
+    let list = configurations(&scripts);
+    world.configure_all(&list[0]);
+    open_flows(
+        &mut world,
+        100,
+        seconds(0.0),
+        seconds(2.0),
+        &callers(30, seconds(0.5), false),
+    );
+    for (index, configuration) in list.into_iter().enumerate().skip(1) {
+        let at = seconds(2.0 + index as f64 * 1.5);
+        world.at(at, move |world| world.configure_all(&configuration));
+    }
+    world.run_until(seconds(120.0));
+    assert_clean(world.outcome(), 5);
+}
+
+/// Callers without timestamps, more changes than generations are kept, in a small pool.
+#[test]
+fn flows_outlive_the_kept_history_in_a_small_pool() {
+    let settings = WorldSettings {
+        seed: 6,
+        ..WorldSettings::default()
+    };
+    let mut world = world(settings, 2, 8);
+    let mut scripts = vec![create(8)];
+    scripts.extend((1..=7).map(drain));
+    let list = configurations(&scripts);
+    world.configure_all(&list[0]);
+    open_flows(
+        &mut world,
+        40,
+        seconds(0.0),
+        seconds(1.0),
+        &callers(40, seconds(0.5), false),
+    );
+    for (index, configuration) in list.into_iter().enumerate().skip(1) {
+        let at = seconds(1.0 + index as f64);
+        world.at(at, move |world| world.configure_all(&configuration));
+    }
+    world.run_until(seconds(120.0));
+    assert_clean(world.outcome(), 6);
+}
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -1,7 +1,7 @@
 //! The platform: key-value store and machine list over HTTP, with faults to order.
 //!
 //! One task owns the state. `PUT /standin/faults` with a JSON [`Faults`] object changes the
-//! faults, `GET /standin/faults` reads them.
+//! faults, `GET /standin/faults` reads them, `GET /standin/watchers` counts the open watches.
 
 use crate::key_value::{Change, KeyValueStore, watch_response};
 use bytes::Bytes;
@@ -69,6 +69,7 @@
     PutMachine(Machine, oneshot::Sender<()>),
     Faults(oneshot::Sender<Faults>),
     SetFaults(Faults, oneshot::Sender<Faults>),
+    Watchers(oneshot::Sender<usize>),
 }
 
 struct Watcher {
@@ -168,6 +169,10 @@
                 self.put_machine(now, machine);
                 let _ = reply.send(());
             }
+            Message::Watchers(reply) => {
+                self.watchers.retain(|watcher| !watcher.sender.is_closed());
+                let _ = reply.send(self.watchers.len());
+            }
             Message::Faults(reply) => drop(reply.send(self.faults)),
             Message::SetFaults(faults, reply) => {
                 self.faults = faults;
@@ -243,6 +248,12 @@
     if path == "/standin/faults" {
         return handle_faults(request, &platform).await;
     }
+    if path == "/standin/watchers" {
+        return Some(json_answer(
+            StatusCode::OK,
+            &ask(&platform, Message::Watchers).await?,
+        ));
+    }
     let (admission, delay) = ask(&platform, Message::Admit).await?;
     tokio::time::sleep(delay).await;
     match admission {
