--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -7,6 +7,7 @@
 };
 use loftdrift_configuration::{Configuration, Documents, StoreWrite};
 use loftdrift_flow::{Endpoint, EndpointSettings, Timestamps};
+use loftdrift_platform::etcd::{Base64Text, KeyValueMessage, WatchEvent, WatchLine, WatchResponse};
 use loftdrift_steering::SteeringMap;
 use loftdrift_wire::{FlowKey, Transport};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
@@ -58,19 +59,50 @@
     drop(map);
 }
 
-/// What one change sends to each process that follows the store.
-fn change_bytes() {
+/// What one change sends to each process that watches the store, and what a first reading sends.
+fn message_bytes() {
     let before = configuration(SERVICES, BACKENDS);
     let statements =
         loftdrift_configuration::parse_script("bench", "drain backend b7").expect("a script");
     let after = loftdrift_configuration::apply(&before, &statements).expect("a change that fits");
-    let writes = Documents::writes(&before, &after, "command");
+    let change = Documents::writes(&before, &after, "command");
+    let all = Documents::writes(&Configuration::default(), &after, "command");
     println!(
-        "one change of a back end: {} bytes of documents",
-        store_bytes(&writes)
+        "one change of a back end: {} bytes of documents, {} bytes on a watch; a first reading: {} \
+         kB",
+        store_bytes(&change),
+        watch_bytes(&change),
+        watch_bytes(&all) / 1_000,
     );
 }
 
+/// Bytes of the JSON line that tells a watch of writes.
+fn watch_bytes(writes: &[StoreWrite]) -> usize {
+    let event = |write: &StoreWrite| {
+        let (key, value) = match write {
+            StoreWrite::Put { key, value } => (key.clone(), value.clone()),
+            StoreWrite::Delete { key } => (key.clone(), String::new()),
+        };
+        let kv = KeyValueMessage {
+            key: Base64Text(key),
+            value: Base64Text(value),
+            ..KeyValueMessage::default()
+        };
+        WatchEvent {
+            kind: String::new(),
+            kv,
+        }
+    };
+    let events = writes.iter().map(event).collect();
+    let line = WatchLine {
+        result: WatchResponse {
+            events,
+            ..WatchResponse::default()
+        },
+    };
+    serde_json::to_string(&line).expect("JSON").len()
+}
+
 fn agent_state() {
     let (agent, bytes) = held_by(|| {
         let mut agent = Agent::new(AgentSettings {
@@ -117,6 +149,6 @@
     configuration_state(99, 340);
     configuration_state(495, 1_700);
     configuration_state(SERVICES, BACKENDS);
-    change_bytes();
+    message_bytes();
     agent_state();
 }
