--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -194,9 +194,7 @@
     fn probe_backend(&mut self, now: Duration) {
         match &self.place {
             Some(place) if place.transport == Transport::Tcp => {
-                self.outputs.push_back(Output::ProbeBackend {
-                    server: place.backend.server,
-                });
+                self.outputs.push_back(Output::ProbeBackend { server: place.backend.server });
             }
             // UDP has no connections to try.
             _ => self.handle_probe(now, true),
@@ -282,19 +280,11 @@
 
     fn handle_control(&mut self, from: SocketAddrV4, packet: &GenevePacket<'_>) {
         match Echo::decode(packet) {
-            Some(Echo {
-                kind: EchoKind::Request,
-                sequence,
-            }) => {
+            Some(Echo { kind: EchoKind::Request, sequence }) => {
                 self.counters.echoes_answered += 1;
                 self.counters.control_bytes += 2 * ECHO_BYTES as u64;
-                let datagram = Echo {
-                    kind: EchoKind::Reply,
-                    sequence,
-                }
-                .encode();
-                self.outputs
-                    .push_back(Output::Transmit { to: from, datagram });
+                let datagram = Echo { kind: EchoKind::Reply, sequence }.encode();
+                self.outputs.push_back(Output::Transmit { to: from, datagram });
             }
             _ => self.counters.dropped_control += 1,
         }
@@ -308,10 +298,7 @@
             return Some(id);
         };
         let acknowledgement = match inner.kind {
-            SegmentKind::Established {
-                acknowledgement: Some(number),
-                ..
-            } => number,
+            SegmentKind::Established { acknowledgement: Some(number), .. } => number,
             _ => return Some(id),
         };
         let in_handshake = splice.state() == FlowState::Handshake;
@@ -380,9 +367,8 @@
         let Some(place) = &self.place else {
             return false;
         };
-        let named = inner
-            .timestamp_echo
-            .and_then(|echo| FlowCookie::backend(echo, place.service_id));
+        let named =
+            inner.timestamp_echo.and_then(|echo| FlowCookie::backend(echo, place.service_id));
         named == Some(place.backend_id) && self.flows.find(&inner.flow).is_none()
     }
 
@@ -450,17 +436,10 @@
             Transport::Tcp => FlowBody::Tcp(Box::new(self.new_splice(now, &inner.flow, place))),
             Transport::Udp => FlowBody::Udp(UdpFlow::new(now)),
         };
-        self.sequence_seed = self
-            .sequence_seed
-            .wrapping_mul(0x5851_F42D_4C95_7F2D)
-            .wrapping_add(1);
+        self.sequence_seed = self.sequence_seed.wrapping_mul(0x5851_F42D_4C95_7F2D).wrapping_add(1);
         let flow = self.flows.insert(inner.flow, body);
         self.counters.flows_opened += 1;
-        self.outputs.push_back(Output::StartSocket {
-            flow,
-            server,
-            transport,
-        });
+        self.outputs.push_back(Output::StartSocket { flow, server, transport });
         self.deliver(now, flow, inner, packet);
     }
 
@@ -475,11 +454,7 @@
             sequence_seed: self.sequence_seed,
         };
         let endpoint = Endpoint::listen(now, flow, &settings);
-        SplicedFlow::new(
-            endpoint,
-            Arc::clone(&self.chart),
-            Some(now + HANDSHAKE_TIMEOUT),
-        )
+        SplicedFlow::new(endpoint, Arc::clone(&self.chart), Some(now + HANDSHAKE_TIMEOUT))
     }
 
     /// Collects what a flow wants done, and forgets it when it is over.
@@ -530,10 +505,7 @@
     /// Sends an IPv4 packet straight back to the caller, through the fabric.
     fn answer(&mut self, packet: Vec<u8>) {
         let datagram = encode_packet(0, None, &packet);
-        self.outputs.push_back(Output::Transmit {
-            to: self.settings.fabric,
-            datagram,
-        });
+        self.outputs.push_back(Output::Transmit { to: self.settings.fabric, datagram });
     }
 }
 
--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -44,11 +44,7 @@
     /// Takes the answer to a probe.
     pub(crate) fn on_probe(&mut self, now: Duration, accepts: bool) {
         self.accepts = accepts;
-        let interval = if accepts {
-            PROBE_INTERVAL
-        } else {
-            RETRY_INTERVAL
-        };
+        let interval = if accepts { PROBE_INTERVAL } else { RETRY_INTERVAL };
         self.next_probe = Some(now + interval);
     }
 
--- a/crates/agent/src/pass_on.rs
+++ b/crates/agent/src/pass_on.rs
@@ -45,10 +45,7 @@
     if let (true, Some(load)) = (eligible, load)
         && option.best.is_none_or(|best| load < best.load)
     {
-        option.best = Some(TourBest {
-            index: option.cursor,
-            load,
-        });
+        option.best = Some(TourBest { index: option.cursor, load });
     }
     let cursor = option.cursor + 1;
     if let Some(next) = advance(option, cursor) {
--- a/crates/agent/src/udp.rs
+++ b/crates/agent/src/udp.rs
@@ -42,9 +42,7 @@
 
 /// The datagram's content.
 pub(crate) fn payload(packet: &[u8], transport_offset: usize) -> &[u8] {
-    packet
-        .get(transport_offset + UDP_HEADER_BYTES..)
-        .unwrap_or_default()
+    packet.get(transport_offset + UDP_HEADER_BYTES..).unwrap_or_default()
 }
 
 /// The IPv4 packet that carries an answer to a flow's caller.
--- a/crates/agent/src/unknown.rs
+++ b/crates/agent/src/unknown.rs
@@ -21,11 +21,7 @@
 
 impl UnknownFlows {
     pub(crate) fn new(grace: Duration) -> Self {
-        UnknownFlows {
-            grace,
-            first_seen: HashMap::new(),
-            next_sweep: Duration::ZERO,
-        }
+        UnknownFlows { grace, first_seen: HashMap::new(), next_sweep: Duration::ZERO }
     }
 
     /// Whether a packet of an unknown flow is to be answered with a reset.
@@ -52,7 +48,6 @@
         }
         self.next_sweep = now + self.grace;
         let keep_for = self.grace * 3;
-        self.first_seen
-            .retain(|_, first_seen| now.saturating_sub(*first_seen) < keep_for);
+        self.first_seen.retain(|_, first_seen| now.saturating_sub(*first_seen) < keep_for);
     }
 }
--- a/crates/agent/tests/limits.rs
+++ b/crates/agent/tests/limits.rs
@@ -44,34 +44,20 @@
 
 fn option(mode: SteeringMode) -> SteeringOption {
     let mut candidates = CandidateList::new();
-    candidates.push(Candidate {
-        backend: BackendId(1),
-        agent: address("10.2.0.1:6081"),
-    });
-    SteeringOption {
-        mode,
-        cursor: 0,
-        hops_left: 16,
-        eligible: 1,
-        best: None,
-        epoch: 1,
-        candidates,
-    }
+    candidates.push(Candidate { backend: BackendId(1), agent: address("10.2.0.1:6081") });
+    SteeringOption { mode, cursor: 0, hops_left: 16, eligible: 1, best: None, epoch: 1, candidates }
 }
 
 fn syn(port: u16, service: [u8; 4]) -> Vec<u8> {
-    let builder = PacketBuilder::ipv4([10, 9, 0, 1], service, 64)
-        .tcp(port, 80, 1_000, 8_192)
-        .syn();
+    let builder = PacketBuilder::ipv4([10, 9, 0, 1], service, 64).tcp(port, 80, 1_000, 8_192).syn();
     let mut packet = Vec::new();
     builder.write(&mut packet, &[]).expect("a packet");
     packet
 }
 
 fn data(port: u16) -> Vec<u8> {
-    let builder = PacketBuilder::ipv4([10, 9, 0, 1], SERVICE, 64)
-        .tcp(port, 80, 1_001, 8_192)
-        .ack(5_000);
+    let builder =
+        PacketBuilder::ipv4([10, 9, 0, 1], SERVICE, 64).tcp(port, 80, 1_001, 8_192).ack(5_000);
     let mut packet = Vec::new();
     builder.write(&mut packet, b"hello").expect("a packet");
     packet
@@ -100,20 +86,8 @@
 #[test]
 fn a_packet_of_another_service_is_refused_and_counted() {
     let mut agent = agent(10);
-    send(
-        &mut agent,
-        Duration::ZERO,
-        OTHER_SERVICE_VNI,
-        SteeringMode::Tour,
-        &syn(4_000, SERVICE),
-    );
-    send(
-        &mut agent,
-        Duration::ZERO,
-        TILES_VNI,
-        SteeringMode::Tour,
-        &syn(4_000, [10, 20, 0, 2]),
-    );
+    send(&mut agent, Duration::ZERO, OTHER_SERVICE_VNI, SteeringMode::Tour, &syn(4_000, SERVICE));
+    send(&mut agent, Duration::ZERO, TILES_VNI, SteeringMode::Tour, &syn(4_000, [10, 20, 0, 2]));
     assert_eq!(agent.counters.refused_other_service, 2);
     assert_eq!(agent.counters.flows_opened, 0);
     assert!(agent.take_output().is_none());
@@ -123,13 +97,7 @@
 fn a_full_back_end_takes_nothing_more_and_says_so() {
     let mut agent = agent(2);
     for port in 4_000..4_003 {
-        send(
-            &mut agent,
-            Duration::ZERO,
-            TILES_VNI,
-            SteeringMode::Tour,
-            &syn(port, SERVICE),
-        );
+        send(&mut agent, Duration::ZERO, TILES_VNI, SteeringMode::Tour, &syn(port, SERVICE));
     }
     assert_eq!(agent.counters.flows_opened, 2);
     assert_eq!(agent.counters.passed_over_full, 1);
@@ -140,18 +108,9 @@
 #[test]
 fn a_handshake_that_is_never_finished_is_forgotten() {
     let mut agent = agent(10);
-    send(
-        &mut agent,
-        Duration::ZERO,
-        TILES_VNI,
-        SteeringMode::Tour,
-        &syn(4_000, SERVICE),
-    );
+    send(&mut agent, Duration::ZERO, TILES_VNI, SteeringMode::Tour, &syn(4_000, SERVICE));
     assert_eq!(agent.flow_count(), 1);
-    while let Some(next) = agent
-        .next_timeout()
-        .filter(|next| *next <= Duration::from_secs(20))
-    {
+    while let Some(next) = agent.next_timeout().filter(|next| *next <= Duration::from_secs(20)) {
         agent.handle_timeout(next);
     }
     assert_eq!(agent.flow_count(), 0);
@@ -161,18 +120,9 @@
 #[test]
 fn an_acknowledgement_of_another_agents_handshake_is_passed_on() {
     let mut agent = agent(10);
-    send(
-        &mut agent,
-        Duration::ZERO,
-        TILES_VNI,
-        SteeringMode::Tour,
-        &syn(4_000, SERVICE),
-    );
+    send(&mut agent, Duration::ZERO, TILES_VNI, SteeringMode::Tour, &syn(4_000, SERVICE));
     assert_eq!(resets(&mut agent), 0);
-    let other = Candidate {
-        backend: BackendId(2),
-        agent: address("10.2.0.2:6081"),
-    };
+    let other = Candidate { backend: BackendId(2), agent: address("10.2.0.2:6081") };
     let mut option = option(SteeringMode::Locate);
     option.candidates.push(other);
     // The caller acknowledges a SYN-ACK that this agent has not sent.
@@ -182,10 +132,7 @@
         panic!("the packet was kept")
     };
     assert_eq!(to, other.agent);
-    assert_eq!(
-        GenevePacket::parse(&datagram).expect("a packet").inner,
-        data(4_000)
-    );
+    assert_eq!(GenevePacket::parse(&datagram).expect("a packet").inner, data(4_000));
     assert!(agent.take_output().is_none());
 }
 
@@ -193,23 +140,11 @@
 fn an_unreachable_back_end_opens_nothing_until_a_probe_is_accepted() {
     let mut agent = agent(10);
     agent.handle_probe(Duration::ZERO, false);
-    send(
-        &mut agent,
-        Duration::ZERO,
-        TILES_VNI,
-        SteeringMode::Tour,
-        &syn(4_000, SERVICE),
-    );
+    send(&mut agent, Duration::ZERO, TILES_VNI, SteeringMode::Tour, &syn(4_000, SERVICE));
     assert_eq!(agent.counters.flows_opened, 0);
     assert_eq!(agent.counters.passed_over_unreachable, 1);
     agent.handle_probe(Duration::ZERO, true);
-    send(
-        &mut agent,
-        Duration::ZERO,
-        TILES_VNI,
-        SteeringMode::Tour,
-        &syn(4_000, SERVICE),
-    );
+    send(&mut agent, Duration::ZERO, TILES_VNI, SteeringMode::Tour, &syn(4_000, SERVICE));
     assert_eq!(agent.counters.flows_opened, 1);
 }
 
@@ -217,13 +152,7 @@
 fn a_doubled_syn_opens_one_flow() {
     let mut agent = agent(10);
     for _ in 0..3 {
-        send(
-            &mut agent,
-            Duration::ZERO,
-            TILES_VNI,
-            SteeringMode::Tour,
-            &syn(4_000, SERVICE),
-        );
+        send(&mut agent, Duration::ZERO, TILES_VNI, SteeringMode::Tour, &syn(4_000, SERVICE));
     }
     assert_eq!(agent.counters.flows_opened, 1);
 }
@@ -232,29 +161,11 @@
 fn an_unknown_flow_meets_silence_and_then_a_reset() {
     let mut agent = agent(10);
     let packet = data(4_000);
-    send(
-        &mut agent,
-        Duration::from_secs(1),
-        TILES_VNI,
-        SteeringMode::Locate,
-        &packet,
-    );
-    send(
-        &mut agent,
-        Duration::from_secs(20),
-        TILES_VNI,
-        SteeringMode::Locate,
-        &packet,
-    );
+    send(&mut agent, Duration::from_secs(1), TILES_VNI, SteeringMode::Locate, &packet);
+    send(&mut agent, Duration::from_secs(20), TILES_VNI, SteeringMode::Locate, &packet);
     assert_eq!(resets(&mut agent), 0);
     assert_eq!(agent.counters.unknown_silent, 2);
-    send(
-        &mut agent,
-        Duration::from_secs(22),
-        TILES_VNI,
-        SteeringMode::Locate,
-        &packet,
-    );
+    send(&mut agent, Duration::from_secs(22), TILES_VNI, SteeringMode::Locate, &packet);
     assert_eq!(resets(&mut agent), 1);
 }
 
@@ -264,13 +175,7 @@
     let mut packet = syn(4_000, SERVICE);
     let last = packet.len() - 1;
     packet[last] ^= 0x55;
-    send(
-        &mut agent,
-        Duration::ZERO,
-        TILES_VNI,
-        SteeringMode::Tour,
-        &packet,
-    );
+    send(&mut agent, Duration::ZERO, TILES_VNI, SteeringMode::Tour, &packet);
     assert_eq!(agent.counters.dropped_transport_checksum, 1);
     assert_eq!(agent.counters.flows_opened, 0);
 }
@@ -290,11 +195,8 @@
 fn damaged_packets_never_panic() {
     check_fixed_seeds(|input| {
         let mut agent = agent(10);
-        let mut datagram = encode_packet(
-            TILES_VNI,
-            Some(&option(SteeringMode::Tour)),
-            &syn(4_000, SERVICE),
-        );
+        let mut datagram =
+            encode_packet(TILES_VNI, Some(&option(SteeringMode::Tour)), &syn(4_000, SERVICE));
         for _ in 0..input.int_in_range(1..=4)? {
             let place = input.int_in_range(0..=datagram.len() - 1)?;
             datagram[place] = input.arbitrary()?;
--- a/crates/app/src/agent_process.rs
+++ b/crates/app/src/agent_process.rs
@@ -60,13 +60,7 @@
         probe_sender,
     };
     shell
-        .run(
-            task.drain,
-            Inputs { events, probes },
-            task.configuration,
-            task.stop,
-            task.counters,
-        )
+        .run(task.drain, Inputs { events, probes }, task.configuration, task.stop, task.counters)
         .await;
     Ok(())
 }
@@ -109,10 +103,7 @@
         let mut give_up_at = None;
         self.adopt(&configuration);
         while self.lifecycle.state() != ProcessState::Stopped {
-            let timeout = self
-                .core
-                .next_timeout()
-                .map(|deadline| self.started + deadline);
+            let timeout = self.core.next_timeout().map(|deadline| self.started + deadline);
             tokio::select! {
                 readable = self.socket.readable() => {
                     if readable.is_ok() {
@@ -163,8 +154,7 @@
             let Ok((length, SocketAddr::V4(from))) = self.socket.try_recv_from(buffer) else {
                 return;
             };
-            self.core
-                .handle_datagram(self.started.elapsed(), from, &buffer[..length]);
+            self.core.handle_datagram(self.started.elapsed(), from, &buffer[..length]);
         }
     }
 
@@ -176,18 +166,13 @@
                         self.core.counters.send_failures += 1;
                     }
                 }
-                Output::StartSocket {
-                    flow,
-                    server,
-                    transport,
-                } => {
+                Output::StartSocket { flow, server, transport } => {
                     let source = match transport {
                         Transport::Tcp => SocketSource::DialTcp(server),
                         Transport::Udp => SocketSource::DialUdp(server),
                     };
                     let events = self.event_sender.clone();
-                    self.tasks
-                        .insert(flow, loftdrift_splice::spawn(flow, source, events));
+                    self.tasks.insert(flow, loftdrift_splice::spawn(flow, source, events));
                 }
                 Output::Socket { flow, command } => {
                     if let Some(task) = self.tasks.get(&flow) {
@@ -230,13 +215,7 @@
         udp_idle: settings.udp_idle,
         seed: rand::random(),
     };
-    let task = AgentTask {
-        socket,
-        settings: core,
-        drain: settings.drain,
-        configuration,
-        stop,
-        counters,
-    };
+    let task =
+        AgentTask { socket, settings: core, drain: settings.drain, configuration, stop, counters };
     run(task).await
 }
--- a/crates/app/src/balancer_process.rs
+++ b/crates/app/src/balancer_process.rs
@@ -59,9 +59,7 @@
         started: Instant::now(),
         buffer: vec![0; HEADROOM_BYTES + MAX_DATAGRAM_BYTES],
     };
-    shell
-        .run(task.drain, task.configuration, task.stop, task.counters)
-        .await;
+    shell.run(task.drain, task.configuration, task.stop, task.counters).await;
     Ok(())
 }
 
@@ -145,10 +143,7 @@
 
     async fn probe(&mut self) {
         for probe in self.core.tick(self.started.elapsed()) {
-            if send(&self.socket, probe.to, &probe.echo.encode())
-                .await
-                .is_err()
-            {
+            if send(&self.socket, probe.to, &probe.echo.encode()).await.is_err() {
                 self.core.counters.send_failures += 1;
             }
         }
--- a/crates/app/src/bin/loftdrift.rs
+++ b/crates/app/src/bin/loftdrift.rs
@@ -86,11 +86,8 @@
     let file: Option<String> = arguments.opt_value_from_str("--file").map_err(usage)?;
     let format = read_format(&mut arguments)?;
     let dry_run = arguments.contains("--dry-run");
-    let words: Vec<String> = arguments
-        .finish()
-        .into_iter()
-        .map(|word| word.to_string_lossy().into_owned())
-        .collect();
+    let words: Vec<String> =
+        arguments.finish().into_iter().map(|word| word.to_string_lossy().into_owned()).collect();
     let store = StoreClient::new(platform);
     if let [first, command] = words.as_slice()
         && first == "outcome"
@@ -111,24 +108,12 @@
         }
         None => ("statement".to_owned(), words.join(" ")),
     };
-    ctl::run(
-        &store,
-        &Call {
-            name,
-            script,
-            dry_run,
-            format,
-        },
-    )
-    .await
+    ctl::run(&store, &Call { name, script, dry_run, format }).await
 }
 
 fn run_check(arguments: Arguments) -> Result<ExitCode> {
-    let files: Vec<String> = arguments
-        .finish()
-        .into_iter()
-        .map(|file| file.to_string_lossy().into_owned())
-        .collect();
+    let files: Vec<String> =
+        arguments.finish().into_iter().map(|file| file.to_string_lossy().into_owned()).collect();
     if files.is_empty() {
         return Err(UsageError("give at least one file to check".to_owned()).into());
     }
--- a/crates/app/src/check.rs
+++ b/crates/app/src/check.rs
@@ -25,21 +25,14 @@
             }
         }
     }
-    Ok(if clean {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(EXIT_FAILED)
-    })
+    Ok(if clean { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) })
 }
 
 /// Checks one file by its kind, which its name tells.
 fn check(file: &str, text: &str) -> Result<&'static str, Findings> {
     let path = Path::new(file);
     let folder = path.parent().and_then(Path::file_name);
-    if path
-        .extension()
-        .is_some_and(|extension| extension == SCRIPT_EXTENSION)
-    {
+    if path.extension().is_some_and(|extension| extension == SCRIPT_EXTENSION) {
         return parse_script(file, text).map(|_| "script");
     }
     if folder.is_some_and(|folder| folder == CHART_FOLDER) {
--- a/crates/app/src/command_line.rs
+++ b/crates/app/src/command_line.rs
@@ -27,17 +27,13 @@
 /// Starts logging: level from `RUST_LOG`, `info` without it, to standard error.
 pub fn start_logging() {
     let environment = env_logger::Env::default().default_filter_or("info");
-    env_logger::Builder::from_env(environment)
-        .format_timestamp_millis()
-        .init();
+    env_logger::Builder::from_env(environment).format_timestamp_millis().init();
 }
 
 /// Starts logging for commands that people watch: warnings only, unless `RUST_LOG` says more.
 pub fn start_quiet_logging() {
     let environment = env_logger::Env::default().default_filter_or("warn");
-    env_logger::Builder::from_env(environment)
-        .format_timestamp_millis()
-        .init();
+    env_logger::Builder::from_env(environment).format_timestamp_millis().init();
 }
 
 /// The settings of a process: `--config FILE`, overridden by `--SETTING VALUE` flags.
@@ -58,9 +54,7 @@
 
 fn overrides(rest: Vec<OsString>) -> Result<Overrides> {
     let mut overrides = Overrides::default();
-    let mut words = rest
-        .into_iter()
-        .map(|word| word.to_string_lossy().into_owned());
+    let mut words = rest.into_iter().map(|word| word.to_string_lossy().into_owned());
     while let Some(word) = words.next() {
         let Some(name) = word.strip_prefix("--") else {
             return Err(UsageError(format!("`{word}` is not understood; see --help")).into());
--- a/crates/app/src/ctl.rs
+++ b/crates/app/src/ctl.rs
@@ -45,9 +45,7 @@
         Ok(statements) => statements,
         Err(findings) => return Ok(refuse_script(call, &findings)),
     };
-    let changes = statements
-        .iter()
-        .any(|one| !matches!(one.kind, StatementKind::Show(_)));
+    let changes = statements.iter().any(|one| !matches!(one.kind, StatementKind::Show(_)));
     let mut code = ExitCode::SUCCESS;
     if changes && call.dry_run {
         code = show_dry_run(store, call, &statements).await?;
@@ -110,13 +108,8 @@
 }
 
 async fn read_documents(store: &StoreClient) -> Result<Documents> {
-    let request = StoreRequest::ReadPrefix {
-        prefix: KEY_PREFIX.to_owned(),
-    };
-    let reply = store
-        .send(&request)
-        .await
-        .context("cannot read the configuration")?;
+    let request = StoreRequest::ReadPrefix { prefix: KEY_PREFIX.to_owned() };
+    let reply = store.send(&request).await.context("cannot read the configuration")?;
     let StoreReply::Keys { keys, .. } = reply else {
         anyhow::bail!("the store answered another request");
     };
@@ -141,11 +134,7 @@
         }
         Format::Table => {
             for finding in &findings.list {
-                let line = call
-                    .script
-                    .lines()
-                    .nth(finding.place.line - 1)
-                    .unwrap_or_default();
+                let line = call.script.lines().nth(finding.place.line - 1).unwrap_or_default();
                 let caret = " ".repeat(finding.place.column - 1);
                 println!("{}\n{caret}^ {}", line, finding.problem);
                 println!("{caret}  expected {}", finding.expected);
@@ -169,15 +158,10 @@
                 .filter(|(name, service)| before.services.get(*name) != Some(service))
                 .map(|(name, _)| name.as_str());
             let removed = before.services.keys();
-            let removed = removed
-                .filter(|name| !after.services.contains_key(*name))
-                .map(String::as_str);
+            let removed =
+                removed.filter(|name| !after.services.contains_key(*name)).map(String::as_str);
             let names: Vec<&str> = changed.chain(removed).collect();
-            println!(
-                "would change {} at revision {}",
-                names.join(", "),
-                after.version
-            );
+            println!("would change {} at revision {}", names.join(", "), after.version);
             Ok(ExitCode::SUCCESS)
         }
         Err(errors) => Ok(show_outcome(call, "", &CommitOutcome::Refused(errors))),
@@ -192,11 +176,7 @@
         CommitOutcome::Refused(errors) => {
             let mut findings = Collector::new(&call.name, &call.script);
             for (offset, error) in errors {
-                findings.add(
-                    *offset,
-                    error.to_string(),
-                    "a change that fits the configuration",
-                );
+                findings.add(*offset, error.to_string(), "a change that fits the configuration");
             }
             return match findings.finish(()) {
                 Err(findings) => refuse_script(call, &findings),
@@ -211,11 +191,9 @@
             ),
             EXIT_FAILED,
         ),
-        CommitOutcome::Unreadable(problem) => (
-            "refused",
-            format!("refused, nothing was changed: {problem}"),
-            EXIT_FAILED,
-        ),
+        CommitOutcome::Unreadable(problem) => {
+            ("refused", format!("refused, nothing was changed: {problem}"), EXIT_FAILED)
+        }
         CommitOutcome::Unreachable => (
             "unreachable",
             "refused, nothing was changed: the key-value store gave no answer".to_owned(),
@@ -229,10 +207,7 @@
     };
     match call.format {
         Format::Json => {
-            println!(
-                "{}",
-                json!({ "outcome": word, "command": command, "text": text })
-            );
+            println!("{}", json!({ "outcome": word, "command": command, "text": text }));
         }
         Format::Table => println!("{text}"),
     }
@@ -271,10 +246,7 @@
             service.changed.to_string(),
         ]
     });
-    (
-        vec!["service", "address", "backends", "candidates", "changed"],
-        rows.collect(),
-    )
+    (vec!["service", "address", "backends", "candidates", "changed"], rows.collect())
 }
 
 fn backend_rows(
@@ -296,16 +268,8 @@
             ]);
         }
     }
-    let columns = vec![
-        "backend",
-        "service",
-        "state",
-        "server",
-        "agent",
-        "zone",
-        "slots",
-        "connections",
-    ];
+    let columns =
+        vec!["backend", "service", "state", "server", "agent", "zone", "slots", "connections"];
     (columns, rows)
 }
 
@@ -315,20 +279,11 @@
     let mut lines = vec![header];
     lines.extend(rows.iter().cloned());
     let widths: Vec<usize> = (0..columns.len())
-        .map(|column| {
-            lines
-                .iter()
-                .map(|line| line[column].chars().count())
-                .max()
-                .unwrap_or(0)
-        })
+        .map(|column| lines.iter().map(|line| line[column].chars().count()).max().unwrap_or(0))
         .collect();
     let mut text = String::new();
     for line in lines {
-        let cells = line
-            .iter()
-            .zip(&widths)
-            .map(|(cell, width)| format!("{cell:<width$}"));
+        let cells = line.iter().zip(&widths).map(|(cell, width)| format!("{cell:<width$}"));
         let cells: Vec<String> = cells.collect();
         text.push_str(cells.join("  ").trim_end());
         text.push('\n');
--- a/crates/app/src/demo/mod.rs
+++ b/crates/app/src/demo/mod.rs
@@ -88,11 +88,7 @@
     let executions = world.executions().await?;
     let report = Report::new(&tally, &world, &executions, elapsed);
     println!("{}", report.render(settings.format));
-    let code = if report.promises_held() {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(EXIT_FAILED)
-    };
+    let code = if report.promises_held() { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) };
     Ok(code)
 }
 
@@ -115,26 +111,17 @@
             let address = world.stop_balancer().await;
             Ok(format!("balancer {address} is stopped as planned"))
         }
-        Change::KillBalancer => Ok(format!(
-            "balancer {} is killed",
-            world.kill_balancer().await
-        )),
-        Change::StartBalancer => Ok(format!(
-            "balancer {} has started",
-            world.start_balancer().await?
-        )),
+        Change::KillBalancer => Ok(format!("balancer {} is killed", world.kill_balancer().await)),
+        Change::StartBalancer => {
+            Ok(format!("balancer {} has started", world.start_balancer().await?))
+        }
         Change::DrainBackend => {
-            world
-                .command(&format!("drain backend {}", world::DRAINED_BACKEND))
-                .await?;
+            world.command(&format!("drain backend {}", world::DRAINED_BACKEND)).await?;
             Ok(format!("back end {} is draining", world::DRAINED_BACKEND))
         }
         Change::CheckDrained => {
             world.note_drained_opens();
-            Ok(format!(
-                "back end {} must take no new flow from now on",
-                world::DRAINED_BACKEND
-            ))
+            Ok(format!("back end {} must take no new flow from now on", world::DRAINED_BACKEND))
         }
         Change::AttachBackend => {
             let name = world.attach_backend().await?;
--- a/crates/app/src/demo/report.rs
+++ b/crates/app/src/demo/report.rs
@@ -38,9 +38,7 @@
     ) -> Report {
         let doubled = executions.values().filter(|runs| **runs > 1).count() as u64;
         let refused = &tally.refused_not_run;
-        let refused_but_run = refused
-            .iter()
-            .filter(|request| executions.contains_key(*request));
+        let refused_but_run = refused.iter().filter(|request| executions.contains_key(*request));
         let broken = tally.broken_by_cause.iter();
         let mut report = Report {
             seconds: elapsed.as_secs_f64(),
@@ -101,41 +99,20 @@
             row(&format!("  {cause}"), count.to_string());
         }
         row("requests sent", self.requests_sent.to_string());
-        row(
-            "answered whole and once",
-            self.answered_whole_once.to_string(),
-        );
-        row(
-            "  of these submissions",
-            self.submissions_answered.to_string(),
-        );
+        row("answered whole and once", self.answered_whole_once.to_string());
+        row("  of these submissions", self.submissions_answered.to_string());
         row("wrong answers", self.wrong_answers.to_string());
         row("doubled", self.doubled.to_string());
         row("refused as not run", self.refused_not_run.to_string());
         row("refused but run", self.refused_but_run.to_string());
         row("misdelivered", self.misdelivered.to_string());
-        row(
-            "opened on the drained back end",
-            self.opened_after_drain.to_string(),
-        );
-        row(
-            "revisions in force",
-            format!("{:?}", self.revisions_in_force),
-        );
+        row("opened on the drained back end", self.opened_after_drain.to_string());
+        row("revisions in force", format!("{:?}", self.revisions_in_force));
         for (service, imbalance) in &self.imbalance {
-            row(
-                &format!("imbalance of {service}"),
-                format!("{imbalance:.3}"),
-            );
+            row(&format!("imbalance of {service}"), format!("{imbalance:.3}"));
         }
-        row(
-            "control bytes a second",
-            format!("{:.0}", self.control_bytes_per_second),
-        );
-        row(
-            "promises held",
-            if self.promises_held { "yes" } else { "NO" }.to_owned(),
-        );
+        row("control bytes a second", format!("{:.0}", self.control_bytes_per_second));
+        row("promises held", if self.promises_held { "yes" } else { "NO" }.to_owned());
         table(&["measure", "value"], &rows)
     }
 }
--- a/crates/app/src/demo/tally.rs
+++ b/crates/app/src/demo/tally.rs
@@ -105,10 +105,7 @@
     /// Per service the largest share over the mean, as the mean of all samples.
     pub(crate) fn imbalance(&self) -> BTreeMap<&'static str, f64> {
         let mean = |imbalance: &Imbalance| imbalance.sum / f64::from(imbalance.samples);
-        self.imbalance
-            .iter()
-            .map(|(service, imbalance)| (*service, mean(imbalance)))
-            .collect()
+        self.imbalance.iter().map(|(service, imbalance)| (*service, mean(imbalance))).collect()
     }
 
     pub(crate) fn flows_broken(&self) -> u64 {
--- a/crates/app/src/demo/world.rs
+++ b/crates/app/src/demo/world.rs
@@ -183,10 +183,7 @@
     async fn start_services(&mut self) -> Result<()> {
         let mut script = String::new();
         for service in &SERVICES {
-            script.push_str(&format!(
-                "create service {} at {}\n",
-                service.name, service.address
-            ));
+            script.push_str(&format!("create service {} at {}\n", service.name, service.address));
             for number in 1..=service.backends {
                 script.push_str(&self.start_backend(service, number).await?);
                 script.push('\n');
@@ -243,12 +240,7 @@
             "attach backend {name} to {} at {server} agent {agent} slots {} state active",
             service.name, service.slots
         );
-        let running = RunningBackend {
-            service: service.name,
-            name,
-            server,
-            counters: published,
-        };
+        let running = RunningBackend { service: service.name, name, server, counters: published };
         self.backends.push(running);
         Ok(statement)
     }
@@ -309,16 +301,8 @@
         state: MachineState,
     ) -> Result<()> {
         let machines = MachineListClient::new(self.platform.into());
-        let machine = Machine {
-            name,
-            role: MachineRole::Balancer,
-            address,
-            state,
-        };
-        machines
-            .put(&machine)
-            .await
-            .context("cannot list a machine")
+        let machine = Machine { name, role: MachineRole::Balancer, address, state };
+        machines.put(&machine).await.context("cannot list a machine")
     }
 
     /// Waits until every balancer and agent has the newest configuration and balancers are in use.
@@ -341,9 +325,8 @@
         let balancers = self.balancers.iter().map(|balancer| &balancer.counters);
         let agents = self.backends.iter().map(|backend| &backend.counters);
         let revisions = balancers.chain(agents);
-        let mut revisions: Vec<u64> = revisions
-            .map(|counters| metrics::value(counters, "configuration_revision"))
-            .collect();
+        let mut revisions: Vec<u64> =
+            revisions.map(|counters| metrics::value(counters, "configuration_revision")).collect();
         revisions.sort_unstable();
         revisions.dedup();
         revisions
@@ -397,9 +380,7 @@
         balancer.task.abort();
         balancer.follower.abort();
         // The list lags and may also miss it; the fabric's own probes decide.
-        let _ = self
-            .list_machine(balancer.name, balancer.address, MachineState::Leaving)
-            .await;
+        let _ = self.list_machine(balancer.name, balancer.address, MachineState::Leaving).await;
         balancer.address
     }
 
@@ -433,13 +414,8 @@
     }
 
     fn drained_backend_opens(&self) -> u64 {
-        let drained = self
-            .backends
-            .iter()
-            .find(|backend| backend.name == DRAINED_BACKEND);
-        drained.map_or(0, |backend| {
-            metrics::value(&backend.counters, "flows_opened")
-        })
+        let drained = self.backends.iter().find(|backend| backend.name == DRAINED_BACKEND);
+        drained.map_or(0, |backend| metrics::value(&backend.counters, "flows_opened"))
     }
 
     pub(super) fn note_drained_opens(&mut self) {
@@ -449,9 +425,7 @@
     /// Flows that the drained back end opened though it had to have stopped.
     pub(super) fn opened_after_drain(&self) -> u64 {
         let noted = self.drained_opens;
-        noted.map_or(0, |noted| {
-            self.drained_backend_opens().saturating_sub(noted)
-        })
+        noted.map_or(0, |noted| self.drained_backend_opens().saturating_sub(noted))
     }
 
     /// Every request that ran on any back end, with how often.
@@ -459,9 +433,8 @@
         let mut runs: BTreeMap<String, u64> = BTreeMap::new();
         for backend in &self.backends {
             let client = HttpClient::new(backend.server.into(), EXECUTIONS_TIMEOUT);
-            let executions: Vec<Execution> = client
-                .send_json(Method::GET, "/standin/executions", &())
-                .await?;
+            let executions: Vec<Execution> =
+                client.send_json(Method::GET, "/standin/executions", &()).await?;
             for execution in executions {
                 *runs.entry(execution.request).or_default() += execution.runs;
             }
@@ -475,9 +448,7 @@
         let balancers = self.balancers.iter().map(|balancer| &balancer.counters);
         let agents = self.backends.iter().map(|backend| &backend.counters);
         let echoes = balancers.chain(agents);
-        let echoes: u64 = echoes
-            .map(|counters| metrics::value(counters, "control_bytes"))
-            .sum();
+        let echoes: u64 = echoes.map(|counters| metrics::value(counters, "control_bytes")).sum();
         let seconds = self.started.elapsed().as_secs_f64();
         (stores + echoes) as f64 / self.daemon_stores.len() as f64 / seconds
     }
@@ -492,10 +463,7 @@
         let wanted = settings.listen.filter(|_| index == 0).unwrap_or(ANY_PORT);
         let socket = bind_tcp("--listen", wanted).await?;
         ports.insert(service.name, local_address(socket.local_addr())?);
-        listeners.push(Listener {
-            service: service.address,
-            socket: ListenerSocket::Tcp(socket),
-        });
+        listeners.push(Listener { service: service.address, socket: ListenerSocket::Tcp(socket) });
     }
     Ok((listeners, ports))
 }
--- a/crates/app/src/lifecycle.rs
+++ b/crates/app/src/lifecycle.rs
@@ -15,11 +15,7 @@
     /// The life of a process, which `process` names in the log.
     pub fn new(process: String, chart: TypedChart<ProcessState, ProcessEvent>) -> Self {
         let state = chart.initial();
-        Lifecycle {
-            process,
-            chart,
-            state,
-        }
+        Lifecycle { process, chart, state }
     }
 
     /// Where the process stands.
--- a/crates/app/src/standins.rs
+++ b/crates/app/src/standins.rs
@@ -64,10 +64,7 @@
                 ListenerSocket::Udp(port)
             }
         };
-        listeners.push(Listener {
-            service: listener.service,
-            socket,
-        });
+        listeners.push(Listener { service: listener.service, socket });
     }
     let fabric_settings = FabricSettings {
         balancers: settings.balancers,
@@ -85,12 +82,7 @@
     let (stop_sender, stop) = watch::channel(false);
     for caller in 0..settings.callers {
         let settings = caller_settings(&settings);
-        tokio::spawn(callers::run(
-            settings,
-            caller,
-            events_sender.clone(),
-            stop.clone(),
-        ));
+        tokio::spawn(callers::run(settings, caller, events_sender.clone(), stop.clone()));
     }
     drop(events_sender);
     tokio::spawn(async move {
@@ -106,11 +98,7 @@
     let bad = counts
         .keys()
         .any(|name| name.starts_with("broken") || name == "wrong" || name == "misdelivered");
-    Ok(if bad {
-        ExitCode::from(EXIT_FAILED)
-    } else {
-        ExitCode::SUCCESS
-    })
+    Ok(if bad { ExitCode::from(EXIT_FAILED) } else { ExitCode::SUCCESS })
 }
 
 fn caller_settings(settings: &CallersProcess) -> CallerSettings {
--- a/crates/app/tests/command_line.rs
+++ b/crates/app/tests/command_line.rs
@@ -7,11 +7,7 @@
 const STANDIN: &str = env!("CARGO_BIN_EXE_loftdrift-standin");
 
 fn run(program: &str, arguments: &[&str]) -> Output {
-    Command::new(program)
-        .args(arguments)
-        .env("RUST_LOG", "off")
-        .output()
-        .expect("it starts")
+    Command::new(program).args(arguments).env("RUST_LOG", "off").output().expect("it starts")
 }
 
 fn error(output: &Output) -> String {
@@ -45,27 +41,17 @@
     for (arguments, expected) in [
         (vec!["dance"], "unknown command `dance`"),
         (vec!["balancer", "--listen"], "flag --listen has no value"),
-        (
-            vec!["balancer", "--listen", "x"],
-            "flag `--listen x` is not understood",
-        ),
+        (vec!["balancer", "--listen", "x"], "flag `--listen x` is not understood"),
         (vec!["balancer"], "setting `platform` is missing"),
         (vec!["ctl", "show", "services"], "--platform"),
-        (
-            vec!["ctl", "--platform", "127.0.0.1:1"],
-            "give --file SCRIPT or a statement",
-        ),
+        (vec!["ctl", "--platform", "127.0.0.1:1"], "give --file SCRIPT or a statement"),
         (vec!["demo", "--format", "xml"], "expected table or json"),
         (vec!["demo", "--seconds", "1"], "--seconds must be at least"),
         (vec!["check"], "give at least one file"),
     ] {
         let output = run(LOFTDRIFT, &arguments);
         assert_eq!(output.status.code(), Some(2), "{arguments:?}");
-        assert!(
-            error(&output).contains(expected),
-            "{arguments:?}: {}",
-            error(&output)
-        );
+        assert!(error(&output).contains(expected), "{arguments:?}: {}", error(&output));
     }
 }
 
@@ -74,27 +60,13 @@
     let output = run(LOFTDRIFT, &["balancer", "--config", "/nowhere/b.toml"]);
     assert_eq!(output.status.code(), Some(1));
     assert!(error(&output).contains("--config"), "{}", error(&output));
-    assert!(
-        error(&output).contains("/nowhere/b.toml"),
-        "{}",
-        error(&output)
-    );
+    assert!(error(&output).contains("/nowhere/b.toml"), "{}", error(&output));
     let taken = UdpSocket::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address").to_string();
-    let arguments = [
-        "balancer",
-        "--listen",
-        &address,
-        "--platform",
-        "127.0.0.1:1",
-    ];
+    let arguments = ["balancer", "--listen", &address, "--platform", "127.0.0.1:1"];
     let output = run(LOFTDRIFT, &arguments);
     assert_eq!(output.status.code(), Some(1));
-    assert!(
-        error(&output).contains("setting `listen`"),
-        "{}",
-        error(&output)
-    );
+    assert!(error(&output).contains("setting `listen`"), "{}", error(&output));
     assert!(error(&output).contains(&address), "{}", error(&output));
 }
 
@@ -124,34 +96,19 @@
     std::fs::remove_file(&script).expect("the file");
     assert_eq!(output.status.code(), Some(1));
     let shown = printed(&output);
-    for expected in [
-        ":2:10: `listen` is 7",
-        ":3:1: unknown setting `slots`",
-        ":1:6: `servces`",
-    ] {
+    for expected in [":2:10: `listen` is 7", ":3:1: unknown setting `slots`", ":1:6: `servces`"] {
         assert!(shown.contains(expected), "no {expected} in {shown}");
     }
 }
 
 #[test]
 fn the_demo_holds_its_promises_and_says_so_in_json() {
-    let output = run(
-        LOFTDRIFT,
-        &["demo", "--seconds", "8", "--seed", "3", "--format", "json"],
-    );
+    let output = run(LOFTDRIFT, &["demo", "--seconds", "8", "--seed", "3", "--format", "json"]);
     let report: serde_json::Value = serde_json::from_str(&printed(&output)).expect("JSON");
     assert_eq!(output.status.code(), Some(0), "{report}");
-    for zero in [
-        "flows_broken",
-        "doubled",
-        "misdelivered",
-        "opened_after_drain",
-    ] {
+    for zero in ["flows_broken", "doubled", "misdelivered", "opened_after_drain"] {
         assert_eq!(report[zero], 0, "{report}");
     }
     assert!(report["flows_opened"].as_u64() > Some(0), "{report}");
-    assert_eq!(
-        report["requests_sent"], report["answered_whole_once"],
-        "{report}"
-    );
+    assert_eq!(report["requests_sent"], report["answered_whole_once"], "{report}");
 }
--- a/crates/app/tests/processes.rs
+++ b/crates/app/tests/processes.rs
@@ -46,10 +46,7 @@
     let address = cluster.start_balancer();
     cluster.list_balancer(4, address);
     cluster.balancers[1].signal(Signal::SIGTERM);
-    let fetched = fetching
-        .join()
-        .expect("a thread")
-        .expect("the body through the path");
+    let fetched = fetching.join().expect("a thread").expect("the body through the path");
     assert_eq!(fetched.len(), BYTES);
     assert!(fetched == expected);
 }
@@ -110,11 +107,7 @@
     cluster.agents[0].signal(Signal::SIGKILL);
     cluster.backends[1].signal(Signal::SIGKILL);
     let seen = finish_callers(callers);
-    assert_eq!(
-        seen.count("wrong") + seen.count("misdelivered"),
-        0,
-        "{seen:?}"
-    );
+    assert_eq!(seen.count("wrong") + seen.count("misdelivered"), 0, "{seen:?}");
     let broken: u64 = ["broken_cut", "broken_refused", "broken_timeout"]
         .iter()
         .map(|name| seen.count(name))
@@ -122,10 +115,7 @@
     assert!(broken >= own, "{own} flows were lost: {seen:?}");
     // The other back ends' flows never broke.
     for number in 2..4 {
-        let failed = Cluster::metric(
-            &cluster.agents[number],
-            "loftdrift_agent_flows_failed_total",
-        );
+        let failed = Cluster::metric(&cluster.agents[number], "loftdrift_agent_flows_failed_total");
         assert_eq!(failed, Some(0), "{seen:?}");
     }
     // The dead agent and the dead back end attract no new flow.
@@ -134,10 +124,7 @@
     });
     wait_for("the balancers to find the agent dead", || {
         let suspects = |balancer| Cluster::metric(balancer, "loftdrift_balancer_suspects");
-        cluster
-            .balancers
-            .iter()
-            .all(|balancer| suspects(balancer) == Some(1))
+        cluster.balancers.iter().all(|balancer| suspects(balancer) == Some(1))
     });
     assert_unbroken(&finish_callers(cluster.start_callers(3, 20)));
 }
@@ -205,23 +192,13 @@
     let (first, second) = std::thread::scope(|scope| {
         let first = scope.spawn(|| cluster.ctl_outcome("drain backend tiles-1"));
         let second = scope.spawn(|| cluster.ctl_outcome("drain backend tiles-2"));
-        (
-            first.join().expect("a thread"),
-            second.join().expect("a thread"),
-        )
+        (first.join().expect("a thread"), second.join().expect("a thread"))
     });
     cluster.set_faults("{}");
     let (_, shown) = cluster.ctl_outcome("show draining");
     for ((code, printed), name) in [(first, "tiles-1"), (second, "tiles-2")] {
-        assert_eq!(
-            shown.contains(name),
-            code == Some(0),
-            "{printed} but {shown}"
-        );
-        assert!(
-            code == Some(0) || printed.contains("another operator"),
-            "{printed}"
-        );
+        assert_eq!(shown.contains(name), code == Some(0), "{printed} but {shown}");
+        assert!(code == Some(0) || printed.contains("another operator"), "{printed}");
     }
     assert!(shown.contains("tiles-"), "{shown}");
 }
@@ -242,9 +219,7 @@
 fn a_second_signal_stops_an_agent_at_once() {
     let mut cluster = Cluster::start(1, 1);
     let callers = cluster.start_callers(30, 1_000_000);
-    wait_for("flows", || {
-        Cluster::metric(&cluster.agents[0], "loftdrift_agent_flows") > Some(0)
-    });
+    wait_for("flows", || Cluster::metric(&cluster.agents[0], "loftdrift_agent_flows") > Some(0));
     cluster.agents[0].signal(Signal::SIGTERM);
     pause(300);
     cluster.agents[0].signal(Signal::SIGTERM);
@@ -259,9 +234,7 @@
     let echo = udp_echo();
     let (agent, port) = cluster.start_udp_service(echo);
     let caller = UdpSocket::bind("127.0.0.1:0").expect("a port");
-    caller
-        .set_read_timeout(Some(Duration::from_millis(300)))
-        .expect("a time-out");
+    caller.set_read_timeout(Some(Duration::from_millis(300))).expect("a time-out");
     let mut answered = 0;
     let mut buffer = [0; 100];
     for number in 0..DATAGRAMS {
--- a/crates/app/tests/support/http.rs
+++ b/crates/app/tests/support/http.rs
@@ -26,9 +26,7 @@
         return Err(invalid(&head));
     }
     let body = answer.split_off(end + 4);
-    let length = head
-        .lines()
-        .find_map(|line| line.strip_prefix("content-length: "));
+    let length = head.lines().find_map(|line| line.strip_prefix("content-length: "));
     if length
         .and_then(|length| length.parse().ok())
         .is_some_and(|length: usize| length != body.len())
--- a/crates/app/tests/support/mod.rs
+++ b/crates/app/tests/support/mod.rs
@@ -130,15 +130,7 @@
     /// Starts a back end and its agent; returns the agent's address.
     pub fn start_backend(&mut self) -> SocketAddr {
         let name = format!("tiles-{}", self.backends.len() + 1);
-        let arguments = [
-            "backend",
-            "--listen",
-            ANY,
-            "--service",
-            "tiles",
-            "--name",
-            &name,
-        ];
+        let arguments = ["backend", "--listen", ANY, "--service", "tiles", "--name", &name];
         self.backends.push(Process::start(STANDIN, &arguments, 1));
         let agent = self.start_agent(&name);
         let address = agent.addresses[0];
@@ -177,9 +169,7 @@
     /// agent and the port where callers reach the service.
     pub fn start_udp_service(&mut self, server: SocketAddr) -> (Process, SocketAddr) {
         let agent = self.start_agent("echo-1");
-        self.ctl(&format!(
-            "create service echo at {UDP_SERVICE} transport udp"
-        ));
+        self.ctl(&format!("create service echo at {UDP_SERVICE} transport udp"));
         let address = agent.addresses[0];
         self.ctl(&format!(
             "attach backend echo-1 to echo at {server} agent {address} state active"
@@ -189,15 +179,7 @@
 
     pub fn start_balancer(&mut self) -> SocketAddr {
         let platform = self.platform_address();
-        let arguments = [
-            "balancer",
-            "--listen",
-            ANY,
-            "--metrics",
-            ANY,
-            "--platform",
-            &platform,
-        ];
+        let arguments = ["balancer", "--listen", ANY, "--metrics", ANY, "--platform", &platform];
         let balancer = Process::start(LOFTDRIFT, &arguments, 2);
         let address = balancer.addresses[0];
         self.balancers.push(balancer);
@@ -210,12 +192,8 @@
             "name": format!("balancer-{number}"), "role": "balancer",
             "address": address.to_string(), "state": "live",
         });
-        let answer = http::request(
-            self.platform.addresses[0],
-            "PUT",
-            "/machines",
-            &machine.to_string(),
-        );
+        let answer =
+            http::request(self.platform.addresses[0], "PUT", "/machines", &machine.to_string());
         assert!(answer.is_ok(), "{answer:?}");
     }
 
@@ -267,27 +245,20 @@
             .env("RUST_LOG", "off")
             .output()
             .expect("the program starts");
-        (
-            output.status.code(),
-            String::from_utf8_lossy(&output.stdout).into_owned(),
-        )
+        (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
     }
 
     /// Waits until a request is answered through the whole path.
     pub fn wait_until_served(&self) {
         let port = self.service_port();
-        wait_for("a first answer", || {
-            http::request(port, "GET", "/bytes/10", "").is_ok()
-        });
+        wait_for("a first answer", || http::request(port, "GET", "/bytes/10", "").is_ok());
     }
 
     /// A counter of a process that serves metrics on its second address.
     pub fn metric(process: &Process, name: &str) -> Option<u64> {
         let page = http::request(process.addresses[1], "GET", "/metrics", "").ok()?;
         let page = String::from_utf8_lossy(&page).into_owned();
-        let line = page
-            .lines()
-            .find(|line| line.split(' ').next() == Some(name))?;
+        let line = page.lines().find(|line| line.split(' ').next() == Some(name))?;
         line.rsplit(' ').next()?.parse().ok()
     }
 
@@ -322,10 +293,7 @@
 pub fn finish_callers(callers: Child) -> Seen {
     let output = callers.wait_with_output().expect("an end");
     let text = String::from_utf8_lossy(&output.stdout).into_owned();
-    Seen {
-        text,
-        succeeded: output.status.success(),
-    }
+    Seen { text, succeeded: output.status.success() }
 }
 
 /// Waits until a condition holds; fails when it never does.
--- a/crates/balancer/src/core.rs
+++ b/crates/balancer/src/core.rs
@@ -67,8 +67,7 @@
             return false;
         }
         self.map = SteeringMap::new(configuration);
-        self.prober
-            .set_peers(now, self.map.agents().map(|candidate| candidate.agent));
+        self.prober.set_peers(now, self.map.agents().map(|candidate| candidate.agent));
         self.refresh_suspects();
         self.counters.configurations_adopted += 1;
         self.counters.configuration_incarnation = configuration.version.incarnation;
@@ -165,11 +164,7 @@
             return Verdict::Done;
         };
         self.counters.forwarded += 1;
-        Verdict::Forward(Forward {
-            to: first.agent,
-            start,
-            end,
-        })
+        Verdict::Forward(Forward { to: first.agent, start, end })
     }
 
     fn handle_control(
@@ -180,25 +175,16 @@
     ) -> Verdict {
         self.counters.control_bytes += ECHO_BYTES as u64;
         match Echo::decode(packet) {
-            Some(Echo {
-                kind: EchoKind::Request,
-                sequence,
-            }) => {
+            Some(Echo { kind: EchoKind::Request, sequence }) => {
                 if self.draining || self.version() == Version::default() {
                     self.counters.echoes_unanswered += 1;
                     return Verdict::Done;
                 }
                 self.counters.echoes_answered += 1;
                 self.counters.control_bytes += ECHO_BYTES as u64;
-                Verdict::Answer(Echo {
-                    kind: EchoKind::Reply,
-                    sequence,
-                })
+                Verdict::Answer(Echo { kind: EchoKind::Reply, sequence })
             }
-            Some(Echo {
-                kind: EchoKind::Reply,
-                ..
-            }) => {
+            Some(Echo { kind: EchoKind::Reply, .. }) => {
                 self.prober.on_reply(now, from);
                 Verdict::Done
             }
@@ -211,13 +197,8 @@
 
     fn refresh_suspects(&mut self) {
         let prober = &self.prober;
-        self.map
-            .set_suspects(|candidate| prober.is_dead(candidate.agent));
-        let suspects = self
-            .map
-            .agents()
-            .filter(|agent| prober.is_dead(agent.agent))
-            .count();
+        self.map.set_suspects(|candidate| prober.is_dead(candidate.agent));
+        let suspects = self.map.agents().filter(|agent| prober.is_dead(agent.agent)).count();
         self.counters.suspects = suspects as u64;
     }
 }
--- a/crates/balancer/tests/bad_input.rs
+++ b/crates/balancer/tests/bad_input.rs
@@ -35,16 +35,11 @@
     let mut buffer = vec![0; HEADROOM_BYTES];
     buffer.extend_from_slice(datagram);
     let end = buffer.len();
-    (
-        balancer.handle(Duration::ZERO, fabric(), &mut buffer, end),
-        buffer,
-    )
+    (balancer.handle(Duration::ZERO, fabric(), &mut buffer, end), buffer)
 }
 
 fn syn(service: [u8; 4], payload: &[u8]) -> Vec<u8> {
-    let builder = PacketBuilder::ipv4([10, 9, 0, 1], service, 64)
-        .tcp(4_000, 80, 1, 8_192)
-        .syn();
+    let builder = PacketBuilder::ipv4([10, 9, 0, 1], service, 64).tcp(4_000, 80, 1, 8_192).syn();
     let mut packet = Vec::new();
     builder.write(&mut packet, payload).expect("a packet");
     packet
@@ -69,16 +64,11 @@
     let mut balancer = balancer();
     let packet = tiles_syn();
     let (verdict, buffer) = handle(&mut balancer, &encode_packet(0, None, &packet));
-    let Verdict::Forward(forward) = verdict else {
-        panic!("{verdict:?}")
-    };
+    let Verdict::Forward(forward) = verdict else { panic!("{verdict:?}") };
     assert_eq!(forward.to, "10.2.0.1:6081".parse().expect("an address"));
     let sent = GenevePacket::parse(&buffer[forward.start..forward.end]).expect("a packet");
     assert_eq!((sent.vni, sent.inner), (1, packet.as_slice()));
-    assert_eq!(
-        sent.steering.map(|option| option.mode),
-        Some(SteeringMode::Tour)
-    );
+    assert_eq!(sent.steering.map(|option| option.mode), Some(SteeringMode::Tour));
 }
 
 #[test]
@@ -96,9 +86,7 @@
     critical.extend_from_slice(&[0, 1, 0x85, 0]);
     critical.extend_from_slice(&good[8..]);
     assert_dropped(&critical, |counters| counters.dropped_geneve_option);
-    assert_dropped(&good[..good.len() - 3], |counters| {
-        counters.dropped_inner_malformed
-    });
+    assert_dropped(&good[..good.len() - 3], |counters| counters.dropped_inner_malformed);
     let mut checksum = good.clone();
     checksum[8 + 10] ^= 0xFF;
     assert_dropped(&checksum, |counters| counters.dropped_inner_checksum);
@@ -127,19 +115,12 @@
 #[test]
 fn a_draining_balancer_answers_no_echo_and_forwards_on() {
     let mut balancer = balancer();
-    let echo = Echo {
-        kind: EchoKind::Request,
-        sequence: 9,
-    }
-    .encode();
+    let echo = Echo { kind: EchoKind::Request, sequence: 9 }.encode();
     assert!(matches!(handle(&mut balancer, &echo).0, Verdict::Answer(_)));
     balancer.start_draining();
     assert_eq!(handle(&mut balancer, &echo).0, Verdict::Done);
     let packet = encode_packet(0, None, &tiles_syn());
-    assert!(matches!(
-        handle(&mut balancer, &packet).0,
-        Verdict::Forward(_)
-    ));
+    assert!(matches!(handle(&mut balancer, &packet).0, Verdict::Forward(_)));
 }
 
 #[test]
@@ -174,9 +155,7 @@
     packet[6] |= 0x20;
     packet[10] = 0;
     packet[11] = 0;
-    let words = packet[..20]
-        .chunks(2)
-        .map(|word| u32::from(word[0]) << 8 | u32::from(word[1]));
+    let words = packet[..20].chunks(2).map(|word| u32::from(word[0]) << 8 | u32::from(word[1]));
     let mut sum: u32 = words.sum();
     while sum > 0xFFFF {
         sum = (sum & 0xFFFF) + (sum >> 16);
--- a/crates/bench/benches/agent.rs
+++ b/crates/bench/benches/agent.rs
@@ -19,19 +19,8 @@
 
 fn option(mode: SteeringMode, agent: SocketAddrV4) -> SteeringOption {
     let mut candidates = CandidateList::new();
-    candidates.push(Candidate {
-        backend: BackendId(1),
-        agent,
-    });
-    SteeringOption {
-        mode,
-        cursor: 0,
-        hops_left: 16,
-        eligible: 1,
-        best: None,
-        epoch: 1,
-        candidates,
-    }
+    candidates.push(Candidate { backend: BackendId(1), agent });
+    SteeringOption { mode, cursor: 0, hops_left: 16, eligible: 1, best: None, epoch: 1, candidates }
 }
 
 /// Callers with open flows to one agent, whose back end takes every byte and answers nothing.
@@ -83,8 +72,7 @@
             timestamps: Timestamps::Clock,
             sequence_seed: flow,
         };
-        self.callers
-            .push(Endpoint::connect(self.now, &key, &settings));
+        self.callers.push(Endpoint::connect(self.now, &key, &settings));
         let caller = self.callers.len() - 1;
         for _ in 0..4 {
             self.exchange(caller);
@@ -96,15 +84,10 @@
         self.callers[caller].poll(self.now);
         while let Some(packet) = self.callers[caller].take_packet() {
             let syn = packet[20 + 13] & 0x02 != 0;
-            let mode = if syn {
-                SteeringMode::Tour
-            } else {
-                SteeringMode::Locate
-            };
+            let mode = if syn { SteeringMode::Tour } else { SteeringMode::Locate };
             let datagram = encode_packet(VNI, Some(&option(mode, self.address)), &packet);
             let start = Instant::now();
-            self.agent
-                .handle_datagram(self.now, self.address, &datagram);
+            self.agent.handle_datagram(self.now, self.address, &datagram);
             self.spent += start.elapsed();
         }
         self.carry_out(caller);
@@ -127,8 +110,7 @@
     fn handle_command(&mut self, flow: FlowId, command: &SocketCommand) {
         match command {
             SocketCommand::Open => {
-                self.agent
-                    .handle_socket(self.now, flow, SocketEvent::Opened);
+                self.agent.handle_socket(self.now, flow, SocketEvent::Opened);
             }
             SocketCommand::Write(bytes) => {
                 let event = SocketEvent::Written(bytes.len());
--- a/crates/bench/benches/decision.rs
+++ b/crates/bench/benches/decision.rs
@@ -23,12 +23,7 @@
         let service = number as u32 % SERVICES;
         let backend = BackendId((service + 1) as u16);
         let cookie = FlowCookie::new(ServiceId(service + 1), backend);
-        segment(
-            number as u64 * step,
-            service_address(service),
-            cookie.0,
-            &[],
-        )
+        segment(number as u64 * step, service_address(service), cookie.0, &[])
     };
     (0..PACKETS).map(packet).collect()
 }
@@ -44,17 +39,12 @@
         const BUCKETS: usize = 64;
         let configuration = configuration(SERVICES, BACKENDS);
         let services = configuration.services.values().map(|service| {
-            let agents: Vec<SocketAddrV4> = service
-                .backends
-                .values()
-                .map(|backend| backend.agent)
-                .collect();
+            let agents: Vec<SocketAddrV4> =
+                service.backends.values().map(|backend| backend.agent).collect();
             let buckets = (0..BUCKETS).map(|bucket| agents[bucket % agents.len()]);
             (service.address, buckets.collect())
         });
-        PlainTable {
-            services: services.collect(),
-        }
+        PlainTable { services: services.collect() }
     }
 
     fn decide(&self, packet: &[u8]) -> SocketAddrV4 {
@@ -80,16 +70,8 @@
     let table = PlainTable::new();
     let packets = packets(FEW_FLOWS);
     let (ours, plain) = paired(
-        || {
-            packets
-                .iter()
-                .for_each(|packet| consume(decide(&map, packet)))
-        },
-        || {
-            packets
-                .iter()
-                .for_each(|packet| consume(table.decide(packet)))
-        },
+        || packets.iter().for_each(|packet| consume(decide(&map, packet))),
+        || packets.iter().for_each(|packet| consume(table.decide(packet))),
     );
     println!(
         "decision: {:.1} ns, plain table {:.1} ns, ratio {:.2}",
@@ -123,10 +105,8 @@
     });
     balancer.adopt(Duration::ZERO, &configuration(SERVICES, BACKENDS));
     let fabric = SocketAddrV4::new([127, 0, 0, 1].into(), 1);
-    let datagrams: Vec<Vec<u8>> = packets(FEW_FLOWS)
-        .iter()
-        .map(|packet| encode_packet(0, None, packet))
-        .collect();
+    let datagrams: Vec<Vec<u8>> =
+        packets(FEW_FLOWS).iter().map(|packet| encode_packet(0, None, packet)).collect();
     let mut buffer = vec![0; HEADROOM_BYTES + 2_048];
     let mut forwarded = 0_usize;
     let mut work = || {
@@ -139,10 +119,7 @@
     };
     let (time, _) = paired(&mut work, || {});
     assert!(forwarded > 0 && forwarded.is_multiple_of(PACKETS));
-    println!(
-        "whole core: {:.1} ns a packet",
-        nanoseconds_each(time, PACKETS)
-    );
+    println!("whole core: {:.1} ns a packet", nanoseconds_each(time, PACKETS));
 }
 
 fn main() {
--- a/crates/bench/benches/forwarding.rs
+++ b/crates/bench/benches/forwarding.rs
@@ -18,9 +18,7 @@
 const DATAGRAMS_A_TURN: usize = 64;
 
 async fn bind() -> UdpSocket {
-    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0))
-        .await
-        .expect("a port")
+    UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await.expect("a port")
 }
 
 fn address(socket: &UdpSocket) -> SocketAddrV4 {
@@ -39,10 +37,7 @@
             let Ok((length, _)) = socket.try_recv_from(&mut buffer) else {
                 break;
             };
-            if socket
-                .try_send_to(&buffer[..length], target.into())
-                .is_err()
-            {
+            if socket.try_send_to(&buffer[..length], target.into()).is_err() {
                 let _ = socket.send_to(&buffer[..length], target).await;
             }
         }
@@ -53,14 +48,8 @@
 async fn start_balancer(sink: SocketAddrV4) -> SocketAddrV4 {
     let mut configuration = configuration(SERVICES, SERVICES);
     for service in configuration.services.values_mut() {
-        service
-            .backends
-            .values_mut()
-            .for_each(|backend| backend.agent = sink);
-        let members = service
-            .generations
-            .iter_mut()
-            .flat_map(|one| &mut one.members);
+        service.backends.values_mut().for_each(|backend| backend.agent = sink);
+        let members = service.generations.iter_mut().flat_map(|one| &mut one.members);
         members.for_each(|member| member.agent = sink);
     }
     let socket = bind().await;
@@ -111,8 +100,7 @@
         .build()
         .expect("a runtime");
     let sink = std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
-    sink.set_read_timeout(Some(Duration::from_secs(5)))
-        .expect("a time-out");
+    sink.set_read_timeout(Some(Duration::from_secs(5))).expect("a time-out");
     let source = std::net::UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).expect("a port");
     let SocketAddr::V4(sink_address) = sink.local_addr().expect("an address") else {
         return;
--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -26,12 +26,7 @@
     let region = Region::new(ALLOCATOR);
     let made = make();
     let change = region.change();
-    (
-        made,
-        change
-            .bytes_allocated
-            .saturating_sub(change.bytes_deallocated),
-    )
+    (made, change.bytes_allocated.saturating_sub(change.bytes_deallocated))
 }
 
 fn store_bytes(writes: &[StoreWrite]) -> usize {
@@ -88,18 +83,10 @@
             value: Base64Text(value),
             ..KeyValueMessage::default()
         };
-        WatchEvent {
-            kind: String::new(),
-            kv,
-        }
+        WatchEvent { kind: String::new(), kv }
     };
     let events = writes.iter().map(event).collect();
-    let line = WatchLine {
-        result: WatchResponse {
-            events,
-            ..WatchResponse::default()
-        },
-    };
+    let line = WatchLine { result: WatchResponse { events, ..WatchResponse::default() } };
     serde_json::to_string(&line).expect("JSON").len()
 }
 
@@ -121,11 +108,8 @@
     println!("agent without flows: {} kB", bytes / 1_000);
     drop(agent);
     for buffer_bytes in [4 * 1024, 16 * 1024] {
-        let settings = EndpointSettings {
-            buffer_bytes,
-            timestamps: Timestamps::Clock,
-            sequence_seed: 1,
-        };
+        let settings =
+            EndpointSettings { buffer_bytes, timestamps: Timestamps::Clock, sequence_seed: 1 };
         let (endpoints, bytes) = held_by(|| {
             let endpoint = |flow| {
                 let key = FlowKey {
--- a/crates/charts/src/load.rs
+++ b/crates/charts/src/load.rs
@@ -20,11 +20,7 @@
                 return Err(only_findings(findings));
             }
         };
-        let mut loader = Loader {
-            findings,
-            events: Vec::new(),
-            states: Vec::new(),
-        };
+        let mut loader = Loader { findings, events: Vec::new(), states: Vec::new() };
         let chart = loader.load(document.as_table());
         match chart {
             Some(chart) => loader.findings.finish(chart),
@@ -36,10 +32,7 @@
 fn only_findings(findings: Collector<'_>) -> Findings {
     match findings.finish(()) {
         Err(findings) => findings,
-        Ok(()) => Findings {
-            file: String::new(),
-            list: Vec::new(),
-        },
+        Ok(()) => Findings { file: String::new(), list: Vec::new() },
     }
 }
 
@@ -54,50 +47,33 @@
         self.refuse_unknown_keys(document);
         self.events = self.read_events(document)?;
         let Some(states) = document.get("states").and_then(Item::as_table) else {
-            self.findings
-                .add(0, "no table of states", "[states.NAME] tables");
+            self.findings.add(0, "no table of states", "[states.NAME] tables");
             return None;
         };
         self.states = states.iter().map(|(name, _)| name.to_owned()).collect();
         if self.states.len() > MOST_NAMES {
-            self.findings.add(
-                offset(states.span()),
-                "too many states",
-                "at most 64 states",
-            );
+            self.findings.add(offset(states.span()), "too many states", "at most 64 states");
             return None;
         }
         let initial = self.read_initial(document)?;
-        let steps: Vec<Vec<Step>> = states
-            .iter()
-            .map(|(name, item)| self.read_state(states, name, item))
-            .collect();
+        let steps: Vec<Vec<Step>> =
+            states.iter().map(|(name, item)| self.read_state(states, name, item)).collect();
         self.check_reachable(states, initial, &steps);
-        Some(Chart {
-            initial,
-            states: self.states.clone(),
-            events: self.events.clone(),
-            steps,
-        })
+        Some(Chart { initial, states: self.states.clone(), events: self.events.clone(), steps })
     }
 
     fn refuse_unknown_keys(&mut self, document: &Table) {
         for (name, _) in document.iter() {
             if !["initial", "events", "states"].contains(&name) {
                 let at = key_offset(document, name);
-                self.findings.add(
-                    at,
-                    format!("unknown key `{name}`"),
-                    "initial, events or states",
-                );
+                self.findings.add(at, format!("unknown key `{name}`"), "initial, events or states");
             }
         }
     }
 
     fn read_events(&mut self, document: &Table) -> Option<Vec<String>> {
         let Some(array) = document.get("events").and_then(Item::as_array) else {
-            self.findings
-                .add(0, "no list of events", "events = [\"NAME\", …]");
+            self.findings.add(0, "no list of events", "events = [\"NAME\", …]");
             return None;
         };
         let mut events: Vec<String> = Vec::new();
@@ -105,13 +81,10 @@
             let at = offset(value.span());
             match value.as_str() {
                 Some(name) if events.iter().any(|event| event == name) => {
-                    self.findings
-                        .add(at, format!("event `{name}` is listed twice"), "each once");
+                    self.findings.add(at, format!("event `{name}` is listed twice"), "each once");
                 }
                 Some(name) => events.push(name.to_owned()),
-                None => self
-                    .findings
-                    .add(at, "an event is not a string", "a name in quotes"),
+                None => self.findings.add(at, "an event is not a string", "a name in quotes"),
             }
         }
         Some(events)
@@ -119,8 +92,7 @@
 
     fn read_initial(&mut self, document: &Table) -> Option<StateIndex> {
         let Some(item) = document.get("initial") else {
-            self.findings
-                .add(0, "no initial state", "initial = \"NAME\"");
+            self.findings.add(0, "no initial state", "initial = \"NAME\"");
             return None;
         };
         let at = offset(item.span());
@@ -128,8 +100,7 @@
         let state = self.state(name);
         if state.is_none() {
             let expected = self.states.join(", ");
-            self.findings
-                .add(at, format!("initial state `{name}` is missing"), expected);
+            self.findings.add(at, format!("initial state `{name}` is missing"), expected);
         }
         state
     }
@@ -137,36 +108,24 @@
     fn read_state(&mut self, states: &Table, name: &str, item: &Item) -> Vec<Step> {
         let Some(table) = item.as_table() else {
             let at = key_offset(states, name);
-            self.findings.add(
-                at,
-                format!("state `{name}` is not a table"),
-                "[states.NAME]",
-            );
+            self.findings.add(at, format!("state `{name}` is not a table"), "[states.NAME]");
             return Vec::new();
         };
         for (event, _) in table.iter() {
             if !self.events.iter().any(|known| known == event) {
                 let at = key_offset(table, event);
-                self.findings.add(
-                    at,
-                    format!("unknown event `{event}`"),
-                    self.events.join(", "),
-                );
+                self.findings.add(at, format!("unknown event `{event}`"), self.events.join(", "));
             }
         }
         let events = self.events.clone();
-        events
-            .iter()
-            .map(|event| self.read_step(states, name, table, event))
-            .collect()
+        events.iter().map(|event| self.read_step(states, name, table, event)).collect()
     }
 
     fn read_step(&mut self, states: &Table, state: &str, table: &Table, event: &str) -> Step {
         let Some(item) = table.get(event) else {
             let at = key_offset(states, state);
             let problem = format!("state `{state}` does not handle event `{event}`");
-            self.findings
-                .add(at, problem, "a target state, \"stay\" or \"refuse\"");
+            self.findings.add(at, problem, "a target state, \"stay\" or \"refuse\"");
             return Step::Refuse;
         };
         match item.as_str() {
@@ -202,8 +161,7 @@
             if !reached {
                 let at = key_offset(states, name);
                 let problem = format!("state `{name}` is unreachable");
-                self.findings
-                    .add(at, problem, "a path from the initial state");
+                self.findings.add(at, problem, "a path from the initial state");
             }
         }
     }
--- a/crates/charts/src/typed.rs
+++ b/crates/charts/src/typed.rs
@@ -48,17 +48,10 @@
             .iter()
             .map(|(_, state)| {
                 let state = StateIndex(position(chart.states(), state));
-                E::NAMES
-                    .iter()
-                    .map(|(_, event)| typed(&chart, state, event))
-                    .collect()
+                E::NAMES.iter().map(|(_, event)| typed(&chart, state, event)).collect()
             })
             .collect();
-        Ok(TypedChart {
-            initial: value(&chart, chart.initial()),
-            steps,
-            events: PhantomData,
-        })
+        Ok(TypedChart { initial: value(&chart, chart.initial()), steps, events: PhantomData })
     }
 
     /// The state in which life begins.
@@ -83,30 +76,18 @@
 fn compare<N: ChartNames>(findings: &mut Collector<'_>, kind: &str, names: &[String]) {
     for name in names {
         if !N::NAMES.iter().any(|(_, known)| known == name) {
-            findings.add(
-                0,
-                format!("the program has no {kind} `{name}`"),
-                known_names::<N>(),
-            );
+            findings.add(0, format!("the program has no {kind} `{name}`"), known_names::<N>());
         }
     }
     for (_, known) in N::NAMES {
         if !names.iter().any(|name| name == known) {
-            findings.add(
-                0,
-                format!("the chart has no {kind} `{known}`"),
-                known_names::<N>(),
-            );
+            findings.add(0, format!("the chart has no {kind} `{known}`"), known_names::<N>());
         }
     }
 }
 
 fn known_names<N: ChartNames>() -> String {
-    N::NAMES
-        .iter()
-        .map(|(_, name)| *name)
-        .collect::<Vec<_>>()
-        .join(", ")
+    N::NAMES.iter().map(|(_, name)| *name).collect::<Vec<_>>().join(", ")
 }
 
 fn typed<S: ChartNames>(chart: &Chart, state: StateIndex, event: &str) -> TypedStep<S> {
@@ -125,15 +106,9 @@
 }
 
 fn position(names: &[String], name: &str) -> u8 {
-    names
-        .iter()
-        .position(|known| known == name)
-        .unwrap_or_default() as u8
+    names.iter().position(|known| known == name).unwrap_or_default() as u8
 }
 
 fn place<N: ChartNames>(value: N) -> usize {
-    N::NAMES
-        .iter()
-        .position(|(known, _)| *known == value)
-        .unwrap_or_default()
+    N::NAMES.iter().position(|(known, _)| *known == value).unwrap_or_default()
 }
--- a/crates/charts/tests/loading.rs
+++ b/crates/charts/tests/loading.rs
@@ -41,21 +41,10 @@
     let text = "initial = \"shut\"\nevents = [\"in\", \"out\"]\n\
         [states.shut]\nin = \"ajar\"\nout = \"refuse\"\n\
         [states.open]\nin = \"stay\"\nknock = \"shut\"\n";
-    let shown = Chart::parse("door", text)
-        .expect_err("findings")
-        .to_string();
-    assert!(
-        shown.contains("door:4:6: target state `ajar` is missing"),
-        "{shown}"
-    );
-    assert!(
-        shown.contains("door:6:9: state `open` does not handle event `out`"),
-        "{shown}"
-    );
-    assert!(
-        shown.contains("door:6:9: state `open` is unreachable"),
-        "{shown}"
-    );
+    let shown = Chart::parse("door", text).expect_err("findings").to_string();
+    assert!(shown.contains("door:4:6: target state `ajar` is missing"), "{shown}");
+    assert!(shown.contains("door:6:9: state `open` does not handle event `out`"), "{shown}");
+    assert!(shown.contains("door:6:9: state `open` is unreachable"), "{shown}");
     assert!(shown.contains("door:8:1: unknown event `knock`"), "{shown}");
     assert_eq!(shown.lines().count(), 4, "{shown}");
 }
@@ -63,13 +52,8 @@
 #[test]
 fn a_missing_initial_state_is_found() {
     let text = GOOD.replace("initial = \"shut\"", "initial = \"ajar\"");
-    let shown = Chart::parse("door", &text)
-        .expect_err("findings")
-        .to_string();
-    assert!(
-        shown.contains("door:1:11: initial state `ajar` is missing"),
-        "{shown}"
-    );
+    let shown = Chart::parse("door", &text).expect_err("findings").to_string();
+    assert!(shown.contains("door:1:11: initial state `ajar` is missing"), "{shown}");
 }
 
 #[test]
@@ -77,9 +61,6 @@
     let text = GOOD.replace("shut", "closed");
     let found = TypedChart::<Door, Push>::parse("door", &text).expect_err("findings");
     let shown = found.to_string();
-    assert!(
-        shown.contains("the program has no state `closed`"),
-        "{shown}"
-    );
+    assert!(shown.contains("the program has no state `closed`"), "{shown}");
     assert!(shown.contains("the chart has no state `shut`"), "{shown}");
 }
--- a/crates/configuration/src/commit.rs
+++ b/crates/configuration/src/commit.rs
@@ -115,9 +115,7 @@
         }
         self.attempts += 1;
         self.phase = Phase::Reading;
-        CommitAction::Send(StoreRequest::ReadPrefix {
-            prefix: KEY_PREFIX.to_owned(),
-        })
+        CommitAction::Send(StoreRequest::ReadPrefix { prefix: KEY_PREFIX.to_owned() })
     }
 
     fn write(&mut self, documents: &Documents) -> CommitAction {
@@ -141,10 +139,7 @@
                     key: HEAD_KEY.to_owned(),
                     equals: documents.head_mod_revision(),
                 },
-                StoreCondition::ModRevision {
-                    key: outcome_key(&self.command),
-                    equals: 0,
-                },
+                StoreCondition::ModRevision { key: outcome_key(&self.command), equals: 0 },
             ],
             writes: Documents::writes(&current, &edited, &self.command),
         })
@@ -164,10 +159,7 @@
             let now = current.services.get(&name);
             if before != now {
                 let changed = now.map_or(current.version, |service| service.changed);
-                return Some(CommitOutcome::Conflict {
-                    service: name,
-                    changed,
-                });
+                return Some(CommitOutcome::Conflict { service: name, changed });
             }
         }
         None
--- a/crates/configuration/src/documents.rs
+++ b/crates/configuration/src/documents.rs
@@ -114,38 +114,25 @@
             next_service: after.next_service,
             next_backend: after.next_backend,
         };
-        let mut writes = vec![
-            put(HEAD_KEY, &head),
-            put(&outcome_key(command), &after.version),
-        ];
+        let mut writes = vec![put(HEAD_KEY, &head), put(&outcome_key(command), &after.version)];
         for (name, service) in &after.services {
             if before.services.get(name) != Some(service) {
                 writes.push(put(&service_key(name), service));
             }
         }
-        let removed = before
-            .services
-            .keys()
-            .filter(|name| !after.services.contains_key(*name));
-        writes.extend(removed.map(|name| StoreWrite::Delete {
-            key: service_key(name),
-        }));
+        let removed = before.services.keys().filter(|name| !after.services.contains_key(*name));
+        writes.extend(removed.map(|name| StoreWrite::Delete { key: service_key(name) }));
         writes
     }
 }
 
 fn parse<T: for<'a> Deserialize<'a>>(written: &KeyValue) -> Result<T, DocumentError> {
-    serde_json::from_str(&written.value).map_err(|source| DocumentError {
-        key: written.key.clone(),
-        source,
-    })
+    serde_json::from_str(&written.value)
+        .map_err(|source| DocumentError { key: written.key.clone(), source })
 }
 
 fn put<T: Serialize>(key: &str, document: &T) -> StoreWrite {
     // The documents are plain data with string keys, which always serialize.
     let value = serde_json::to_string(document).unwrap_or_default();
-    StoreWrite::Put {
-        key: key.to_owned(),
-        value,
-    }
+    StoreWrite::Put { key: key.to_owned(), value }
 }
--- a/crates/configuration/src/edit.rs
+++ b/crates/configuration/src/edit.rs
@@ -66,11 +66,7 @@
             errors.push((statement.offset, error));
         }
     }
-    if errors.is_empty() {
-        Ok(edited)
-    } else {
-        Err(errors)
-    }
+    if errors.is_empty() { Ok(edited) } else { Err(errors) }
 }
 
 fn apply_one(
@@ -90,13 +86,7 @@
     configuration: &mut Configuration,
     statement: &StatementKind,
 ) -> Result<(), EditError> {
-    let StatementKind::CreateService {
-        name,
-        address,
-        transport,
-        candidates,
-    } = statement
-    else {
+    let StatementKind::CreateService { name, address, transport, candidates } = statement else {
         return Ok(());
     };
     if configuration.services.contains_key(name) {
@@ -158,10 +148,7 @@
     if configuration.find_backend(name).is_some() {
         return Err(EditError::BackendExists(name.clone()));
     }
-    let mut backends = configuration
-        .services
-        .values()
-        .flat_map(|service| &service.backends);
+    let mut backends = configuration.services.values().flat_map(|service| &service.backends);
     if let Some((holder, _)) = backends.find(|(_, backend)| backend.agent == *agent) {
         return Err(EditError::AgentTaken(holder.clone()));
     }
@@ -207,11 +194,7 @@
         TypedStep::Refuse => {
             let state = backend.state.name();
             let event = event.name();
-            return Err(EditError::NotAllowed {
-                name: name.to_owned(),
-                state,
-                event,
-            });
+            return Err(EditError::NotAllowed { name: name.to_owned(), state, event });
         }
     }
     mark_changed(service, version);
--- a/crates/configuration/src/language.rs
+++ b/crates/configuration/src/language.rs
@@ -101,15 +101,10 @@
     let mut statements = Vec::new();
     match CommandParser::parse(Rule::script, text) {
         Ok(pairs) => {
-            let script = pairs
-                .flatten()
-                .filter(|pair| pair.as_rule() == Rule::statement);
+            let script = pairs.flatten().filter(|pair| pair.as_rule() == Rule::statement);
             for pair in script {
                 let offset = pair.as_span().start();
-                let kind = pair
-                    .into_inner()
-                    .next()
-                    .and_then(|inner| read(&mut findings, inner));
+                let kind = pair.into_inner().next().and_then(|inner| read(&mut findings, inner));
                 statements.extend(kind.map(|kind| Statement { offset, kind }));
             }
         }
@@ -122,10 +117,7 @@
                 ErrorVariant::CustomError { message } => message.clone(),
             };
             let rest = text[offset..].lines().next().unwrap_or_default();
-            let word = rest
-                .split_whitespace()
-                .next()
-                .unwrap_or("the end of the line");
+            let word = rest.split_whitespace().next().unwrap_or("the end of the line");
             findings.add(offset, format!("`{word}` is not understood here"), expected);
         }
     }
@@ -184,9 +176,7 @@
 
 fn read(findings: &mut Collector<'_>, pair: Pair<'_, Rule>) -> Option<StatementKind> {
     let rule = pair.as_rule();
-    let mut parts = pair
-        .into_inner()
-        .filter(|part| !is_plain_word(part.as_rule()));
+    let mut parts = pair.into_inner().filter(|part| !is_plain_word(part.as_rule()));
     match rule {
         Rule::create_service => {
             let name = parts.next()?.as_str().to_owned();
@@ -205,16 +195,11 @@
                     _ => {}
                 }
             }
-            Some(StatementKind::CreateService {
-                name,
-                address,
-                transport,
-                candidates,
-            })
+            Some(StatementKind::CreateService { name, address, transport, candidates })
+        }
+        Rule::delete_service => {
+            Some(StatementKind::DeleteService { name: parts.next()?.as_str().to_owned() })
         }
-        Rule::delete_service => Some(StatementKind::DeleteService {
-            name: parts.next()?.as_str().to_owned(),
-        }),
         Rule::attach_backend => {
             let name = parts.next()?.as_str().to_owned();
             let service = parts.next()?.as_str().to_owned();
@@ -272,10 +257,7 @@
 }
 
 fn change(name: Pair<'_, Rule>, event: BackendEvent) -> Option<StatementKind> {
-    Some(StatementKind::ChangeBackend {
-        name: name.as_str().to_owned(),
-        event,
-    })
+    Some(StatementKind::ChangeBackend { name: name.as_str().to_owned(), event })
 }
 
 /// The rule of the option inside `option`, and its value.
@@ -290,11 +272,7 @@
         Ok(address) if address.port() != 0 => Some(address),
         _ => {
             let problem = format!("`{}` is no address", pair.as_str());
-            findings.add(
-                pair.as_span().start(),
-                problem,
-                "IP:PORT with a port from 1 to 65535",
-            );
+            findings.add(pair.as_span().start(), problem, "IP:PORT with a port from 1 to 65535");
             None
         }
     }
@@ -305,11 +283,7 @@
         Ok(number) if (1..=most).contains(&number) => Some(number),
         _ => {
             let problem = format!("`{}` is out of range", pair.as_str());
-            findings.add(
-                pair.as_span().start(),
-                problem,
-                format!("a number from 1 to {most}"),
-            );
+            findings.add(pair.as_span().start(), problem, format!("a number from 1 to {most}"));
             None
         }
     }
--- a/crates/configuration/src/lifecycle.rs
+++ b/crates/configuration/src/lifecycle.rs
@@ -46,11 +46,8 @@
 }
 
 impl ChartNames for BackendEvent {
-    const NAMES: &'static [(Self, &'static str)] = &[
-        (Self::Activate, "activate"),
-        (Self::Drain, "drain"),
-        (Self::Detach, "detach"),
-    ];
+    const NAMES: &'static [(Self, &'static str)] =
+        &[(Self::Activate, "activate"), (Self::Drain, "drain"), (Self::Detach, "detach")];
 }
 
 /// Where a balancer or agent process stands in its life.
@@ -96,24 +93,15 @@
 
 /// The chart of a back end, from `charts/backend.toml`.
 pub fn backend_chart() -> Result<TypedChart<BackendState, BackendEvent>, Findings> {
-    TypedChart::parse(
-        "charts/backend.toml",
-        include_str!("../../../charts/backend.toml"),
-    )
+    TypedChart::parse("charts/backend.toml", include_str!("../../../charts/backend.toml"))
 }
 
 /// The chart of a balancer process, from `charts/balancer.toml`.
 pub fn balancer_chart() -> Result<TypedChart<ProcessState, ProcessEvent>, Findings> {
-    TypedChart::parse(
-        "charts/balancer.toml",
-        include_str!("../../../charts/balancer.toml"),
-    )
+    TypedChart::parse("charts/balancer.toml", include_str!("../../../charts/balancer.toml"))
 }
 
 /// The chart of an agent process, from `charts/agent.toml`.
 pub fn agent_chart() -> Result<TypedChart<ProcessState, ProcessEvent>, Findings> {
-    TypedChart::parse(
-        "charts/agent.toml",
-        include_str!("../../../charts/agent.toml"),
-    )
+    TypedChart::parse("charts/agent.toml", include_str!("../../../charts/agent.toml"))
 }
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -45,9 +45,7 @@
 impl Configuration {
     /// The service and the back end of that name, back ends' names being unique.
     pub fn find_backend(&self, name: &str) -> Option<(&Service, &Backend)> {
-        self.services
-            .values()
-            .find_map(|service| Some((service, service.backends.get(name)?)))
+        self.services.values().find_map(|service| Some((service, service.backends.get(name)?)))
     }
 }
 
@@ -108,22 +106,14 @@
     /// Records a new generation when the set of back ends that take new flows has changed. All
     /// statements of one script make one generation, so that scripts do not use up the history.
     pub fn renew_generation(&mut self, epoch: u64) {
-        self.generations
-            .retain(|generation| generation.epoch != epoch);
+        self.generations.retain(|generation| generation.epoch != epoch);
         let members: Vec<Member> = self
             .backends
             .values()
             .filter(|backend| backend.state.takes_new_flows())
-            .map(|backend| Member {
-                backend: backend.id,
-                agent: backend.agent,
-            })
+            .map(|backend| Member { backend: backend.id, agent: backend.agent })
             .collect();
-        if self
-            .generations
-            .first()
-            .is_some_and(|newest| newest.members == members)
-        {
+        if self.generations.first().is_some_and(|newest| newest.members == members) {
             return;
         }
         self.generations.insert(0, Generation { epoch, members });
@@ -152,10 +142,7 @@
 impl Member {
     /// The member as it stands in packets.
     pub fn candidate(&self) -> Candidate {
-        Candidate {
-            backend: BackendId(self.backend),
-            agent: self.agent,
-        }
+        Candidate { backend: BackendId(self.backend), agent: self.agent }
     }
 }
 
--- a/crates/configuration/tests/commit.rs
+++ b/crates/configuration/tests/commit.rs
@@ -24,18 +24,13 @@
                     value: value.clone(),
                     mod_revision: *mod_revision,
                 });
-                StoreReply::Keys {
-                    keys: keys.collect(),
-                    revision: self.revision,
-                }
+                StoreReply::Keys { keys: keys.collect(), revision: self.revision }
             }
             StoreRequest::Transaction { conditions, writes } => {
                 let succeeded =
-                    conditions
-                        .iter()
-                        .all(|StoreCondition::ModRevision { key, equals }| {
-                            self.keys.get(key).map_or(0, |(_, revision)| *revision) == *equals
-                        });
+                    conditions.iter().all(|StoreCondition::ModRevision { key, equals }| {
+                        self.keys.get(key).map_or(0, |(_, revision)| *revision) == *equals
+                    });
                 if succeeded {
                     self.revision += 1;
                     writes.iter().for_each(|write| self.write(write));
@@ -48,8 +43,7 @@
     fn write(&mut self, write: &StoreWrite) {
         match write {
             StoreWrite::Put { key, value } => {
-                self.keys
-                    .insert(key.clone(), (value.clone(), self.revision));
+                self.keys.insert(key.clone(), (value.clone(), self.revision));
             }
             StoreWrite::Delete { key } => {
                 self.keys.remove(key);
@@ -58,9 +52,8 @@
     }
 
     fn configuration(&mut self) -> Configuration {
-        let request = StoreRequest::ReadPrefix {
-            prefix: loftdrift_configuration::KEY_PREFIX.to_owned(),
-        };
+        let request =
+            StoreRequest::ReadPrefix { prefix: loftdrift_configuration::KEY_PREFIX.to_owned() };
         let StoreReply::Keys { keys, .. } = self.carry_out(&request) else {
             return Configuration::default();
         };
@@ -91,11 +84,7 @@
 
 fn prepared() -> Store {
     let mut store = Store::default();
-    let outcome = run(
-        &mut store,
-        "prepare",
-        statements("create service tiles at 10.20.0.1:80"),
-    );
+    let outcome = run(&mut store, "prepare", statements("create service tiles at 10.20.0.1:80"));
     assert!(matches!(outcome, CommitOutcome::Accepted(_)));
     store
 }
@@ -135,12 +124,10 @@
             };
             *action = commit.step(reply);
             if input.ratio(1, 4)? {
-                late.drain(..)
-                    .for_each(|request| drop(store.carry_out(&request)));
+                late.drain(..).for_each(|request| drop(store.carry_out(&request)));
             }
         }
-        late.drain(..)
-            .for_each(|request| drop(store.carry_out(&request)));
+        late.drain(..).for_each(|request| drop(store.carry_out(&request)));
         let configuration = store.configuration();
         for (name, _, action) in &commits {
             let there = configuration.find_backend(name).is_some();
@@ -150,9 +137,8 @@
                 CommitAction::Done(outcome) => assert!(!there, "{name} took effect: {outcome:?}"),
             }
         }
-        let effects = ["a", "b", "c"]
-            .iter()
-            .filter(|name| configuration.find_backend(name).is_some());
+        let effects =
+            ["a", "b", "c"].iter().filter(|name| configuration.find_backend(name).is_some());
         assert_eq!(configuration.version.revision, 1 + effects.count() as u64);
         Ok(())
     });
@@ -171,16 +157,10 @@
 fn a_change_of_the_same_service_meanwhile_is_a_conflict_that_names_it() {
     let mut store = prepared();
     let mut commit = Commit::new("mine".to_owned(), attach("a", 9_001));
-    let CommitAction::Send(read) = commit.start() else {
-        panic!("no request")
-    };
-    let CommitAction::Send(write) = commit.step(store.carry_out(&read)) else {
-        panic!("no write")
-    };
+    let CommitAction::Send(read) = commit.start() else { panic!("no request") };
+    let CommitAction::Send(write) = commit.step(store.carry_out(&read)) else { panic!("no write") };
     run(&mut store, "theirs", attach("b", 9_002));
-    let CommitAction::Send(read) = commit.step(store.carry_out(&write)) else {
-        panic!("no read")
-    };
+    let CommitAction::Send(read) = commit.step(store.carry_out(&write)) else { panic!("no read") };
     let action = commit.step(store.carry_out(&read));
     let CommitAction::Done(CommitOutcome::Conflict { service, changed }) = action else {
         panic!("{action:?}")
@@ -192,22 +172,13 @@
 fn a_change_of_another_service_meanwhile_is_no_conflict() {
     let mut store = prepared();
     let mut commit = Commit::new("mine".to_owned(), attach("a", 9_001));
-    let CommitAction::Send(read) = commit.start() else {
-        panic!("no request")
-    };
+    let CommitAction::Send(read) = commit.start() else { panic!("no request") };
     let mut action = commit.step(store.carry_out(&read));
-    run(
-        &mut store,
-        "theirs",
-        statements("create service sheets at 10.20.0.2:80"),
-    );
+    run(&mut store, "theirs", statements("create service sheets at 10.20.0.2:80"));
     while let CommitAction::Send(request) = action {
         action = commit.step(store.carry_out(&request));
     }
-    assert!(
-        matches!(action, CommitAction::Done(CommitOutcome::Accepted(_))),
-        "{action:?}"
-    );
+    assert!(matches!(action, CommitAction::Done(CommitOutcome::Accepted(_))), "{action:?}");
 }
 
 #[test]
@@ -220,9 +191,7 @@
     assert_eq!(action, CommitAction::Done(CommitOutcome::Unreachable));
     let mut store = prepared();
     let mut commit = Commit::new("mine".to_owned(), attach("a", 9_001));
-    let CommitAction::Send(read) = commit.start() else {
-        panic!("no request")
-    };
+    let CommitAction::Send(read) = commit.start() else { panic!("no request") };
     let mut action = commit.step(store.carry_out(&read));
     while let CommitAction::Send(_) = action {
         action = commit.step(StoreReply::Lost);
--- a/crates/configuration/tests/edits.rs
+++ b/crates/configuration/tests/edits.rs
@@ -34,10 +34,7 @@
 #[test]
 fn a_change_that_alters_no_members_makes_no_generation() {
     let before = two_backends();
-    let joined = edit(
-        &before,
-        "attach backend c to tiles at 127.0.0.1:9003 agent 127.0.0.1:6003",
-    );
+    let joined = edit(&before, "attach backend c to tiles at 127.0.0.1:9003 agent 127.0.0.1:6003");
     let activated = edit(&joined, "activate backend c");
     assert_eq!(activated.services["tiles"].generations.len(), 2);
 }
@@ -46,10 +43,7 @@
 fn identities_are_never_used_again() {
     let before = two_backends();
     let gone = edit(&edit(&before, "drain backend b"), "detach backend b");
-    let again = edit(
-        &gone,
-        "attach backend b to tiles at 127.0.0.1:9002 agent 127.0.0.1:6002",
-    );
+    let again = edit(&gone, "attach backend b to tiles at 127.0.0.1:9002 agent 127.0.0.1:6002");
     let old = before.services["tiles"].backends["b"].id;
     assert_ne!(again.services["tiles"].backends["b"].id, old);
 }
@@ -65,13 +59,7 @@
     assert!(matches!(&found[0], EditError::ServiceExists(name) if name == "tiles"));
     assert!(matches!(&found[1], EditError::AddressTaken(name) if name == "tiles"));
     assert!(matches!(&found[2], EditError::UnknownBackend(name) if name == "nobody"));
-    assert!(matches!(
-        &found[3],
-        EditError::NotAllowed {
-            state: "active",
-            ..
-        }
-    ));
+    assert!(matches!(&found[3], EditError::NotAllowed { state: "active", .. }));
     assert!(matches!(&found[4], EditError::AgentTaken(name) if name == "a"));
     assert_eq!(found.len(), 5);
 }
@@ -79,9 +67,6 @@
 #[test]
 fn a_misspelt_statement_is_shown_with_its_place_and_what_was_expected() {
     let findings = parse_script("test", "show services\ndrain bakend a").expect_err("a finding");
-    assert_eq!(
-        (findings.list[0].place.line, findings.list[0].place.column),
-        (2, 7)
-    );
+    assert_eq!((findings.list[0].place.line, findings.list[0].place.column), (2, 7));
     assert_eq!(findings.list[0].expected, "backend");
 }
--- a/crates/findings/src/lib.rs
+++ b/crates/findings/src/lib.rs
@@ -59,14 +59,8 @@
                 writeln!(formatter)?;
             }
             let Place { line, column } = finding.place;
-            let Finding {
-                problem, expected, ..
-            } = finding;
-            write!(
-                formatter,
-                "{}:{line}:{column}: {problem}; expected {expected}",
-                self.file
-            )?;
+            let Finding { problem, expected, .. } = finding;
+            write!(formatter, "{}:{line}:{column}: {problem}; expected {expected}", self.file)?;
         }
         Ok(())
     }
@@ -83,11 +77,7 @@
 impl<'a> Collector<'a> {
     /// A collector for `text`, which came from `file`.
     pub fn new(file: &'a str, text: &'a str) -> Self {
-        Collector {
-            file,
-            text,
-            list: Vec::new(),
-        }
+        Collector { file, text, list: Vec::new() }
     }
 
     /// Records a finding at a byte offset.
@@ -105,9 +95,6 @@
             return Ok(value);
         }
         self.list.sort_by_key(|finding| finding.place);
-        Err(Findings {
-            file: self.file.to_owned(),
-            list: self.list,
-        })
+        Err(Findings { file: self.file.to_owned(), list: self.list })
     }
 }
--- a/crates/flow/src/endpoint.rs
+++ b/crates/flow/src/endpoint.rs
@@ -122,10 +122,7 @@
 
 impl std::fmt::Debug for Endpoint {
     fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter
-            .debug_struct("Endpoint")
-            .field("state", &self.socket().state())
-            .finish()
+        formatter.debug_struct("Endpoint").field("state", &self.socket().state()).finish()
     }
 }
 
@@ -138,28 +135,19 @@
     pub fn listen(now: Duration, flow: &FlowKey, settings: &EndpointSettings) -> Self {
         let mut endpoint = Self::new(now, *flow.service.ip(), settings);
         // A fresh socket and a port that is not zero always listen.
-        let _ = endpoint
-            .socket_mut()
-            .listen((*flow.service.ip(), flow.service.port()));
+        let _ = endpoint.socket_mut().listen((*flow.service.ip(), flow.service.port()));
         endpoint
     }
 
     /// An endpoint that opens `flow` from the caller's address.
     pub fn connect(now: Duration, flow: &FlowKey, settings: &EndpointSettings) -> Self {
         let mut endpoint = Self::new(now, *flow.caller.ip(), settings);
-        let Endpoint {
-            interface,
-            sockets,
-            socket,
-            ..
-        } = &mut endpoint;
+        let Endpoint { interface, sockets, socket, .. } = &mut endpoint;
         let remote = (*flow.service.ip(), flow.service.port());
         let local = (*flow.caller.ip(), flow.caller.port());
         // A fresh socket and addresses that are not zero always connect.
         let _ =
-            sockets
-                .get_mut::<tcp::Socket<'_>>(*socket)
-                .connect(interface.context(), remote, local);
+            sockets.get_mut::<tcp::Socket<'_>>(*socket).connect(interface.context(), remote, local);
         endpoint
     }
 
@@ -167,10 +155,7 @@
         let mut to_send = VecDeque::new();
         let mut config = Config::new(HardwareAddress::Ip);
         config.random_seed = settings.sequence_seed;
-        let mut device = OnePoll {
-            received: None,
-            to_send: &mut to_send,
-        };
+        let mut device = OnePoll { received: None, to_send: &mut to_send };
         let mut interface = Interface::new(config, &mut device, instant(now));
         interface.update_ip_addrs(|addresses| {
             // The list is empty, so there is room for one.
@@ -189,14 +174,7 @@
         let mut sockets = SocketSet::new(Vec::with_capacity(1));
         let socket = sockets.add(socket);
         let timestamps = settings.timestamps;
-        Endpoint {
-            interface,
-            sockets,
-            socket,
-            to_send,
-            timestamps,
-            initial_sequence: None,
-        }
+        Endpoint { interface, sockets, socket, to_send, timestamps, initial_sequence: None }
     }
 
     fn socket(&self) -> &tcp::Socket<'static> {
@@ -224,12 +202,8 @@
             Timestamps::Off => 0,
         };
         TIMESTAMP_VALUE.with(|cell| cell.set(value));
-        let mut device = OnePoll {
-            received,
-            to_send: &mut self.to_send,
-        };
-        self.interface
-            .poll(instant(now), &mut device, &mut self.sockets);
+        let mut device = OnePoll { received, to_send: &mut self.to_send };
+        self.interface.poll(instant(now), &mut device, &mut self.sockets);
         if self.initial_sequence.is_none() {
             self.initial_sequence = self.to_send.front().and_then(|packet| {
                 let outer = Ipv4Packet::new_checked(packet.as_slice()).ok()?;
@@ -254,8 +228,7 @@
     /// Whether an acknowledgement answers this endpoint's own SYN, and not that of another
     /// endpoint that was offered the same flow.
     pub fn acknowledges_handshake(&self, acknowledgement: u32) -> bool {
-        self.initial_sequence
-            .is_some_and(|own| own.wrapping_add(1) == acknowledgement)
+        self.initial_sequence.is_some_and(|own| own.wrapping_add(1) == acknowledgement)
     }
 
     /// Whether bytes can be sent, now or once the buffer has room.
--- a/crates/flow/src/lifecycle.rs
+++ b/crates/flow/src/lifecycle.rs
@@ -70,8 +70,5 @@
 
 /// Reads `charts/flow.toml`, which is built into the program.
 pub fn flow_chart() -> Result<FlowChart, Findings> {
-    TypedChart::parse(
-        "charts/flow.toml",
-        include_str!("../../../charts/flow.toml"),
-    )
+    TypedChart::parse("charts/flow.toml", include_str!("../../../charts/flow.toml"))
 }
--- a/crates/flow/src/splice.rs
+++ b/crates/flow/src/splice.rs
@@ -153,9 +153,7 @@
     /// When [`SplicedFlow::pump`] must be called next though nothing arrives.
     pub fn next_timeout(&mut self, now: Duration) -> Option<Duration> {
         let next = self.endpoint.next_timeout(now);
-        let deadline = self
-            .handshake_deadline
-            .filter(|_| self.state == FlowState::Handshake);
+        let deadline = self.handshake_deadline.filter(|_| self.state == FlowState::Handshake);
         match (next, deadline) {
             (Some(next), Some(deadline)) => Some(next.min(deadline)),
             (next, deadline) => next.or(deadline),
@@ -163,9 +161,7 @@
     }
 
     fn handshake_is_late(&self, now: Duration) -> bool {
-        let deadline = self
-            .handshake_deadline
-            .filter(|_| self.state == FlowState::Handshake);
+        let deadline = self.handshake_deadline.filter(|_| self.state == FlowState::Handshake);
         deadline.is_some_and(|deadline| deadline <= now)
     }
 
@@ -186,9 +182,8 @@
             return false;
         }
         let commands_before = self.commands.len();
-        while let Some(bytes) = self
-            .endpoint
-            .read(SOCKET_WINDOW_BYTES - self.unwritten.min(SOCKET_WINDOW_BYTES))
+        while let Some(bytes) =
+            self.endpoint.read(SOCKET_WINDOW_BYTES - self.unwritten.min(SOCKET_WINDOW_BYTES))
         {
             self.unwritten += bytes.len();
             self.commands.push_back(SocketCommand::Write(bytes));
--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -77,17 +77,13 @@
     /// A flow.
     pub fn get(&self, id: FlowId) -> Option<&Flow<B>> {
         let slot = self.slots.get(id.slot())?;
-        slot.flow
-            .as_ref()
-            .filter(|_| slot.generation == id.generation())
+        slot.flow.as_ref().filter(|_| slot.generation == id.generation())
     }
 
     /// A flow, to change.
     pub fn get_mut(&mut self, id: FlowId) -> Option<&mut Flow<B>> {
         let slot = self.slots.get_mut(id.slot())?;
-        slot.flow
-            .as_mut()
-            .filter(|_| slot.generation == id.generation())
+        slot.flow.as_mut().filter(|_| slot.generation == id.generation())
     }
 
     /// Adds a flow whose addresses no other one has.
@@ -98,21 +94,13 @@
     /// Adds a flow whose body is made with its identity.
     pub fn insert_with(&mut self, key: FlowKey, make: impl FnOnce(FlowId) -> B) -> FlowId {
         let place = self.free.pop().unwrap_or_else(|| {
-            self.slots.push(Slot {
-                generation: 0,
-                flow: None,
-            });
+            self.slots.push(Slot { generation: 0, flow: None });
             self.slots.len() - 1
         });
         let slot = &mut self.slots[place];
         slot.generation = slot.generation.wrapping_add(1);
         let id = FlowId::new(place, slot.generation);
-        slot.flow = Some(Flow {
-            key,
-            body: make(id),
-            is_busy: true,
-            wake_at: None,
-        });
+        slot.flow = Some(Flow { key, body: make(id), is_busy: true, wake_at: None });
         self.by_key.insert(key, id);
         self.busy += 1;
         id
@@ -136,9 +124,7 @@
 
     /// The flow burdens the back end no more.
     pub fn release(&mut self, id: FlowId) {
-        let released = self
-            .get_mut(id)
-            .is_some_and(|flow| std::mem::take(&mut flow.is_busy));
+        let released = self.get_mut(id).is_some_and(|flow| std::mem::take(&mut flow.is_busy));
         self.busy -= usize::from(released);
     }
 
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -70,12 +70,7 @@
     /// A client of `server` whose requests take `timeout` at most.
     pub fn new(server: SocketAddr, timeout: Duration) -> Self {
         let client = Client::builder(TokioExecutor::new()).build_http();
-        HttpClient {
-            server,
-            timeout,
-            client,
-            bytes: Arc::default(),
-        }
+        HttpClient { server, timeout, client, bytes: Arc::default() }
     }
 
     /// Bytes of the bodies sent and received so far.
@@ -93,9 +88,7 @@
         let whole = async {
             let response = self.send(method, path, body).await?;
             let bytes = response.into_body().collect().await;
-            Ok(bytes
-                .map_err(|error| self.connection_error(error))?
-                .to_bytes())
+            Ok(bytes.map_err(|error| self.connection_error(error))?.to_bytes())
         };
         let answer = tokio::time::timeout(self.timeout, whole).await;
         let bytes: Bytes = answer.map_err(|_| self.timeout_error())??;
@@ -112,11 +105,7 @@
         let opened = self.send(Method::POST, path, body);
         let opened = tokio::time::timeout(self.timeout, opened).await;
         let response = opened.map_err(|_| self.timeout_error())??;
-        Ok(LineStream {
-            client: self.clone(),
-            body: response.into_body(),
-            buffer: BytesMut::new(),
-        })
+        Ok(LineStream { client: self.clone(), body: response.into_body(), buffer: BytesMut::new() })
     }
 
     async fn send<Q: Serialize>(
@@ -142,11 +131,7 @@
         let body = response.into_body().collect().await;
         let body = body.map(|body| body.to_bytes()).unwrap_or_default();
         let body = String::from_utf8_lossy(&body).into_owned();
-        Err(HttpError::Status {
-            server: self.server,
-            status,
-            body,
-        })
+        Err(HttpError::Status { server: self.server, status, body })
     }
 
     fn count(&self, bytes: usize) {
@@ -154,28 +139,16 @@
     }
 
     fn timeout_error(&self) -> HttpError {
-        HttpError::Timeout {
-            server: self.server,
-            after: self.timeout,
-        }
+        HttpError::Timeout { server: self.server, after: self.timeout }
     }
 
     fn connection_error(&self, error: impl std::error::Error) -> HttpError {
-        let cause = error
-            .source()
-            .map(|source| format!(": {source}"))
-            .unwrap_or_default();
-        HttpError::Connection {
-            server: self.server,
-            reason: format!("{error}{cause}"),
-        }
+        let cause = error.source().map(|source| format!(": {source}")).unwrap_or_default();
+        HttpError::Connection { server: self.server, reason: format!("{error}{cause}") }
     }
 
     fn malformed(&self, error: serde_json::Error) -> HttpError {
-        HttpError::Malformed {
-            server: self.server,
-            reason: error.to_string(),
-        }
+        HttpError::Malformed { server: self.server, reason: error.to_string() }
     }
 }
 
@@ -197,9 +170,7 @@
                     continue;
                 }
                 let value = serde_json::from_slice(&line);
-                return value
-                    .map(Some)
-                    .map_err(|error| self.client.malformed(error));
+                return value.map(Some).map_err(|error| self.client.malformed(error));
             }
             let Some(frame) = self.body.frame().await else {
                 return Ok(None);
@@ -212,10 +183,7 @@
             self.buffer.extend_from_slice(&data);
             if self.buffer.len() > MAX_LINE_BYTES {
                 let server = self.client.server;
-                return Err(HttpError::Malformed {
-                    server,
-                    reason: "line too long".to_owned(),
-                });
+                return Err(HttpError::Malformed { server, reason: "line too long".to_owned() });
             }
         }
     }
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -54,9 +54,7 @@
 
 /// A body that is whole.
 pub fn full_body(bytes: impl Into<Bytes>) -> AnswerBody {
-    Full::new(bytes.into())
-        .map_err(|never: Infallible| match never {})
-        .boxed()
+    Full::new(bytes.into()).map_err(|never: Infallible| match never {}).boxed()
 }
 
 /// A JSON answer.
@@ -66,9 +64,7 @@
     let mut answer = Response::new(full_body(body));
     *answer.status_mut() = status;
     let json = hyper::header::HeaderValue::from_static("application/json");
-    answer
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, json);
+    answer.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
     answer
 }
 
--- a/crates/lab/src/backend.rs
+++ b/crates/lab/src/backend.rs
@@ -15,8 +15,10 @@
 pub struct BackendBehaviour {
     /// The service that it belongs to.
     pub service: String,
-    /// Time from a request to its answer.
+    /// Time that a request takes.
     pub work: Duration,
+    /// Requests that it works on at a time.
+    pub slots: usize,
 }
 
 #[derive(Debug, Default)]
@@ -34,6 +36,8 @@
     behaviour: BackendBehaviour,
     connections: BTreeMap<FlowId, Connection>,
     dead: bool,
+    waiting: VecDeque<(FlowId, RunningRequest)>,
+    busy: usize,
 }
 
 /// A request that a back end has begun to run.
@@ -51,6 +55,8 @@
             behaviour,
             connections: BTreeMap::new(),
             dead: false,
+            waiting: VecDeque::new(),
+            busy: 0,
         }
     }
 
@@ -72,10 +78,7 @@
     /// Accepts a connection unless it is dead.
     pub(crate) fn connect(&mut self, flow: FlowId) -> bool {
         if !self.dead {
-            let connection = Connection {
-                credit: true,
-                ..Connection::default()
-            };
+            let connection = Connection { credit: true, ..Connection::default() };
             self.connections.insert(flow, connection);
         }
         !self.dead
@@ -103,13 +106,12 @@
         }
     }
 
-    /// Takes bytes of a flow and tells which requests begin to run.
-    pub(crate) fn receive(&mut self, flow: FlowId, bytes: &[u8]) -> Vec<RunningRequest> {
+    /// Takes bytes of a flow; whole requests wait for a slot.
+    pub(crate) fn receive(&mut self, flow: FlowId, bytes: &[u8]) {
         let Some(connection) = self.connections.get_mut(&flow) else {
-            return Vec::new();
+            return;
         };
         connection.received.extend_from_slice(bytes);
-        let mut running = Vec::new();
         while let Some(end) = connection.received.iter().position(|byte| *byte == b'\n') {
             let line = connection.received.split_to(end + 1);
             let line = String::from_utf8_lossy(&line);
@@ -118,28 +120,38 @@
             let size = words.next().and_then(|word| word.parse().ok());
             if let (Some(id), Some(size)) = (id, size) {
                 let foreign = words.next() != Some(self.behaviour.service.as_str());
-                running.push(RunningRequest { id, size, foreign });
+                self.waiting.push_back((flow, RunningRequest { id, size, foreign }));
             }
         }
-        running
     }
 
-    /// The work on a request is done: queues its answer.
+    /// Starts the request that waits longest when a slot is free.
+    pub(crate) fn start_next(&mut self) -> Option<(FlowId, RunningRequest)> {
+        if self.busy == self.behaviour.slots {
+            return None;
+        }
+        let next = self.waiting.pop_front()?;
+        self.busy += 1;
+        Some(next)
+    }
+
+    /// Requests that it works on now.
+    pub(crate) fn busy(&self) -> usize {
+        self.busy
+    }
+
+    /// The work on a request is done: frees its slot and queues its answer.
     pub(crate) fn answer(&mut self, flow: FlowId, request: &RunningRequest) {
+        self.busy = self.busy.saturating_sub(1);
         let Some(connection) = self.connections.get_mut(&flow) else {
             return;
         };
-        let head = format!(
-            "{} {} {}\n",
-            request.id, request.size, self.behaviour.service
-        );
+        let head = format!("{} {} {}\n", request.id, request.size, self.behaviour.service);
         let mut answer = BytesMut::from(head.as_bytes());
         answer.resize(head.len() + request.size, body_byte(request.id));
         let mut answer = answer.freeze();
         while !answer.is_empty() {
-            connection
-                .to_send
-                .push_back(answer.split_to(answer.len().min(CHUNK_BYTES)));
+            connection.to_send.push_back(answer.split_to(answer.len().min(CHUNK_BYTES)));
         }
     }
 
--- a/crates/lab/src/caller.rs
+++ b/crates/lab/src/caller.rs
@@ -63,11 +63,7 @@
         self.current = id;
         self.requests_left -= 1;
         outcome.requests_sent += 1;
-        let CallerBehaviour {
-            answer_bytes,
-            service,
-            ..
-        } = &self.behaviour;
+        let CallerBehaviour { answer_bytes, service, .. } = &self.behaviour;
         Bytes::from(format!("{id} {answer_bytes} {service}\n"))
     }
 
@@ -95,19 +91,11 @@
         }
         self.body_left = None;
         outcome.answered_whole += 1;
-        if self.requests_left == 0 {
-            Progress::Finished
-        } else {
-            Progress::NextRequest
-        }
+        if self.requests_left == 0 { Progress::Finished } else { Progress::NextRequest }
     }
 
     fn check_head(&self, line: &str, outcome: &mut Outcome) {
-        let CallerBehaviour {
-            answer_bytes,
-            service,
-            ..
-        } = &self.behaviour;
+        let CallerBehaviour { answer_bytes, service, .. } = &self.behaviour;
         let mut words = line.split_whitespace();
         let id = words.next().and_then(|word| word.parse().ok());
         let size = words.next().and_then(|word| word.parse().ok());
--- a/crates/lab/src/network.rs
+++ b/crates/lab/src/network.rs
@@ -35,11 +35,7 @@
         if random.random_bool(self.loss) {
             return Vec::new();
         }
-        let copies = if random.random_bool(self.duplicates) {
-            2
-        } else {
-            1
-        };
+        let copies = if random.random_bool(self.duplicates) { 2 } else { 1 };
         let mut arrival = || self.delay + self.jitter.mul_f64(random.random::<f64>());
         (0..copies).map(|_| arrival()).collect()
     }
--- a/crates/lab/src/outcome.rs
+++ b/crates/lab/src/outcome.rs
@@ -10,6 +10,8 @@
     pub flows_opened: u64,
     /// Flows that ended before their last answer.
     pub flows_broken: u64,
+    /// Flows that died with the agent or back end on which they lived.
+    pub flows_lost: u64,
     /// Flows that ended as their callers wanted.
     pub flows_finished: u64,
     /// Requests that callers sent.
@@ -31,6 +33,7 @@
             .debug_struct("Outcome")
             .field("flows_opened", &self.flows_opened)
             .field("flows_broken", &self.flows_broken)
+            .field("flows_lost", &self.flows_lost)
             .field("flows_finished", &self.flows_finished)
             .field("requests_sent", &self.requests_sent)
             .field("answered_whole", &self.answered_whole)
--- a/crates/lab/src/queue.rs
+++ b/crates/lab/src/queue.rs
@@ -39,10 +39,7 @@
 
 impl<E> Default for EventQueue<E> {
     fn default() -> Self {
-        EventQueue {
-            heap: BinaryHeap::new(),
-            next_order: 0,
-        }
+        EventQueue { heap: BinaryHeap::new(), next_order: 0 }
     }
 }
 
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -27,6 +27,8 @@
 pub const FABRIC: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 6081);
 
 const GENEVE_PORT: u16 = 6081;
+const FIRST_BALANCER: u32 = 0x0A01_0000;
+const FIRST_AGENT: u32 = 0x0A02_0000;
 const BALANCER_TICK: Duration = Duration::from_millis(100);
 const PROBING: ProbeSettings = ProbeSettings {
     interval: Duration::from_secs(1),
@@ -64,20 +66,12 @@
 }
 
 enum Event {
-    Datagram {
-        to: SocketAddrV4,
-        from: SocketAddrV4,
-        datagram: Vec<u8>,
-    },
+    Datagram { to: SocketAddrV4, from: SocketAddrV4, datagram: Vec<u8> },
     AgentTimer(SocketAddrV4),
     BalancerTick(SocketAddrV4),
     CallerTimer,
     NextRequest(FlowId),
-    Answer {
-        agent: SocketAddrV4,
-        flow: FlowId,
-        request: RunningRequest,
-    },
+    Answer { agent: SocketAddrV4, flow: FlowId, request: RunningRequest },
     Script(Script),
 }
 
@@ -87,6 +81,8 @@
     core: Agent,
     backend: SimulatedBackend,
     timer: Option<Duration>,
+    /// The process is frozen until then; what arrives meanwhile waits.
+    frozen_until: Duration,
 }
 
 struct OpenFlow {
@@ -137,13 +133,13 @@
     }
 
     /// The address of the balancer with that number.
-    pub fn balancer_address(number: u8) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, number), GENEVE_PORT)
+    pub fn balancer_address(number: u32) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(FIRST_BALANCER + number), GENEVE_PORT)
     }
 
     /// The address of the agent with that number.
-    pub fn agent_address(number: u8) -> SocketAddrV4 {
-        SocketAddrV4::new(Ipv4Addr::new(10, 2, 0, number), GENEVE_PORT)
+    pub fn agent_address(number: u32) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::from(FIRST_AGENT + number), GENEVE_PORT)
     }
 
     /// The virtual time.
@@ -162,7 +158,7 @@
     }
 
     /// Adds a balancer, to which the fabric sprays from now on.
-    pub fn add_balancer(&mut self, number: u8) {
+    pub fn add_balancer(&mut self, number: u32) {
         let address = Self::balancer_address(number);
         self.balancers.insert(address, Balancer::new(PROBING));
         self.in_use.push(address);
@@ -170,20 +166,20 @@
     }
 
     /// The fabric sends no more packets to a balancer, which still forwards those it has.
-    pub fn withdraw_balancer(&mut self, number: u8) {
+    pub fn withdraw_balancer(&mut self, number: u32) {
         let address = Self::balancer_address(number);
         self.in_use.retain(|in_use| *in_use != address);
     }
 
     /// A balancer dies; the fabric sends packets to it until it is withdrawn.
-    pub fn kill_balancer(&mut self, number: u8) {
+    pub fn kill_balancer(&mut self, number: u32) {
         self.balancers.remove(&Self::balancer_address(number));
     }
 
     /// Adds an agent beside a back end.
     pub fn add_agent(
         &mut self,
-        number: u8,
+        number: u32,
         backend: &str,
         behaviour: BackendBehaviour,
     ) -> Result<(), Findings> {
@@ -197,55 +193,66 @@
             seed: self.random.random(),
         })?;
         let backend = SimulatedBackend::new(behaviour);
-        let agent = SimulatedAgent {
-            core,
-            backend,
-            timer: None,
-        };
+        let agent = SimulatedAgent { core, backend, timer: None, frozen_until: Duration::ZERO };
         self.agents.insert(Self::agent_address(number), agent);
         Ok(())
     }
 
     /// An agent dies with all of its flows.
-    pub fn kill_agent(&mut self, number: u8) {
-        self.agents.remove(&Self::agent_address(number));
+    pub fn kill_agent(&mut self, number: u32) {
+        if let Some(agent) = self.agents.remove(&Self::agent_address(number)) {
+            self.outcome.flows_lost += agent.core.flow_count() as u64;
+        }
+    }
+
+    /// An agent is frozen and goes on later; what arrives meanwhile waits.
+    pub fn freeze_agent(&mut self, number: u32, time: Duration) {
+        if let Some(agent) = self.agents.get_mut(&Self::agent_address(number)) {
+            agent.frozen_until = self.now + time;
+        }
+    }
+
+    /// Numbers of the balancers to which the fabric sprays.
+    pub fn balancers_in_use(&self) -> Vec<u32> {
+        self.in_use.iter().map(|address| address.ip().to_bits() - FIRST_BALANCER).collect()
     }
 
     /// A back end dies with all of its connections; its agent lives on.
-    pub fn kill_backend(&mut self, number: u8) {
+    pub fn kill_backend(&mut self, number: u32) {
         let address = Self::agent_address(number);
         let Some(agent) = self.agents.get_mut(&address) else {
             return;
         };
         for flow in agent.backend.kill() {
-            agent
-                .core
-                .handle_socket(self.now, flow, SocketEvent::Failed);
+            agent.core.handle_socket(self.now, flow, SocketEvent::Failed);
         }
         self.settle_agent(address);
     }
 
     /// The core of an agent.
-    pub fn agent(&self, number: u8) -> Option<&Agent> {
-        self.agents
-            .get(&Self::agent_address(number))
-            .map(|agent| &agent.core)
+    pub fn agent(&self, number: u32) -> Option<&Agent> {
+        self.agents.get(&Self::agent_address(number)).map(|agent| &agent.core)
+    }
+
+    /// Requests that a back end works on now.
+    pub fn busy_slots(&self, number: u32) -> usize {
+        self.agents.get(&Self::agent_address(number)).map_or(0, |agent| agent.backend.busy())
     }
 
     /// The core of a balancer.
-    pub fn balancer(&self, number: u8) -> Option<&Balancer> {
+    pub fn balancer(&self, number: u32) -> Option<&Balancer> {
         self.balancers.get(&Self::balancer_address(number))
     }
 
     /// A balancer learns a configuration.
-    pub fn configure_balancer(&mut self, number: u8, configuration: &Configuration) {
+    pub fn configure_balancer(&mut self, number: u32, configuration: &Configuration) {
         if let Some(core) = self.balancers.get_mut(&Self::balancer_address(number)) {
             core.adopt(self.now, configuration);
         }
     }
 
     /// An agent learns a configuration.
-    pub fn configure_agent(&mut self, number: u8, configuration: &Configuration) {
+    pub fn configure_agent(&mut self, number: u32, configuration: &Configuration) {
         if let Some(agent) = self.agents.get_mut(&Self::agent_address(number)) {
             agent.core.adopt(self.now, configuration);
         }
@@ -272,18 +279,10 @@
     }
 
     /// A caller opens a flow to a service.
-    pub fn open_flow(&mut self, service: SocketAddrV4, behaviour: &CallerBehaviour) {
+    pub fn open_flow(&mut self, service: SocketAddrV4, behaviour: &CallerBehaviour) -> FlowId {
         let caller = self.next_caller_address();
-        let key = FlowKey {
-            caller,
-            service,
-            transport: Transport::Tcp,
-        };
-        let timestamps = if behaviour.timestamps {
-            Timestamps::Clock
-        } else {
-            Timestamps::Off
-        };
+        let key = FlowKey { caller, service, transport: Transport::Tcp };
+        let timestamps = if behaviour.timestamps { Timestamps::Clock } else { Timestamps::Off };
         let endpoint_settings = EndpointSettings {
             buffer_bytes: CALLER_BUFFER_BYTES,
             timestamps,
@@ -298,6 +297,12 @@
             open.body.splice.pump(self.now);
         }
         self.settle_caller(flow);
+        flow
+    }
+
+    /// Whether a caller's flow goes on.
+    pub fn is_open(&self, flow: FlowId) -> bool {
+        self.callers.get(flow).is_some_and(|open| !open.body.caller.finished)
     }
 
     fn next_caller_address(&mut self) -> SocketAddrV4 {
@@ -326,11 +331,7 @@
             Event::BalancerTick(address) => self.handle_balancer_tick(address),
             Event::CallerTimer => self.handle_caller_timer(),
             Event::NextRequest(flow) => self.send_request(flow),
-            Event::Answer {
-                agent,
-                flow,
-                request,
-            } => self.answer(agent, flow, &request),
+            Event::Answer { agent, flow, request } => self.answer(agent, flow, &request),
             Event::Script(script) => script(self),
         }
     }
@@ -338,12 +339,16 @@
     fn transmit(&mut self, from: SocketAddrV4, to: SocketAddrV4, datagram: &[u8]) {
         for delay in self.settings.network.arrivals(&mut self.random) {
             let datagram = datagram.to_vec();
-            self.queue
-                .push(self.now + delay, Event::Datagram { to, from, datagram });
+            self.queue.push(self.now + delay, Event::Datagram { to, from, datagram });
         }
     }
 
     fn handle_datagram(&mut self, to: SocketAddrV4, from: SocketAddrV4, datagram: &[u8]) {
+        if let Some(thaw) = self.frozen_until(to) {
+            let datagram = datagram.to_vec();
+            self.queue.push(thaw, Event::Datagram { to, from, datagram });
+            return;
+        }
         self.packets += 1;
         if to == FABRIC {
             self.deliver_to_caller(datagram);
@@ -379,11 +384,20 @@
         for probe in core.tick(self.now) {
             self.transmit(address, probe.to, &probe.echo.encode());
         }
-        self.queue
-            .push(self.now + BALANCER_TICK, Event::BalancerTick(address));
+        self.queue.push(self.now + BALANCER_TICK, Event::BalancerTick(address));
+    }
+
+    /// When a frozen agent goes on; `None` when it is not frozen.
+    fn frozen_until(&self, agent: SocketAddrV4) -> Option<Duration> {
+        let agent = self.agents.get(&agent)?;
+        (agent.frozen_until > self.now).then_some(agent.frozen_until)
     }
 
     fn handle_agent_timer(&mut self, address: SocketAddrV4) {
+        if let Some(thaw) = self.frozen_until(address) {
+            self.queue.push(thaw, Event::AgentTimer(address));
+            return;
+        }
         let Some(agent) = self.agents.get_mut(&address) else {
             return;
         };
@@ -429,25 +443,12 @@
         match command {
             SocketCommand::Open => {
                 agent.backend.connect(flow);
-                agent
-                    .core
-                    .handle_socket(self.now, flow, SocketEvent::Opened);
+                agent.core.handle_socket(self.now, flow, SocketEvent::Opened);
             }
             SocketCommand::Write(bytes) => {
-                let work = agent.backend.work();
-                for request in agent.backend.receive(flow, &bytes) {
-                    *self.outcome.runs.entry(request.id).or_default() += 1;
-                    self.outcome.misdelivered += u64::from(request.foreign);
-                    let event = Event::Answer {
-                        agent: address,
-                        flow,
-                        request,
-                    };
-                    self.queue.push(self.now + work, event);
-                }
-                agent
-                    .core
-                    .handle_socket(self.now, flow, SocketEvent::Written(bytes.len()));
+                agent.backend.receive(flow, &bytes);
+                agent.core.handle_socket(self.now, flow, SocketEvent::Written(bytes.len()));
+                self.start_requests(address);
             }
             SocketCommand::ReadMore => {
                 agent.backend.give_credit(flow);
@@ -462,27 +463,43 @@
     }
 
     fn answer(&mut self, address: SocketAddrV4, flow: FlowId, request: &RunningRequest) {
+        if let Some(thaw) = self.frozen_until(address) {
+            let request = request.clone();
+            self.queue.push(thaw, Event::Answer { agent: address, flow, request });
+            return;
+        }
         let Some(agent) = self.agents.get_mut(&address) else {
             return;
         };
         agent.backend.answer(flow, request);
+        self.start_requests(address);
         self.offer_chunk(address, flow);
         self.settle_agent(address);
     }
 
+    /// Starts waiting requests for which the back end has slots.
+    fn start_requests(&mut self, address: SocketAddrV4) {
+        let Some(agent) = self.agents.get_mut(&address) else {
+            return;
+        };
+        let work = agent.backend.work();
+        while let Some((flow, request)) = agent.backend.start_next() {
+            *self.outcome.runs.entry(request.id).or_default() += 1;
+            self.outcome.misdelivered += u64::from(request.foreign);
+            let event = Event::Answer { agent: address, flow, request };
+            self.queue.push(self.now + work, event);
+        }
+    }
+
     fn offer_chunk(&mut self, address: SocketAddrV4, flow: FlowId) {
         let Some(agent) = self.agents.get_mut(&address) else {
             return;
         };
         if let Some(chunk) = agent.backend.take_chunk(flow) {
-            agent
-                .core
-                .handle_socket(self.now, flow, SocketEvent::Received(chunk));
+            agent.core.handle_socket(self.now, flow, SocketEvent::Received(chunk));
         } else if agent.backend.is_over(flow) {
             agent.backend.drop_connection(flow);
-            agent
-                .core
-                .handle_socket(self.now, flow, SocketEvent::Finished);
+            agent.core.handle_socket(self.now, flow, SocketEvent::Finished);
         }
     }
 
@@ -522,9 +539,7 @@
         let id = self.next_request;
         self.next_request += 1;
         let request = open.body.caller.next_request(id, &mut self.outcome);
-        open.body
-            .splice
-            .on_socket(self.now, SocketEvent::Received(request));
+        open.body.splice.on_socket(self.now, SocketEvent::Received(request));
         self.settle_caller(flow);
     }
 
--- a/crates/lab/tests/disagreement.rs
+++ b/crates/lab/tests/disagreement.rs
@@ -19,17 +19,11 @@
     let newest = history.last().expect("a configuration").clone();
     world.configure_balancer(1, &newest);
     world.configure_balancer(2, &history[0]);
-    for number in 1..=4_u8 {
+    for number in 1..=4_u32 {
         let known = if number <= 2 { &history[0] } else { &newest };
         world.configure_agent(number, known);
     }
-    open_flows(
-        &mut world,
-        30,
-        seconds(0.0),
-        seconds(3.0),
-        &callers(12, seconds(0.5), timestamps),
-    );
+    open_flows(&mut world, 30, seconds(0.0), seconds(3.0), &callers(12, seconds(0.5), timestamps));
     world.at(seconds(12.0), move |world| world.configure_all(&newest));
     world.run_until(seconds(120.0));
     world.outcome().clone()
@@ -39,15 +33,9 @@
 fn flows_survive_nodes_that_disagree_for_twelve_seconds() {
     for timestamps in [true, false] {
         for seed in 0..4 {
-            let settings = WorldSettings {
-                seed,
-                ..WorldSettings::default()
-            };
+            let settings = WorldSettings { seed, ..WorldSettings::default() };
             let outcome = run(settings, &history(), timestamps);
-            assert!(
-                outcome.is_clean(),
-                "timestamps {timestamps}, seed {seed}: {outcome:?}"
-            );
+            assert!(outcome.is_clean(), "timestamps {timestamps}, seed {seed}: {outcome:?}");
         }
     }
 }
@@ -56,11 +44,8 @@
 /// The scenario must be able to break flows, or the proof above shows nothing.
 #[test]
 fn without_cookie_and_silence_the_same_scenario_breaks_flows() {
-    let settings = WorldSettings {
-        cookies: false,
-        unknown_grace: Duration::ZERO,
-        ..WorldSettings::default()
-    };
+    let settings =
+        WorldSettings { cookies: false, unknown_grace: Duration::ZERO, ..WorldSettings::default() };
     let outcome = run(settings, &history(), false);
     assert!(outcome.flows_broken > 0, "{outcome:?}");
 }
@@ -76,10 +61,7 @@
             let digit = |place: u32| combination / depth.pow(place) % depth;
             let held: Vec<usize> = (0..5).map(digit).collect();
             let outcome = run_combination(&list, &held, timestamps);
-            assert!(
-                outcome.is_clean(),
-                "timestamps {timestamps}, held {held:?}: {outcome:?}"
-            );
+            assert!(outcome.is_clean(), "timestamps {timestamps}, held {held:?}: {outcome:?}");
         }
     }
 }
@@ -89,17 +71,11 @@
     let mut world: World = world(WorldSettings::default(), 2, 3);
     world.configure_balancer(1, &list[held[0]]);
     world.configure_balancer(2, &list[held[1]]);
-    for agent in 0..3_u8 {
-        world.configure_agent(agent + 1, &list[held[usize::from(agent) + 2]]);
+    for agent in 0..3_u32 {
+        world.configure_agent(agent + 1, &list[held[agent as usize + 2]]);
     }
     let newest = list.last().expect("a configuration").clone();
-    open_flows(
-        &mut world,
-        4,
-        seconds(0.0),
-        seconds(1.0),
-        &callers(4, seconds(0.5), timestamps),
-    );
+    open_flows(&mut world, 4, seconds(0.0), seconds(1.0), &callers(4, seconds(0.5), timestamps));
     world.at(seconds(6.0), move |world| world.configure_all(&newest));
     world.run_until(seconds(60.0));
     world.outcome().clone()
--- a/crates/lab/tests/planned_changes.rs
+++ b/crates/lab/tests/planned_changes.rs
@@ -14,24 +14,11 @@
 #[test]
 fn every_balancer_is_replaced_under_long_flows() {
     for seed in SEEDS {
-        let mut world = world(
-            WorldSettings {
-                seed,
-                ..WorldSettings::default()
-            },
-            3,
-            4,
-        );
+        let mut world = world(WorldSettings { seed, ..WorldSettings::default() }, 3, 4);
         let list = configurations(&[create(4)]);
         world.configure_all(&list[0]);
-        open_flows(
-            &mut world,
-            40,
-            seconds(0.0),
-            seconds(4.0),
-            &callers(20, seconds(0.5), true),
-        );
-        for number in 1..=3_u8 {
+        open_flows(&mut world, 40, seconds(0.0), seconds(4.0), &callers(20, seconds(0.5), true));
+        for number in 1..=3_u32 {
             let at = seconds(1.0 + f64::from(number) * 2.0);
             let newest = list[0].clone();
             world.at(at, move |world| {
@@ -49,22 +36,9 @@
 #[test]
 fn a_balancer_dies_without_notice() {
     for seed in SEEDS {
-        let mut world = world(
-            WorldSettings {
-                seed,
-                ..WorldSettings::default()
-            },
-            3,
-            4,
-        );
+        let mut world = world(WorldSettings { seed, ..WorldSettings::default() }, 3, 4);
         world.configure_all(&configurations(&[create(4)])[0]);
-        open_flows(
-            &mut world,
-            40,
-            seconds(0.0),
-            seconds(4.0),
-            &callers(20, seconds(0.5), true),
-        );
+        open_flows(&mut world, 40, seconds(0.0), seconds(4.0), &callers(20, seconds(0.5), true));
         world.at(seconds(3.0), |world| world.kill_balancer(2));
         world.at(seconds(3.5), |world| world.withdraw_balancer(2));
         world.run_until(seconds(90.0));
@@ -76,14 +50,7 @@
 fn every_back_end_is_drained_and_replaced_in_turn() {
     for timestamps in [true, false] {
         for seed in SEEDS {
-            let mut world = world(
-                WorldSettings {
-                    seed,
-                    ..WorldSettings::default()
-                },
-                3,
-                8,
-            );
+            let mut world = world(WorldSettings { seed, ..WorldSettings::default() }, 3, 8);
             let mut scripts = vec![create(4)];
             scripts
                 .extend((1..=4).map(|number| format!("{}\n{}", attach(number + 4), drain(number))));
@@ -106,23 +73,13 @@
     let mut world = world(WorldSettings::default(), 2, 3);
     let list = configurations(&[create(3), drain(1)]);
     world.configure_all(&list[0]);
-    open_flows(
-        &mut world,
-        200,
-        seconds(0.0),
-        seconds(20.0),
-        &callers(3, seconds(0.2), true),
-    );
+    open_flows(&mut world, 200, seconds(0.0), seconds(20.0), &callers(3, seconds(0.2), true));
     let drained = list[1].clone();
     // The agent learns of the drain; the balancers never do.
-    world.at(seconds(8.0), move |world| {
-        world.configure_agent(1, &drained)
-    });
+    world.at(seconds(8.0), move |world| world.configure_agent(1, &drained));
     world.run_until(seconds(8.1));
     let opened = |world: &loftdrift_lab::World| {
-        world
-            .agent(1)
-            .map_or(0, |agent| agent.counters.flows_opened)
+        world.agent(1).map_or(0, |agent| agent.counters.flows_opened)
     };
     let before = opened(&world);
     assert!(before > 0);
@@ -140,20 +97,10 @@
             loss: 0.02,
             duplicates: 0.05,
         };
-        let settings = WorldSettings {
-            seed,
-            network,
-            ..WorldSettings::default()
-        };
+        let settings = WorldSettings { seed, network, ..WorldSettings::default() };
         let mut world = world(settings, 3, 4);
         world.configure_all(&configurations(&[create(4)])[0]);
-        open_flows(
-            &mut world,
-            40,
-            seconds(0.0),
-            seconds(5.0),
-            &callers(10, seconds(0.2), true),
-        );
+        open_flows(&mut world, 40, seconds(0.0), seconds(5.0), &callers(10, seconds(0.2), true));
         world.run_until(seconds(120.0));
         assert_clean(world.outcome(), seed);
     }
@@ -162,107 +109,53 @@
 #[test]
 fn an_agents_death_breaks_only_its_own_flows() {
     for seed in SEEDS {
-        let mut world = world(
-            WorldSettings {
-                seed,
-                ..WorldSettings::default()
-            },
-            3,
-            4,
-        );
+        let mut world = world(WorldSettings { seed, ..WorldSettings::default() }, 3, 4);
         world.configure_all(&configurations(&[create(4)])[0]);
-        open_flows(
-            &mut world,
-            40,
-            seconds(0.0),
-            seconds(2.0),
-            &callers(20, seconds(0.5), true),
-        );
+        open_flows(&mut world, 40, seconds(0.0), seconds(2.0), &callers(20, seconds(0.5), true));
         world.run_until(seconds(4.0));
         let own = world.agent(1).map_or(0, loftdrift_agent::Agent::flow_count) as u64;
         assert!(own > 0);
         world.kill_agent(1);
         // New flows pass the dead agent by once the balancers have found it silent.
-        open_flows(
-            &mut world,
-            40,
-            seconds(8.0),
-            seconds(9.0),
-            &callers(5, seconds(0.2), true),
-        );
+        open_flows(&mut world, 40, seconds(8.0), seconds(9.0), &callers(5, seconds(0.2), true));
         world.run_until(seconds(200.0));
         let outcome = world.outcome();
         assert_eq!(outcome.flows_broken, own, "seed {seed}: {outcome:?}");
         assert_eq!(outcome.flows_finished, 80 - own, "seed {seed}: {outcome:?}");
-        assert_eq!(
-            outcome.wrong_answers + outcome.misdelivered + outcome.doubled(),
-            0
-        );
+        assert_eq!(outcome.wrong_answers + outcome.misdelivered + outcome.doubled(), 0);
     }
 }
 
 #[test]
 fn a_back_ends_death_breaks_only_its_own_flows_and_attracts_no_new_ones() {
     for seed in SEEDS {
-        let mut world = world(
-            WorldSettings {
-                seed,
-                ..WorldSettings::default()
-            },
-            3,
-            4,
-        );
+        let mut world = world(WorldSettings { seed, ..WorldSettings::default() }, 3, 4);
         world.configure_all(&configurations(&[create(4)])[0]);
-        open_flows(
-            &mut world,
-            40,
-            seconds(0.5),
-            seconds(2.0),
-            &callers(20, seconds(0.5), true),
-        );
+        open_flows(&mut world, 40, seconds(0.5), seconds(2.0), &callers(20, seconds(0.5), true));
         world.run_until(seconds(4.0));
         let own = world.agent(1).map_or(0, loftdrift_agent::Agent::flow_count) as u64;
         assert!(own > 0);
         world.kill_backend(1);
         // Its agent now has the lowest load of all. Its next probe comes within a second.
-        open_flows(
-            &mut world,
-            60,
-            seconds(5.5),
-            seconds(8.0),
-            &callers(5, seconds(0.2), true),
-        );
+        open_flows(&mut world, 60, seconds(5.5), seconds(8.0), &callers(5, seconds(0.2), true));
         world.run_until(seconds(200.0));
         let outcome = world.outcome();
         assert_eq!(outcome.flows_broken, own, "seed {seed}: {outcome:?}");
-        assert_eq!(
-            outcome.flows_finished,
-            100 - own,
-            "seed {seed}: {outcome:?}"
-        );
+        assert_eq!(outcome.flows_finished, 100 - own, "seed {seed}: {outcome:?}");
     }
 }
 
 /// Callers without timestamps, more back ends than a packet can ask: history must find the flows.
 #[test]
 fn members_of_a_large_pool_change_and_history_finds_the_flows() {
-    const BACKENDS: u8 = 20;
-    let settings = WorldSettings {
-        seed: 5,
-        ..WorldSettings::default()
-    };
+    const BACKENDS: u32 = 20;
+    let settings = WorldSettings { seed: 5, ..WorldSettings::default() };
     let mut world = world(settings, 2, BACKENDS + 4);
     let mut scripts = vec![create(BACKENDS)];
     scripts.extend((1..=4).map(|number| attach(BACKENDS + number)));
     let list = configurations(&scripts);
     world.configure_all(&list[0]);
-    open_flows(
-        &mut world,
-        100,
-        seconds(0.0),
-        seconds(2.0),
-        &callers(30, seconds(0.5), false),
-    );
+    open_flows(&mut world, 100, seconds(0.0), seconds(2.0), &callers(30, seconds(0.5), false));
     for (index, configuration) in list.into_iter().enumerate().skip(1) {
         let at = seconds(2.0 + index as f64 * 1.5);
         world.at(at, move |world| world.configure_all(&configuration));
@@ -274,22 +167,13 @@
 /// Callers without timestamps, more changes than generations are kept, in a small pool.
 #[test]
 fn flows_outlive_the_kept_history_in_a_small_pool() {
-    let settings = WorldSettings {
-        seed: 6,
-        ..WorldSettings::default()
-    };
+    let settings = WorldSettings { seed: 6, ..WorldSettings::default() };
     let mut world = world(settings, 2, 8);
     let mut scripts = vec![create(8)];
     scripts.extend((1..=7).map(drain));
     let list = configurations(&scripts);
     world.configure_all(&list[0]);
-    open_flows(
-        &mut world,
-        40,
-        seconds(0.0),
-        seconds(1.0),
-        &callers(40, seconds(0.5), false),
-    );
+    open_flows(&mut world, 40, seconds(0.0), seconds(1.0), &callers(40, seconds(0.5), false));
     for (index, configuration) in list.into_iter().enumerate().skip(1) {
         let at = seconds(1.0 + index as f64);
         world.at(at, move |world| world.configure_all(&configuration));
--- a/crates/lab/tests/support/mod.rs
+++ b/crates/lab/tests/support/mod.rs
@@ -30,27 +30,27 @@
 }
 
 /// The statement that attaches the tile back end with that number, beside the agent of that number.
-pub fn attach(number: u8) -> String {
+pub fn attach(number: u32) -> String {
     format!(
         "attach backend tiles-{number} to tiles at 127.0.0.1:{} agent {} slots 7 state active",
-        9000 + u16::from(number),
+        9000 + number,
         World::agent_address(number),
     )
 }
 
-pub fn drain(number: u8) -> String {
+pub fn drain(number: u32) -> String {
     format!("drain backend tiles-{number}")
 }
 
 /// The script that creates the tile service with back ends `1..=count`.
-pub fn create(count: u8) -> String {
+pub fn create(count: u32) -> String {
     let attached = (1..=count).map(attach);
     let lines = std::iter::once(format!("create service tiles at {TILES}")).chain(attached);
     lines.collect::<Vec<_>>().join("\n")
 }
 
 /// A world with balancers `1..=balancers` and tile agents `1..=agents`.
-pub fn world(settings: WorldSettings, balancers: u8, agents: u8) -> World {
+pub fn world(settings: WorldSettings, balancers: u32, agents: u32) -> World {
     let mut world = World::new(settings).expect("a chart");
     for number in 1..=balancers {
         world.add_balancer(number);
@@ -59,10 +59,9 @@
         let behaviour = BackendBehaviour {
             service: "tiles".to_owned(),
             work: Duration::from_millis(5),
+            slots: 7,
         };
-        world
-            .add_agent(number, &format!("tiles-{number}"), behaviour)
-            .expect("a chart");
+        world.add_agent(number, &format!("tiles-{number}"), behaviour).expect("a chart");
     }
     world
 }
@@ -89,6 +88,8 @@
     for number in 0..count {
         let behaviour = behaviour.clone();
         let at = from + (to - from) * number / count;
-        world.at(at, move |world| world.open_flow(tiles(), &behaviour));
+        world.at(at, move |world| {
+            world.open_flow(tiles(), &behaviour);
+        });
     }
 }
--- a/crates/liveness/src/lib.rs
+++ b/crates/liveness/src/lib.rs
@@ -67,12 +67,7 @@
 
     /// Sets who is probed. New peers are believed alive and probed first.
     pub fn set_peers(&mut self, now: Duration, peers: impl Iterator<Item = SocketAddrV4>) {
-        let fresh = Peer {
-            due: now,
-            waiting: None,
-            missed: 0,
-            dead: false,
-        };
+        let fresh = Peer { due: now, waiting: None, missed: 0, dead: false };
         let known = std::mem::take(&mut self.peers);
         let keep = |address| (address, known.get(&address).copied().unwrap_or(fresh));
         self.peers = peers.map(keep).collect();
@@ -100,19 +95,8 @@
             self.next_sequence += 1;
             self.sent += 1;
             peer.waiting = Some(sequence);
-            peer.due = now
-                + if peer.dead {
-                    self.settings.interval
-                } else {
-                    self.settings.timeout
-                };
-            probes.push(Probe {
-                to: *address,
-                echo: Echo {
-                    kind: EchoKind::Request,
-                    sequence,
-                },
-            });
+            peer.due = now + if peer.dead { self.settings.interval } else { self.settings.timeout };
+            probes.push(Probe { to: *address, echo: Echo { kind: EchoKind::Request, sequence } });
         }
         probes
     }
@@ -136,10 +120,7 @@
 
     /// The peers believed alive, in the order of their addresses.
     pub fn living(&self) -> impl Iterator<Item = SocketAddrV4> {
-        self.peers
-            .iter()
-            .filter(|(_, peer)| !peer.dead)
-            .map(|(address, _)| *address)
+        self.peers.iter().filter(|(_, peer)| !peer.dead).map(|(address, _)| *address)
     }
 
     /// Whether a verdict or the set has changed since the last call.
--- a/crates/platform/src/client.rs
+++ b/crates/platform/src/client.rs
@@ -33,9 +33,7 @@
 impl StoreClient {
     /// A client of the store at `server`.
     pub fn new(server: SocketAddr) -> Self {
-        StoreClient {
-            http: HttpClient::new(server, REQUEST_TIMEOUT),
-        }
+        StoreClient { http: HttpClient::new(server, REQUEST_TIMEOUT) }
     }
 
     /// Bytes sent to and received from the store so far.
@@ -53,13 +51,9 @@
                     success: writes.iter().map(operation).collect(),
                     failure: Vec::new(),
                 };
-                let answer: TxnResponse = self
-                    .http
-                    .send_json(Method::POST, TXN_PATH, &request)
-                    .await?;
-                Ok(StoreReply::Transacted {
-                    succeeded: answer.succeeded,
-                })
+                let answer: TxnResponse =
+                    self.http.send_json(Method::POST, TXN_PATH, &request).await?;
+                Ok(StoreReply::Transacted { succeeded: answer.succeeded })
             }
         }
     }
@@ -69,15 +63,9 @@
             key: Base64Text(prefix.to_owned()),
             range_end: Base64Text(prefix_end(prefix)),
         };
-        let answer: RangeResponse = self
-            .http
-            .send_json(Method::POST, RANGE_PATH, &request)
-            .await?;
+        let answer: RangeResponse = self.http.send_json(Method::POST, RANGE_PATH, &request).await?;
         let keys = answer.kvs.into_iter().map(key_value).collect();
-        Ok(StoreReply::Keys {
-            keys,
-            revision: answer.header.revision.0,
-        })
+        Ok(StoreReply::Keys { keys, revision: answer.header.revision.0 })
     }
 
     /// Opens a watch on the keys that begin with `prefix`, from a store revision on.
@@ -94,11 +82,7 @@
 }
 
 pub(crate) fn key_value(message: KeyValueMessage) -> KeyValue {
-    KeyValue {
-        key: message.key.0,
-        value: message.value.0,
-        mod_revision: message.mod_revision.0,
-    }
+    KeyValue { key: message.key.0, value: message.value.0, mod_revision: message.mod_revision.0 }
 }
 
 fn compare(condition: &StoreCondition) -> Compare {
--- a/crates/platform/src/etcd.rs
+++ b/crates/platform/src/etcd.rs
@@ -34,9 +34,7 @@
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         let encoded = String::deserialize(deserializer)?;
         let bytes = STANDARD.decode(encoded).map_err(serde::de::Error::custom)?;
-        String::from_utf8(bytes)
-            .map(Base64Text)
-            .map_err(serde::de::Error::custom)
+        String::from_utf8(bytes).map(Base64Text).map_err(serde::de::Error::custom)
     }
 }
 
--- a/crates/platform/src/follow.rs
+++ b/crates/platform/src/follow.rs
@@ -64,9 +64,7 @@
     published: &watch::Sender<Option<Arc<Configuration>>>,
     progressed: &mut bool,
 ) -> Result<(), FollowError> {
-    let request = StoreRequest::ReadPrefix {
-        prefix: KEY_PREFIX.to_owned(),
-    };
+    let request = StoreRequest::ReadPrefix { prefix: KEY_PREFIX.to_owned() };
     let StoreReply::Keys { keys, revision } = store.send(&request).await? else {
         return Ok(());
     };
@@ -112,9 +110,7 @@
     }
     let configuration = documents.configuration();
     published.send_if_modified(|current| {
-        let newer = current
-            .as_ref()
-            .is_none_or(|current| configuration.version > current.version);
+        let newer = current.as_ref().is_none_or(|current| configuration.version > current.version);
         if newer {
             *current = Some(Arc::new(configuration));
         }
--- a/crates/platform/src/machines.rs
+++ b/crates/platform/src/machines.rs
@@ -57,9 +57,7 @@
 impl MachineListClient {
     /// A client of the platform at `server`.
     pub fn new(server: SocketAddr) -> Self {
-        MachineListClient {
-            http: HttpClient::new(server, REQUEST_TIMEOUT),
-        }
+        MachineListClient { http: HttpClient::new(server, REQUEST_TIMEOUT) }
     }
 
     /// The list as the platform believes it now.
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -50,13 +50,7 @@
         table: &'c Table,
         overrides: &'c Overrides,
     ) -> Self {
-        Reader {
-            findings,
-            table,
-            overrides,
-            known: BTreeSet::new(),
-            listeners: Vec::new(),
-        }
+        Reader { findings, table, overrides, known: BTreeSet::new(), listeners: Vec::new() }
     }
 
     pub(crate) fn finding(&mut self, offset: usize, problem: String, expected: &str) {
@@ -76,11 +70,7 @@
         let flags: Vec<String> = self.overrides.values.keys().cloned().collect();
         for flag in flags {
             if !self.known.contains(flag.as_str()) {
-                self.finding(
-                    0,
-                    format!("unknown flag `--{}`", flag.replace('_', "-")),
-                    &known,
-                );
+                self.finding(0, format!("unknown flag `--{}`", flag.replace('_', "-")), &known);
             }
         }
     }
@@ -119,20 +109,12 @@
         let found = value.type_name();
         let shown = value.to_string();
         let shown = shown.trim();
-        self.finding(
-            offset,
-            format!("`{name}` is {shown}, of type {found}"),
-            expected,
-        );
+        self.finding(offset, format!("`{name}` is {shown}, of type {found}"), expected);
     }
 
     fn wrong_flag(&mut self, name: &str, value: &str, expected: &str) {
         let flag = name.replace('_', "-");
-        self.finding(
-            0,
-            format!("flag `--{flag} {value}` is not understood"),
-            expected,
-        );
+        self.finding(0, format!("flag `--{flag} {value}` is not understood"), expected);
     }
 
     pub(crate) fn optional_text(&mut self, name: &'static str) -> Option<String> {
@@ -192,10 +174,7 @@
     }
 
     pub(crate) fn claim(&mut self, name: &'static str, address: SocketAddrV4, offset: usize) {
-        let taken = self
-            .listeners
-            .iter()
-            .find(|(listener, _)| *listener == address);
+        let taken = self.listeners.iter().find(|(listener, _)| *listener == address);
         if let Some((_, other)) = taken.filter(|_| address.port() != 0) {
             let problem = format!("`{name}` listens on {address}, as `{other}` does");
             self.finding(offset, problem, "another address");
@@ -242,9 +221,7 @@
                 }
             },
             Found::File(value) => {
-                let number = value
-                    .as_float()
-                    .or_else(|| value.as_integer().map(|n| n as f64));
+                let number = value.as_float().or_else(|| value.as_integer().map(|n| n as f64));
                 match number {
                     Some(number) if (least..=most).contains(&number) => return Some(number),
                     _ => {
@@ -263,8 +240,7 @@
     }
 
     pub(crate) fn seconds(&mut self, name: &'static str, default: f64) -> Option<Duration> {
-        self.number(name, 0.0, LONGEST, default)
-            .map(Duration::from_secs_f64)
+        self.number(name, 0.0, LONGEST, default).map(Duration::from_secs_f64)
     }
 
     pub(crate) fn switch(&mut self, name: &'static str, default: bool) -> Option<bool> {
@@ -323,11 +299,7 @@
 
     /// The zone of this process, which must be among `zones` when these are listed.
     pub(crate) fn zone(&mut self) -> Option<String> {
-        let zones: Vec<String> = self
-            .texts("zones")
-            .into_iter()
-            .map(|(zone, _)| zone)
-            .collect();
+        let zones: Vec<String> = self.texts("zones").into_iter().map(|(zone, _)| zone).collect();
         let zone = self.optional_text("zone")?;
         if !zones.is_empty() && !zones.contains(&zone) {
             let span = self.table.get("zone").and_then(Item::span);
@@ -344,11 +316,7 @@
             Some(Item::ArrayOfTables(tables)) => tables.iter().collect(),
             Some(_) => {
                 let offset = self.key_offset(name);
-                self.finding(
-                    offset,
-                    format!("`{name}` is no list of tables"),
-                    "[[…]] tables",
-                );
+                self.finding(offset, format!("`{name}` is no list of tables"), "[[…]] tables");
                 Vec::new()
             }
             None => Vec::new(),
--- a/crates/settings/src/roles.rs
+++ b/crates/settings/src/roles.rs
@@ -43,17 +43,11 @@
 
     /// The role's name in files and on the command line.
     pub fn name(self) -> &'static str {
-        Self::ALL
-            .iter()
-            .find(|(role, _)| *role == self)
-            .map_or("", |(_, name)| name)
+        Self::ALL.iter().find(|(role, _)| *role == self).map_or("", |(_, name)| name)
     }
 
     fn parse(name: &str) -> Option<Role> {
-        Self::ALL
-            .iter()
-            .find(|(_, known)| *known == name)
-            .map(|(role, _)| *role)
+        Self::ALL.iter().find(|(_, known)| *known == name).map(|(role, _)| *role)
     }
 }
 
@@ -272,10 +266,7 @@
 ) -> Option<Settings> {
     let mut reader = Reader::new(findings, table, overrides);
     // The role was read before; here it only counts as known.
-    let _ = table
-        .get("role")
-        .and_then(Item::as_str)
-        .map(|_| reader.optional_text("role"));
+    let _ = table.get("role").and_then(Item::as_str).map(|_| reader.optional_text("role"));
     let settings = match role {
         Role::Balancer => read_balancer(&mut reader).map(Settings::Balancer),
         Role::Agent => read_agent(&mut reader).map(Settings::Agent),
@@ -315,11 +306,8 @@
     let platform = reader.address("platform");
     let zone = reader.zone();
     let drain = reader.seconds("drain_seconds", DEFAULT_AGENT_DRAIN_SECONDS);
-    let buffer = reader.count(
-        "flow_buffer_bytes",
-        LEAST_FLOW_BUFFER_BYTES,
-        DEFAULT_FLOW_BUFFER_BYTES,
-    );
+    let buffer =
+        reader.count("flow_buffer_bytes", LEAST_FLOW_BUFFER_BYTES, DEFAULT_FLOW_BUFFER_BYTES);
     let cookies = reader.switch("cookies", true);
     let unknown_grace = reader.seconds("unknown_grace_seconds", DEFAULT_UNKNOWN_GRACE_SECONDS);
     let udp_idle = reader.seconds("udp_idle_seconds", DEFAULT_UDP_IDLE_SECONDS);
@@ -352,11 +340,7 @@
         inner.finish();
         if let Some(listener) = listener {
             let span = table.get("listen").and_then(Item::span);
-            reader.claim(
-                "listeners.listen",
-                listener.listen,
-                span.map_or(0, |span| span.start),
-            );
+            reader.claim("listeners.listen", listener.listen, span.map_or(0, |span| span.start));
             listeners.push(listener);
         }
     }
@@ -377,19 +361,11 @@
         None | Some("tcp") => Some(ListenerTransport::Tcp),
         Some("udp") => Some(ListenerTransport::Udp),
         Some(other) => {
-            reader.finding(
-                0,
-                format!("unknown transport `{other}`"),
-                "\"tcp\" or \"udp\"",
-            );
+            reader.finding(0, format!("unknown transport `{other}`"), "\"tcp\" or \"udp\"");
             None
         }
     };
-    Some(FabricListener {
-        listen: listen?,
-        service: service?,
-        transport: transport?,
-    })
+    Some(FabricListener { listen: listen?, service: service?, transport: transport? })
 }
 
 fn read_platform(reader: &mut Reader<'_, '_>) -> Option<PlatformProcess> {
--- a/crates/settings/tests/findings.rs
+++ b/crates/settings/tests/findings.rs
@@ -6,12 +6,7 @@
     let findings = Settings::read("test.toml", text, None, &Overrides::default());
     let list = findings.expect_err("findings").list;
     let row = |finding: loftdrift_findings::Finding| {
-        (
-            finding.place.line,
-            finding.place.column,
-            finding.problem,
-            finding.expected,
-        )
+        (finding.place.line, finding.place.column, finding.problem, finding.expected)
     };
     list.into_iter().map(row).collect()
 }
@@ -49,12 +44,7 @@
         "role = \"agent\"\nlisten = \"127.0.0.1:5000\"\nmetrics = \"127.0.0.1:5000\"\n\
          backend = \"a\"\nfabric = \"127.0.0.1:1\"\nplatform = \"127.0.0.1:2\"\n",
     );
-    has(
-        &doubled,
-        3,
-        1,
-        "`metrics` listens on 127.0.0.1:5000, as `listen` does",
-    );
+    has(&doubled, 3, 1, "`metrics` listens on 127.0.0.1:5000, as `listen` does");
     let slots = findings(
         "role = \"backend\"\nlisten = \"127.0.0.1:5000\"\nservice = \"s\"\nname = \"a\"\nslots = 0\n",
     );
@@ -85,16 +75,8 @@
     let text = "role = \"agent\"\n";
     let findings = Settings::read("t", text, Some(Role::Balancer), &Overrides::default());
     let shown = findings.expect_err("findings").to_string();
-    assert!(
-        shown.contains("t:1:8: these are settings of a agent"),
-        "{shown}"
-    );
-    has(
-        &self::findings("role = \"cook\"\n"),
-        1,
-        8,
-        "unknown role `cook`",
-    );
+    assert!(shown.contains("t:1:8: these are settings of a agent"), "{shown}");
+    has(&self::findings("role = \"cook\"\n"), 1, 8, "unknown role `cook`");
 }
 
 #[test]
@@ -104,16 +86,12 @@
     overrides.set("listen", "127.0.0.1:6000".to_owned());
     overrides.set("drain-seconds", "0.5".to_owned());
     let settings = Settings::read("t", text, None, &overrides).expect("settings");
-    let Settings::Balancer(balancer) = settings else {
-        panic!("{settings:?}")
-    };
+    let Settings::Balancer(balancer) = settings else { panic!("{settings:?}") };
     assert_eq!(balancer.listen.port(), 6000);
     assert_eq!(balancer.drain.as_millis(), 500);
     overrides.set("listen", "nowhere".to_owned());
     overrides.set("colour", "red".to_owned());
-    let shown = Settings::read("t", text, None, &overrides)
-        .expect_err("findings")
-        .to_string();
+    let shown = Settings::read("t", text, None, &overrides).expect_err("findings").to_string();
     assert!(shown.contains("flag `--listen nowhere`"), "{shown}");
     assert!(shown.contains("unknown flag `--colour`"), "{shown}");
 }
@@ -121,12 +99,10 @@
 #[test]
 fn arbitrary_files_never_panic() {
     loftdrift_testkit::check_fixed_seeds(|input| {
-        let role = input.choose(&[
-            "balancer", "agent", "fabric", "platform", "backend", "callers",
-        ])?;
-        let words = [
-            "listen", "=", "\"", "[", "]", "\n", "7", "zones", "1.5", "true", "slots", "[[",
-        ];
+        let role =
+            input.choose(&["balancer", "agent", "fabric", "platform", "backend", "callers"])?;
+        let words =
+            ["listen", "=", "\"", "[", "]", "\n", "7", "zones", "1.5", "true", "slots", "[["];
         let mut text = format!("role = \"{role}\"\n");
         for _ in 0..input.int_in_range(0..=30)? {
             text.push_str(input.choose(&words)?);
--- a/crates/splice/src/lib.rs
+++ b/crates/splice/src/lib.rs
@@ -66,10 +66,7 @@
 impl Reporter {
     /// Reports an event; `false` when nobody listens any more.
     async fn report(&self, event: SocketEvent) -> bool {
-        let event = FlowSocketEvent {
-            flow: self.flow,
-            event,
-        };
+        let event = FlowSocketEvent { flow: self.flow, event };
         self.events.send(event).await.is_ok()
     }
 }
--- a/crates/standin/src/backend.rs
+++ b/crates/standin/src/backend.rs
@@ -109,10 +109,8 @@
             RecordMessage::Ran(request) => *runs.entry(request).or_default() += 1,
             RecordMessage::List(reply) => {
                 let listed = runs.iter();
-                let listed = listed.map(|(request, runs)| Execution {
-                    request: request.clone(),
-                    runs: *runs,
-                });
+                let listed = listed
+                    .map(|(request, runs)| Execution { request: request.clone(), runs: *runs });
                 // Whoever asked may have gone.
                 let _ = reply.send(listed.collect());
             }
@@ -151,10 +149,9 @@
             _ => text_answer(StatusCode::NOT_FOUND, "no such path"),
         };
         let headers = answer.headers_mut();
-        for (name, value) in [
-            (SERVICE_HEADER, &self.settings.service),
-            (BACKEND_HEADER, &self.settings.name),
-        ] {
+        for (name, value) in
+            [(SERVICE_HEADER, &self.settings.service), (BACKEND_HEADER, &self.settings.name)]
+        {
             if let Ok(value) = HeaderValue::from_str(value) {
                 headers.insert(name, value);
             }
@@ -175,22 +172,14 @@
             return text_answer(StatusCode::BAD_REQUEST, "expected /bytes/SIZE?seed=N");
         };
         let query = request.uri().query().unwrap_or_default();
-        let seed = query
-            .strip_prefix("seed=")
-            .and_then(|seed| seed.parse().ok())
-            .unwrap_or(0);
+        let seed = query.strip_prefix("seed=").and_then(|seed| seed.parse().ok()).unwrap_or(0);
         let Some(presence) = self.enter() else {
             return self.refuse();
         };
         self.work(request).await;
-        let content = ContentFrames {
-            content: Content::new(seed, size),
-            _presence: presence,
-        };
+        let content = ContentFrames { content: Content::new(seed, size), _presence: presence };
         let mut answer = Response::new(BodyExt::boxed(StreamBody::new(content)));
-        answer
-            .headers_mut()
-            .insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(size));
+        answer.headers_mut().insert(hyper::header::CONTENT_LENGTH, HeaderValue::from(size));
         answer
     }
 
@@ -215,23 +204,15 @@
     }
 
     fn refuse(&self) -> Answer {
-        let mut answer = text_answer(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "the queue is full; not run",
-        );
-        answer
-            .headers_mut()
-            .insert(RETRY_AFTER, RETRY_AFTER_SECONDS);
+        let mut answer = text_answer(StatusCode::SERVICE_UNAVAILABLE, "the queue is full; not run");
+        answer.headers_mut().insert(RETRY_AFTER, RETRY_AFTER_SECONDS);
         answer
     }
 
     /// Waits for a slot, notes that the request runs, and works.
     async fn work(&self, request: &Request<Incoming>) {
         let slot = self.slots.acquire().await;
-        let id = request
-            .headers()
-            .get(&REQUEST_ID_HEADER)
-            .and_then(|id| id.to_str().ok());
+        let id = request.headers().get(&REQUEST_ID_HEADER).and_then(|id| id.to_str().ok());
         if let Some(id) = id {
             // The record lives as long as the server.
             let _ = self.record.send(RecordMessage::Ran(id.to_owned())).await;
--- a/crates/standin/src/callers.rs
+++ b/crates/standin/src/callers.rs
@@ -80,14 +80,7 @@
 ) {
     let seed = settings.seed ^ caller.wrapping_mul(0x9E37_79B9_7F4A_7C15);
     let random = ChaCha8Rng::seed_from_u64(seed);
-    let mut caller = Caller {
-        settings,
-        caller,
-        random,
-        events,
-        stop,
-        next_request: 0,
-    };
+    let mut caller = Caller { settings, caller, random, events, stop, next_request: 0 };
     while !*caller.stop.borrow() {
         if let Err(cause) = caller.run_flow().await {
             caller.report(CallerEvent::Broken(cause)).await;
@@ -119,9 +112,7 @@
     async fn run_flow(&mut self) -> Result<(), BreakCause> {
         let connecting = TcpStream::connect(self.settings.address);
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
-        let stream = stream
-            .map_err(|_| BreakCause::Timeout)?
-            .map_err(|_| BreakCause::Refused)?;
+        let stream = stream.map_err(|_| BreakCause::Timeout)?.map_err(|_| BreakCause::Refused)?;
         // Requests are small; failing to set this only delays them.
         let _ = stream.set_nodelay(true);
         let opened = handshake(TokioIo::new(stream)).await;
@@ -147,18 +138,12 @@
             return Want::Submit;
         }
         let (least, most) = self.settings.body_bytes;
-        Want::Fetch {
-            size: self.random.random_range(least..=most),
-            seed: self.random.random(),
-        }
+        Want::Fetch { size: self.random.random_range(least..=most), seed: self.random.random() }
     }
 
     async fn request(&mut self, sender: &mut SendRequest<Empty<Bytes>>) -> Result<(), BreakCause> {
         let want = self.next_want();
-        let id = format!(
-            "{}-{}-{}",
-            self.settings.service, self.caller, self.next_request
-        );
+        let id = format!("{}-{}-{}", self.settings.service, self.caller, self.next_request);
         self.next_request += 1;
         let (method, path) = match &want {
             Want::Fetch { size, seed } => (Method::GET, format!("/bytes/{size}?seed={seed}")),
@@ -172,10 +157,7 @@
             .body(Empty::new())
             .map_err(|_| BreakCause::Cut)?;
         self.report(CallerEvent::Sent(id.clone())).await;
-        let answer = sender
-            .send_request(request)
-            .await
-            .map_err(|_| BreakCause::Cut)?;
+        let answer = sender.send_request(request).await.map_err(|_| BreakCause::Cut)?;
         let service = answer.headers().get(&SERVICE_HEADER);
         if service.is_none_or(|service| service.as_bytes() != self.settings.service.as_bytes()) {
             self.report(CallerEvent::Misdelivered(id)).await;
@@ -204,10 +186,7 @@
         let submission = matches!(want, Want::Submit);
         self.report(match status {
             StatusCode::SERVICE_UNAVAILABLE => CallerEvent::RefusedNotRun(id),
-            StatusCode::OK if whole => CallerEvent::Whole {
-                request: id,
-                submission,
-            },
+            StatusCode::OK if whole => CallerEvent::Whole { request: id, submission },
             _ => CallerEvent::Wrong(id),
         })
         .await;
--- a/crates/standin/src/content.rs
+++ b/crates/standin/src/content.rs
@@ -17,10 +17,7 @@
 impl Content {
     /// The body of `size` bytes that belongs to `seed`.
     pub fn new(seed: u64, size: u64) -> Self {
-        Content {
-            random: ChaCha8Rng::seed_from_u64(seed),
-            left: size,
-        }
+        Content { random: ChaCha8Rng::seed_from_u64(seed), left: size }
     }
 }
 
@@ -51,11 +48,7 @@
 impl ContentCheck {
     /// Expects the body of `size` bytes that belongs to `seed`.
     pub fn new(seed: u64, size: u64) -> Self {
-        ContentCheck {
-            content: Content::new(seed, size),
-            expected: Bytes::new(),
-            matches: true,
-        }
+        ContentCheck { content: Content::new(seed, size), expected: Bytes::new(), matches: true }
     }
 
     /// Takes the next piece.
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -122,17 +122,8 @@
         background.spawn(follow_machines(platform, fixed, balancer_sender));
     }
     let mut fabric = Fabric::new(socket, &settings, answers, event_sender)?;
-    fabric
-        .prober
-        .set_peers(Duration::ZERO, settings.balancers.iter().copied());
-    fabric
-        .run(Inputs {
-            accepted,
-            datagrams,
-            events,
-            balancer_lists,
-        })
-        .await;
+    fabric.prober.set_peers(Duration::ZERO, settings.balancers.iter().copied());
+    fabric.run(Inputs { accepted, datagrams, events, balancer_lists }).await;
     Ok(())
 }
 
@@ -153,15 +144,7 @@
             tokio::task::yield_now().await;
             continue;
         };
-        if accepted
-            .send(AcceptedStream {
-                stream,
-                caller,
-                service,
-            })
-            .await
-            .is_err()
-        {
+        if accepted.send(AcceptedStream { stream, caller, service }).await.is_err() {
             return;
         }
     }
@@ -179,10 +162,7 @@
             let listed = list.machines.iter().filter(|machine| {
                 machine.role == MachineRole::Balancer && machine.state == MachineState::Live
             });
-            let balancers = fixed
-                .iter()
-                .copied()
-                .chain(listed.map(|machine| machine.address));
+            let balancers = fixed.iter().copied().chain(listed.map(|machine| machine.address));
             if lists.send(balancers.collect()).await.is_err() {
                 return;
             }
@@ -245,10 +225,7 @@
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut tick = tokio::time::interval(PROBE_TICK);
         loop {
-            let deadline = self
-                .flows
-                .next_wake_up()
-                .map(|deadline| self.started + deadline);
+            let deadline = self.flows.next_wake_up().map(|deadline| self.started + deadline);
             tokio::select! {
                 readable = self.socket.readable() => {
                     if readable.is_ok() {
@@ -291,11 +268,7 @@
             return;
         };
         if packet.control {
-            if let Some(Echo {
-                kind: EchoKind::Reply,
-                ..
-            }) = Echo::decode(&packet)
-            {
+            if let Some(Echo { kind: EchoKind::Reply, .. }) = Echo::decode(&packet) {
                 self.prober.on_reply(now, from);
             }
             return;
@@ -309,10 +282,7 @@
             self.answer_datagram(&key, packet.inner, inner.transport_offset);
             return;
         }
-        let Some(flow) = self
-            .flows
-            .find(&key)
-            .filter(|_| segment_checksum_is_right(packet.inner))
+        let Some(flow) = self.flows.find(&key).filter(|_| segment_checksum_is_right(packet.inner))
         else {
             self.counters.unclaimed += 1;
             return;
@@ -325,41 +295,24 @@
     }
 
     fn answer_datagram(&mut self, key: &FlowKey, packet: &[u8], transport_offset: usize) {
-        let payload = packet
-            .get(transport_offset + UDP_HEADER_BYTES..)
-            .unwrap_or_default();
+        let payload = packet.get(transport_offset + UDP_HEADER_BYTES..).unwrap_or_default();
         let payload = Bytes::copy_from_slice(payload);
         if let Some(answers) = self.answers.get(&key.service) {
             self.counters.returned += 1;
             // A full queue drops the answer, as a full port would.
-            let _ = answers.try_send(CallerAnswer {
-                caller: key.caller,
-                payload,
-            });
+            let _ = answers.try_send(CallerAnswer { caller: key.caller, payload });
         }
     }
 
     fn open(&mut self, accepted: AcceptedStream) {
         let now = self.now();
-        let AcceptedStream {
-            stream,
-            caller,
-            service,
-        } = accepted;
-        let key = FlowKey {
-            caller,
-            service,
-            transport: Transport::Tcp,
-        };
+        let AcceptedStream { stream, caller, service } = accepted;
+        let key = FlowKey { caller, service, transport: Transport::Tcp };
         if let Some(previous) = self.flows.find(&key) {
             // The host used the caller's port again before the last stray segments were waited for.
             self.flows.remove(previous);
         }
-        let timestamps = if self.timestamps {
-            Timestamps::Clock
-        } else {
-            Timestamps::Off
-        };
+        let timestamps = if self.timestamps { Timestamps::Clock } else { Timestamps::Off };
         let settings = EndpointSettings {
             buffer_bytes: FLOW_BUFFER_BYTES,
             timestamps,
@@ -370,10 +323,7 @@
         let events = self.events.clone();
         let flow = self.flows.insert_with(key, |flow| {
             let source = SocketSource::Accepted(stream);
-            FabricFlow {
-                splice,
-                commands: loftdrift_splice::spawn(flow, source, events),
-            }
+            FabricFlow { splice, commands: loftdrift_splice::spawn(flow, source, events) }
         });
         if let Some(entry) = self.flows.get_mut(flow) {
             entry.body.splice.pump(now);
@@ -382,11 +332,7 @@
     }
 
     fn send_datagram(&mut self, datagram: &CallerDatagram) {
-        let CallerDatagram {
-            caller,
-            service,
-            payload,
-        } = datagram;
+        let CallerDatagram { caller, service, payload } = datagram;
         let builder = PacketBuilder::ipv4(caller.ip().octets(), service.ip().octets(), HOP_LIMIT)
             .udp(caller.port(), service.port());
         let mut packet = Vec::with_capacity(builder.size(payload.len()));
@@ -440,8 +386,7 @@
             return;
         };
         self.counters.sprayed += 1;
-        self.to_send
-            .push((balancer, encode_packet(0, None, packet)));
+        self.to_send.push((balancer, encode_packet(0, None, packet)));
     }
 
     fn probe(&mut self) {
--- a/crates/standin/src/key_value.rs
+++ b/crates/standin/src/key_value.rs
@@ -44,70 +44,33 @@
 impl KeyValueStore {
     /// Reads keys.
     pub fn range(&self, request: &RangeRequest) -> RangeResponse {
-        let selected = self
-            .keys
-            .iter()
-            .filter(|(key, _)| in_range(key, &request.key.0, &request.range_end.0));
-        RangeResponse {
-            header: self.header(),
-            kvs: selected.map(|(_, kv)| kv.clone()).collect(),
-        }
+        let selected =
+            self.keys.iter().filter(|(key, _)| in_range(key, &request.key.0, &request.range_end.0));
+        RangeResponse { header: self.header(), kvs: selected.map(|(_, kv)| kv.clone()).collect() }
     }
 
     /// Writes a key.
     pub fn put(&mut self, request: PutRequest) -> Changed<PlainResponse> {
-        let operation = RequestOperation {
-            request_put: Some(request),
-            ..Default::default()
-        };
+        let operation = RequestOperation { request_put: Some(request), ..Default::default() };
         let change = self.carry_out(vec![operation]);
-        (
-            PlainResponse {
-                header: self.header(),
-            },
-            change,
-        )
+        (PlainResponse { header: self.header() }, change)
     }
 
     /// Carries out a transaction.
     pub fn transact(&mut self, request: TxnRequest) -> Changed<TxnResponse> {
         let succeeded = request.compare.iter().all(|compare| self.holds(compare));
-        let operations = if succeeded {
-            request.success
-        } else {
-            request.failure
-        };
+        let operations = if succeeded { request.success } else { request.failure };
         let change = self.carry_out(operations);
-        (
-            TxnResponse {
-                header: self.header(),
-                succeeded,
-            },
-            change,
-        )
+        (TxnResponse { header: self.header(), succeeded }, change)
     }
 
     /// Grants a lease.
     pub fn grant(&mut self, now: Duration, request: &LeaseGrantRequest) -> LeaseResponse {
         self.next_lease += 1;
-        let id = if request.id.0 == 0 {
-            self.next_lease
-        } else {
-            request.id.0
-        };
+        let id = if request.id.0 == 0 { self.next_lease } else { request.id.0 };
         let ttl = Duration::from_secs(request.ttl.0.max(1));
-        self.leases.insert(
-            id,
-            Lease {
-                ttl,
-                ends_at: now + ttl,
-            },
-        );
-        LeaseResponse {
-            header: self.header(),
-            id: Number(id),
-            ttl: Number(ttl.as_secs()),
-        }
+        self.leases.insert(id, Lease { ttl, ends_at: now + ttl });
+        LeaseResponse { header: self.header(), id: Number(id), ttl: Number(ttl.as_secs()) }
     }
 
     /// Keeps a lease alive; the answer's time to live is 0 when it is gone.
@@ -117,11 +80,7 @@
             lease.ends_at = now + lease.ttl;
             ttl = lease.ttl.as_secs();
         }
-        LeaseResponse {
-            header: self.header(),
-            id: Number(id),
-            ttl: Number(ttl),
-        }
+        LeaseResponse { header: self.header(), id: Number(id), ttl: Number(ttl) }
     }
 
     /// Ends a lease and removes its keys.
@@ -130,15 +89,9 @@
         let hanging = self.keys.values().filter(|kv| kv.lease.0 == id);
         let keys: Vec<String> = hanging.map(|kv| kv.key.0.clone()).collect();
         let change = self.record(|store, events, revision| {
-            keys.iter()
-                .for_each(|key| store.remove(key, revision, events));
+            keys.iter().for_each(|key| store.remove(key, revision, events));
         });
-        (
-            PlainResponse {
-                header: self.header(),
-            },
-            change,
-        )
+        (PlainResponse { header: self.header() }, change)
     }
 
     /// Ends the leases whose time has come.
@@ -151,11 +104,7 @@
     /// The responses with which a watch begins: what has happened since its first revision.
     pub fn begin_watch(&self, request: &WatchCreateRequest) -> Vec<WatchResponse> {
         let from = request.start_revision.0;
-        let created = WatchResponse {
-            header: self.header(),
-            created: true,
-            ..Default::default()
-        };
+        let created = WatchResponse { header: self.header(), created: true, ..Default::default() };
         if from != 0 && from <= self.compacted {
             let canceled = WatchResponse {
                 header: self.header(),
@@ -165,25 +114,17 @@
             };
             return vec![created, canceled];
         }
-        let past = self
-            .history
-            .iter()
-            .filter(|change| from != 0 && change.revision >= from);
+        let past = self.history.iter().filter(|change| from != 0 && change.revision >= from);
         let past = past.filter_map(|change| watch_response(change, request));
         std::iter::once(created).chain(past).collect()
     }
 
     fn header(&self) -> ResponseHeader {
-        ResponseHeader {
-            revision: Number(self.revision),
-        }
+        ResponseHeader { revision: Number(self.revision) }
     }
 
     fn holds(&self, compare: &Compare) -> bool {
-        let found = self
-            .keys
-            .get(&compare.key.0)
-            .map_or(0, |kv| kv.mod_revision.0);
+        let found = self.keys.get(&compare.key.0).map_or(0, |kv| kv.mod_revision.0);
         compare.target == "MOD" && compare.result == "EQUAL" && found == compare.mod_revision.0
     }
 
@@ -198,9 +139,7 @@
                     let selected =
                         selected.filter(|key| in_range(key, &delete.key.0, &delete.range_end.0));
                     let selected: Vec<String> = selected.cloned().collect();
-                    selected
-                        .iter()
-                        .for_each(|key| store.remove(key, revision, events));
+                    selected.iter().for_each(|key| store.remove(key, revision, events));
                 }
             }
         })
@@ -227,10 +166,7 @@
     }
 
     fn write(&mut self, put: PutRequest, revision: u64, events: &mut Vec<WatchEvent>) {
-        let created = self
-            .keys
-            .get(&put.key.0)
-            .map_or(revision, |kv| kv.create_revision.0);
+        let created = self.keys.get(&put.key.0).map_or(revision, |kv| kv.create_revision.0);
         let kv = KeyValueMessage {
             key: put.key.clone(),
             value: put.value,
@@ -239,10 +175,7 @@
             lease: put.lease,
         };
         self.keys.insert(put.key.0, kv.clone());
-        events.push(WatchEvent {
-            kind: String::new(),
-            kv,
-        });
+        events.push(WatchEvent { kind: String::new(), kv });
     }
 
     fn remove(&mut self, key: &str, revision: u64, events: &mut Vec<WatchEvent>) {
@@ -252,10 +185,7 @@
                 mod_revision: Number(revision),
                 ..Default::default()
             };
-            events.push(WatchEvent {
-                kind: DELETE_EVENT.to_owned(),
-                kv,
-            });
+            events.push(WatchEvent { kind: DELETE_EVENT.to_owned(), kv });
         }
     }
 }
@@ -269,20 +199,10 @@
     if events.is_empty() {
         return None;
     }
-    let header = ResponseHeader {
-        revision: Number(change.revision),
-    };
-    Some(WatchResponse {
-        header,
-        events,
-        ..Default::default()
-    })
+    let header = ResponseHeader { revision: Number(change.revision) };
+    Some(WatchResponse { header, events, ..Default::default() })
 }
 
 fn in_range(key: &str, first: &str, end: &str) -> bool {
-    if end.is_empty() {
-        key == first
-    } else {
-        key >= first && key < end
-    }
+    if end.is_empty() { key == first } else { key >= first && key < end }
 }
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -58,10 +58,7 @@
     Range(etcd::RangeRequest, oneshot::Sender<etcd::RangeResponse>),
     Put(etcd::PutRequest, oneshot::Sender<etcd::PlainResponse>),
     Transact(etcd::TxnRequest, oneshot::Sender<etcd::TxnResponse>),
-    Grant(
-        etcd::LeaseGrantRequest,
-        oneshot::Sender<etcd::LeaseResponse>,
-    ),
+    Grant(etcd::LeaseGrantRequest, oneshot::Sender<etcd::LeaseResponse>),
     KeepAlive(etcd::LeaseRequest, oneshot::Sender<etcd::LeaseResponse>),
     Revoke(etcd::LeaseRequest, oneshot::Sender<etcd::PlainResponse>),
     Watch(WatchCreateRequest, mpsc::Sender<WatchResponse>),
@@ -214,32 +211,24 @@
     /// A watcher that does not keep up is cut, as etcd does.
     fn tell_watchers(&mut self, change: Option<Change>) {
         let Some(change) = change else { return };
-        self.watchers
-            .retain(|watcher| match watch_response(&change, &watcher.request) {
-                Some(response) => watcher.sender.try_send(response).is_ok(),
-                None => !watcher.sender.is_closed(),
-            });
+        self.watchers.retain(|watcher| match watch_response(&change, &watcher.request) {
+            Some(response) => watcher.sender.try_send(response).is_ok(),
+            None => !watcher.sender.is_closed(),
+        });
     }
 
     fn put_machine(&mut self, now: Duration, machine: Machine) {
         let visible_at = now + Duration::from_millis(self.faults.machine_lag_ms);
         let entries = self.machines.entry(machine.name.clone()).or_default();
-        entries.push(ListedMachine {
-            visible_at,
-            machine,
-        });
+        entries.push(ListedMachine { visible_at, machine });
     }
 
     fn visible_machines(&self, now: Duration) -> MachineList {
         let newest = |entries: &Vec<ListedMachine>| {
             let mut visible = entries.iter().rev();
-            visible
-                .find(|entry| entry.visible_at <= now)
-                .map(|entry| entry.machine.clone())
+            visible.find(|entry| entry.visible_at <= now).map(|entry| entry.machine.clone())
         };
-        MachineList {
-            machines: self.machines.values().filter_map(newest).collect(),
-        }
+        MachineList { machines: self.machines.values().filter_map(newest).collect() }
     }
 }
 
@@ -249,10 +238,7 @@
         return handle_faults(request, &platform).await;
     }
     if path == "/standin/watchers" {
-        return Some(json_answer(
-            StatusCode::OK,
-            &ask(&platform, Message::Watchers).await?,
-        ));
+        return Some(json_answer(StatusCode::OK, &ask(&platform, Message::Watchers).await?));
     }
     let (admission, delay) = ask(&platform, Message::Admit).await?;
     tokio::time::sleep(delay).await;
@@ -267,11 +253,7 @@
         Admission::Silent => std::future::pending::<()>().await,
     }
     let method = request.method().clone();
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await
-        .ok()?
-        .to_bytes();
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await.ok()?.to_bytes();
     match (method, path.as_str()) {
         (Method::POST, etcd::RANGE_PATH) => answer(&platform, &body, Message::Range).await,
         (Method::POST, etcd::PUT_PATH) => write(&platform, &body, Message::Put).await,
@@ -282,10 +264,9 @@
         }
         (Method::POST, etcd::LEASE_REVOKE_PATH) => write(&platform, &body, Message::Revoke).await,
         (Method::POST, etcd::WATCH_PATH) => watch(&platform, &body).await,
-        (Method::GET, "/machines") => Some(json_answer(
-            StatusCode::OK,
-            &ask(&platform, Message::Machines).await?,
-        )),
+        (Method::GET, "/machines") => {
+            Some(json_answer(StatusCode::OK, &ask(&platform, Message::Machines).await?))
+        }
         (Method::PUT, "/machines") => answer(&platform, &body, Message::PutMachine).await,
         _ => Some(text_answer(StatusCode::NOT_FOUND, "no such path")),
     }
@@ -296,16 +277,9 @@
     platform: &mpsc::Sender<Message>,
 ) -> Option<Answer> {
     if request.method() != Method::PUT {
-        return Some(json_answer(
-            StatusCode::OK,
-            &ask(platform, Message::Faults).await?,
-        ));
+        return Some(json_answer(StatusCode::OK, &ask(platform, Message::Faults).await?));
     }
-    let body = Limited::new(request.into_body(), MAX_BODY_BYTES)
-        .collect()
-        .await
-        .ok()?
-        .to_bytes();
+    let body = Limited::new(request.into_body(), MAX_BODY_BYTES).collect().await.ok()?.to_bytes();
     answer(platform, &body, Message::SetFaults).await
 }
 
@@ -349,10 +323,7 @@
         Err(error) => return Some(text_answer(StatusCode::BAD_REQUEST, error.to_string())),
     };
     let (sender, responses) = mpsc::channel(WATCH_QUEUE);
-    platform
-        .send(Message::Watch(request.create_request, sender))
-        .await
-        .ok()?;
+    platform.send(Message::Watch(request.create_request, sender)).await.ok()?;
     Some(Response::new(stream_lines(responses)))
 }
 
--- a/crates/standin/tests/key_value.rs
+++ b/crates/standin/tests/key_value.rs
@@ -12,11 +12,7 @@
 }
 
 fn put(key: &str, value: &str) -> PutRequest {
-    PutRequest {
-        key: text(key),
-        value: text(value),
-        ..PutRequest::default()
-    }
+    PutRequest { key: text(key), value: text(value), ..PutRequest::default() }
 }
 
 fn compare_and_put(key: &str, mod_revision: u64, value: &str) -> TxnRequest {
@@ -36,37 +32,17 @@
 }
 
 fn values(store: &KeyValueStore, prefix: &str) -> Vec<(String, u64)> {
-    let request = RangeRequest {
-        key: text(prefix),
-        range_end: text(&prefix_end(prefix)),
-    };
+    let request = RangeRequest { key: text(prefix), range_end: text(&prefix_end(prefix)) };
     let keys = store.range(&request).kvs;
-    keys.into_iter()
-        .map(|kv| (kv.value.0, kv.mod_revision.0))
-        .collect()
+    keys.into_iter().map(|kv| (kv.value.0, kv.mod_revision.0)).collect()
 }
 
 #[test]
 fn of_two_transactions_from_one_reading_one_takes_effect() {
     let mut store = KeyValueStore::default();
-    assert!(
-        store
-            .transact(compare_and_put("/a", 0, "first"))
-            .0
-            .succeeded
-    );
-    assert!(
-        !store
-            .transact(compare_and_put("/a", 0, "second"))
-            .0
-            .succeeded
-    );
-    assert!(
-        store
-            .transact(compare_and_put("/a", 1, "third"))
-            .0
-            .succeeded
-    );
+    assert!(store.transact(compare_and_put("/a", 0, "first")).0.succeeded);
+    assert!(!store.transact(compare_and_put("/a", 0, "second")).0.succeeded);
+    assert!(store.transact(compare_and_put("/a", 1, "third")).0.succeeded);
     assert_eq!(values(&store, "/"), [("third".to_owned(), 2)]);
 }
 
@@ -95,11 +71,8 @@
     for number in 0..1_500 {
         store.put(put("/a", &number.to_string()));
     }
-    let request = WatchCreateRequest {
-        key: text("/a"),
-        range_end: text(""),
-        start_revision: Number(2),
-    };
+    let request =
+        WatchCreateRequest { key: text("/a"), range_end: text(""), start_revision: Number(2) };
     let begun = store.begin_watch(&request);
     assert!(begun[1].canceled);
     assert!(begun[1].compact_revision.0 >= 2);
@@ -109,15 +82,9 @@
 fn a_lease_that_lapses_takes_its_keys_with_it() {
     let mut store = KeyValueStore::default();
     let seconds = Duration::from_secs;
-    let request = LeaseGrantRequest {
-        ttl: Number(5),
-        id: Number(0),
-    };
+    let request = LeaseGrantRequest { ttl: Number(5), id: Number(0) };
     let lease = store.grant(seconds(0), &request).id;
-    store.put(PutRequest {
-        lease,
-        ..put("/holder", "me")
-    });
+    store.put(PutRequest { lease, ..put("/holder", "me") });
     assert_eq!(store.keep_alive(seconds(4), lease.0).ttl.0, 5);
     assert!(store.expire(seconds(8)).is_empty());
     let changes = store.expire(seconds(9));
--- a/crates/steering/src/buckets.rs
+++ b/crates/steering/src/buckets.rs
@@ -8,9 +8,7 @@
 
 /// How many buckets a generation has: a power of two, sized by its members.
 pub(crate) fn bucket_count(generation: &Generation) -> usize {
-    (generation.members.len() * BUCKETS_PER_MEMBER)
-        .next_power_of_two()
-        .max(FEWEST_BUCKETS)
+    (generation.members.len() * BUCKETS_PER_MEMBER).next_power_of_two().max(FEWEST_BUCKETS)
 }
 
 /// Places in `generation.members` of the `most` best members of a bucket, best first.
