--- a/crates/steering/src/map.rs
+++ b/crates/steering/src/map.rs
@@ -24,17 +24,11 @@
 impl SteeringMap {
     /// The tables of `configuration`.
     pub fn new(configuration: &Configuration) -> Self {
-        let mut map = SteeringMap {
-            version: configuration.version,
-            ..SteeringMap::default()
-        };
+        let mut map = SteeringMap { version: configuration.version, ..SteeringMap::default() };
         for service in configuration.services.values() {
             let place = map.tables.len();
             let transport = Transport::from(service.transport);
-            let address = ServiceAddress {
-                address: service.address,
-                transport,
-            };
+            let address = ServiceAddress { address: service.address, transport };
             map.by_address.insert(address, place);
             map.by_id.insert(service.service_id(), place);
             map.tables.push(ServiceTable::new(service));
@@ -49,13 +43,8 @@
 
     /// The table of the service that a flow dials.
     pub fn service(&self, flow: &FlowKey) -> Option<&ServiceTable> {
-        let address = ServiceAddress {
-            address: flow.service,
-            transport: flow.transport,
-        };
-        self.by_address
-            .get(&address)
-            .map(|place| &self.tables[*place])
+        let address = ServiceAddress { address: flow.service, transport: flow.transport };
+        self.by_address.get(&address).map(|place| &self.tables[*place])
     }
 
     /// The table of a service by its identity.
--- a/crates/steering/src/service.rs
+++ b/crates/steering/src/service.rs
@@ -51,12 +51,7 @@
     /// The table of a service as it stands in a configuration.
     pub fn new(service: &Service) -> Self {
         let agents = all_agents(service);
-        let count = service
-            .generations
-            .iter()
-            .map(bucket_count)
-            .max()
-            .unwrap_or(1);
+        let count = service.generations.iter().map(bucket_count).max().unwrap_or(1);
         let mut table = ServiceTable {
             id: service.service_id(),
             epoch: service.generations.first().map_or(0, |newest| newest.epoch),
@@ -66,17 +61,13 @@
             any_suspect: false,
             agents,
         };
-        table.buckets = (0..count)
-            .map(|bucket| table.fill(service, bucket))
-            .collect();
+        table.buckets = (0..count).map(|bucket| table.fill(service, bucket)).collect();
         table
     }
 
     /// Where a back end stands in [`ServiceTable::agents`].
     fn place(&self, backend: BackendId) -> Option<u16> {
-        let found = self
-            .agents
-            .binary_search_by_key(&backend, |candidate| candidate.backend);
+        let found = self.agents.binary_search_by_key(&backend, |candidate| candidate.backend);
         found.ok().map(|place| place as u16)
     }
 
@@ -87,8 +78,7 @@
             let own_bucket = bucket & (bucket_count(generation) - 1);
             let best = best_members(generation, own_bucket, most).into_iter();
             let best = best.map(|index| BackendId(generation.members[index].backend));
-            best.filter_map(|backend| self.place(backend))
-                .for_each(|agent| filled.push(agent));
+            best.filter_map(|backend| self.place(backend)).for_each(|agent| filled.push(agent));
             if age == 0 {
                 filled.eligible = filled.length;
             }
@@ -130,19 +120,13 @@
         let agents = &bucket.agents[..usize::from(bucket.length)];
         let (newest, older) = agents.split_at(usize::from(bucket.eligible));
         let mut candidates = CandidateList::new();
-        self.push(
-            &mut candidates,
-            newest.iter().filter(|agent| self.is_living(**agent)),
-        );
+        self.push(&mut candidates, newest.iter().filter(|agent| self.is_living(**agent)));
         if candidates.as_slice().is_empty() {
             self.push(&mut candidates, newest.iter());
         }
         let open_to = candidates.as_slice().len();
         if flow.transport == Transport::Udp {
-            self.push(
-                &mut candidates,
-                older.iter().filter(|agent| self.is_living(**agent)),
-            );
+            self.push(&mut candidates, older.iter().filter(|agent| self.is_living(**agent)));
         }
         self.option(SteeringMode::Tour, open_to, candidates)
     }
@@ -162,10 +146,7 @@
         if self.any_suspect {
             let living = others.clone().filter(|agent| self.is_living(**agent));
             self.push(&mut candidates, living);
-            self.push(
-                &mut candidates,
-                others.filter(|agent| !self.is_living(**agent)),
-            );
+            self.push(&mut candidates, others.filter(|agent| !self.is_living(**agent)));
         } else {
             self.push(&mut candidates, others);
         }
@@ -205,15 +186,10 @@
 
 /// Every back end of the kept generations and of the configuration, in the order of identity.
 fn all_agents(service: &Service) -> Vec<Candidate> {
-    let members = service
-        .generations
-        .iter()
-        .flat_map(|generation| &generation.members);
+    let members = service.generations.iter().flat_map(|generation| &generation.members);
     let attached = service.backends.values();
-    let attached = attached.map(|backend| Candidate {
-        backend: BackendId(backend.id),
-        agent: backend.agent,
-    });
+    let attached =
+        attached.map(|backend| Candidate { backend: BackendId(backend.id), agent: backend.agent });
     let mut agents: Vec<Candidate> = members.map(Member::candidate).chain(attached).collect();
     agents.sort_by_key(|candidate| candidate.backend);
     agents.dedup_by_key(|candidate| candidate.backend);
--- a/crates/wire/src/geneve.rs
+++ b/crates/wire/src/geneve.rs
@@ -58,17 +58,14 @@
 impl<'a> GenevePacket<'a> {
     /// Decodes a datagram; unknown options that are not critical are skipped.
     pub fn parse(datagram: &'a [u8]) -> Result<Self, GeneveError> {
-        let header = datagram
-            .get(..GENEVE_HEADER_BYTES)
-            .ok_or(GeneveError::Truncated)?;
+        let header = datagram.get(..GENEVE_HEADER_BYTES).ok_or(GeneveError::Truncated)?;
         if header[0] >> 6 != 0 {
             return Err(GeneveError::UnknownVersion);
         }
         let options_bytes = usize::from(header[0] & HEADER_OPTION_LENGTH_MASK) * 4;
         let inner_offset = GENEVE_HEADER_BYTES + options_bytes;
-        let options = datagram
-            .get(GENEVE_HEADER_BYTES..inner_offset)
-            .ok_or(GeneveError::Truncated)?;
+        let options =
+            datagram.get(GENEVE_HEADER_BYTES..inner_offset).ok_or(GeneveError::Truncated)?;
         if u16::from_be_bytes([header[2], header[3]]) != PROTOCOL_IPV4 {
             return Err(GeneveError::UnknownProtocol);
         }
@@ -85,15 +82,11 @@
 fn parse_options(mut options: &[u8]) -> Result<Option<SteeringOption>, GeneveError> {
     let mut steering = None;
     while !options.is_empty() {
-        let header = options
-            .get(..OPTION_HEADER_BYTES)
-            .ok_or(GeneveError::Truncated)?;
+        let header = options.get(..OPTION_HEADER_BYTES).ok_or(GeneveError::Truncated)?;
         let class = u16::from_be_bytes([header[0], header[1]]);
         let kind = header[2];
         let end = OPTION_HEADER_BYTES + usize::from(header[3] & OPTION_LENGTH_MASK) * 4;
-        let body = options
-            .get(OPTION_HEADER_BYTES..end)
-            .ok_or(GeneveError::Truncated)?;
+        let body = options.get(OPTION_HEADER_BYTES..end).ok_or(GeneveError::Truncated)?;
         if class == OPTION_CLASS && kind == STEERING_OPTION_TYPE {
             steering = Some(SteeringOption::decode(body)?);
         } else if kind & CRITICAL_OPTION_BIT != 0 {
@@ -122,9 +115,7 @@
         Some(_) => OPTION_HEADER_BYTES + body_bytes,
         None => 0,
     };
-    let start = headroom
-        .len()
-        .checked_sub(GENEVE_HEADER_BYTES + options_bytes)?;
+    let start = headroom.len().checked_sub(GENEVE_HEADER_BYTES + options_bytes)?;
     let target = &mut headroom[start..];
     target[0] = (options_bytes / 4) as u8;
     target[1] = if steering.is_some() { CRITICAL_FLAG } else { 0 };
--- a/crates/wire/src/inner.rs
+++ b/crates/wire/src/inner.rs
@@ -28,11 +28,7 @@
 impl FlowKey {
     /// The key with both addresses exchanged: that of the flow whose answer a packet is.
     pub fn reversed(self) -> Self {
-        FlowKey {
-            caller: self.service,
-            service: self.caller,
-            transport: self.transport,
-        }
+        FlowKey { caller: self.service, service: self.caller, transport: self.transport }
     }
 }
 
@@ -107,12 +103,7 @@
                 transport: Transport::Tcp,
             };
             let timestamp_echo = timestamp_echo(tcp.options());
-            Ok(InnerPacket {
-                flow,
-                kind: tcp_kind(&tcp),
-                timestamp_echo,
-                transport_offset,
-            })
+            Ok(InnerPacket { flow, kind: tcp_kind(&tcp), timestamp_echo, transport_offset })
         }
         IpNumber::UDP => {
             let udp = UdpHeaderSlice::from_slice(body).map_err(|_| InnerError::Malformed)?;
@@ -140,10 +131,7 @@
         return SegmentKind::Open;
     }
     let acknowledgement = tcp.ack().then(|| tcp.acknowledgment_number());
-    SegmentKind::Established {
-        acknowledgement,
-        reset: tcp.rst(),
-    }
+    SegmentKind::Established { acknowledgement, reset: tcp.rst() }
 }
 
 const OPTION_END: u8 = 0;
@@ -151,12 +139,7 @@
 const OPTION_TIMESTAMP: u8 = 8;
 const TIMESTAMP_BYTES: usize = 10;
 /// The usual layout: two NOPs, then the timestamp option (RFC 7323, appendix A).
-const USUAL_LAYOUT: [u8; 4] = [
-    OPTION_NOP,
-    OPTION_NOP,
-    OPTION_TIMESTAMP,
-    TIMESTAMP_BYTES as u8,
-];
+const USUAL_LAYOUT: [u8; 4] = [OPTION_NOP, OPTION_NOP, OPTION_TIMESTAMP, TIMESTAMP_BYTES as u8];
 
 fn timestamp_echo(options: &[u8]) -> Option<u32> {
     let option = match options.strip_prefix(&USUAL_LAYOUT[..2]) {
@@ -197,15 +180,10 @@
     let to = inner.flow.caller;
     let builder = PacketBuilder::ipv4(from.ip().octets(), to.ip().octets(), RESET_HOP_LIMIT);
     let builder = if tcp.ack() {
-        builder
-            .tcp(from.port(), to.port(), tcp.acknowledgment_number(), 0)
-            .rst()
+        builder.tcp(from.port(), to.port(), tcp.acknowledgment_number(), 0).rst()
     } else {
         let acknowledged = tcp.sequence_number().wrapping_add(occupied);
-        builder
-            .tcp(from.port(), to.port(), 0, 0)
-            .rst()
-            .ack(acknowledged)
+        builder.tcp(from.port(), to.port(), 0, 0).rst().ack(acknowledged)
     };
     let mut reset = Vec::with_capacity(builder.size(0));
     builder.write(&mut reset, &[]).ok()?;
--- a/crates/wire/src/steering_option.rs
+++ b/crates/wire/src/steering_option.rs
@@ -14,9 +14,7 @@
 const NO_BEST: u8 = 0xFF;
 
 const CODEC: bincode::config::Configuration<bincode::config::BigEndian, bincode::config::Fixint> =
-    bincode::config::standard()
-        .with_big_endian()
-        .with_fixed_int_encoding();
+    bincode::config::standard().with_big_endian().with_fixed_int_encoding();
 
 /// Identity of a service, at most 24 bits: the GENEVE virtual network identifier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -70,10 +68,7 @@
 impl CandidateList {
     /// An empty list.
     pub const fn new() -> Self {
-        CandidateList {
-            length: 0,
-            entries: [EMPTY_CANDIDATE; MAX_CANDIDATES],
-        }
+        CandidateList { length: 0, entries: [EMPTY_CANDIDATE; MAX_CANDIDATES] }
     }
 
     /// Appends a candidate unless its back end is listed already or the list is full.
@@ -101,9 +96,7 @@
 
     /// Where a back end stands in the list.
     pub fn position(&self, backend: BackendId) -> Option<usize> {
-        self.as_slice()
-            .iter()
-            .position(|candidate| candidate.backend == backend)
+        self.as_slice().iter().position(|candidate| candidate.backend == backend)
     }
 }
 
@@ -179,10 +172,7 @@
 impl SteeringOption {
     /// The candidate that the packet is on its way to.
     pub fn current(&self) -> Option<Candidate> {
-        self.candidates
-            .as_slice()
-            .get(usize::from(self.cursor))
-            .copied()
+        self.candidates.as_slice().get(usize::from(self.cursor)).copied()
     }
 
     /// Writes the body and returns its length in bytes, a multiple of 4.
@@ -245,10 +235,8 @@
             2 => SteeringMode::Place,
             _ => return Err(OptionError::Mode),
         };
-        let best = (self.best_index != NO_BEST).then_some(TourBest {
-            index: self.best_index,
-            load: self.best_load,
-        });
+        let best = (self.best_index != NO_BEST)
+            .then_some(TourBest { index: self.best_index, load: self.best_load });
         let best_in_list = best.is_none_or(|best| best.index < self.length);
         if self.cursor >= self.length || self.eligible > self.length || !best_in_list {
             return Err(OptionError::Index);
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -13,21 +13,11 @@
     for _ in 0..input.int_in_range(1..=12)? {
         let ip: [u8; 4] = input.arbitrary()?;
         let agent = SocketAddrV4::new(ip.into(), input.arbitrary()?);
-        candidates.push(Candidate {
-            backend: BackendId(input.arbitrary()?),
-            agent,
-        });
+        candidates.push(Candidate { backend: BackendId(input.arbitrary()?), agent });
     }
     let last = candidates.as_slice().len() as u8 - 1;
-    let modes = [
-        SteeringMode::Locate,
-        SteeringMode::Tour,
-        SteeringMode::Place,
-    ];
-    let best = TourBest {
-        index: input.int_in_range(0..=last)?,
-        load: input.arbitrary()?,
-    };
+    let modes = [SteeringMode::Locate, SteeringMode::Tour, SteeringMode::Place];
+    let best = TourBest { index: input.int_in_range(0..=last)?, load: input.arbitrary()? };
     Ok(SteeringOption {
         mode: *input.choose(&modes)?,
         cursor: input.int_in_range(0..=last)?,
@@ -47,10 +37,7 @@
         let inner: Vec<u8> = input.arbitrary()?;
         let datagram = encode_packet(vni, Some(&option), &inner);
         let packet = GenevePacket::parse(&datagram).expect("a packet");
-        assert_eq!(
-            (packet.vni, packet.steering, packet.control),
-            (vni, Some(option), false)
-        );
+        assert_eq!((packet.vni, packet.steering, packet.control), (vni, Some(option), false));
         assert_eq!(packet.inner, inner);
         Ok(())
     });
@@ -74,18 +61,10 @@
         let mut datagram = encode_packet(1, Some(&any_option(input)?), &[]);
         let place = input.int_in_range(8..=datagram.len() - 1)?;
         datagram[place] = input.arbitrary()?;
-        if let Ok(GenevePacket {
-            steering: Some(option),
-            ..
-        }) = GenevePacket::parse(&datagram)
-        {
+        if let Ok(GenevePacket { steering: Some(option), .. }) = GenevePacket::parse(&datagram) {
             assert!(option.current().is_some());
             let length = option.candidates.as_slice().len();
-            assert!(
-                option
-                    .best
-                    .is_none_or(|best| usize::from(best.index) < length)
-            );
+            assert!(option.best.is_none_or(|best| usize::from(best.index) < length));
         }
         Ok(())
     });
@@ -93,10 +72,7 @@
 
 #[test]
 fn an_echo_reads_back_as_it_was_written() {
-    let echo = Echo {
-        kind: EchoKind::Reply,
-        sequence: 77,
-    };
+    let echo = Echo { kind: EchoKind::Reply, sequence: 77 };
     let datagram = echo.encode();
     let packet = GenevePacket::parse(&datagram).expect("a packet");
     assert_eq!(Echo::decode(&packet), Some(echo));
