--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -52,7 +52,7 @@
         transport: Transport,
     },
     /// Try a TCP connection to the back end and report to [`Agent::handle_probe`].
-    ProbeBackend {
+    WatchBackend {
         /// The back end.
         server: SocketAddrV4,
     },
@@ -168,14 +168,14 @@
 
     /// When [`Agent::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Option<Duration> {
-        let deadlines = [self.flows.next_wake_up(), self.health.next_probe()];
+        let deadlines = [self.flows.next_wake_up(), self.health.next_watch()];
         deadlines.into_iter().flatten().min()
     }
 
     /// Does what is due at `now`.
     pub fn handle_timeout(&mut self, now: Duration) {
-        if self.health.take_due_probe(now) {
-            self.probe_backend(now);
+        if self.health.take_due_watch(now) {
+            self.watch_backend(now);
         }
         while let Some(flow) = self.flows.pop_due(now) {
             match self.flows.get_mut(flow).map(|flow| &mut flow.body) {
@@ -191,19 +191,20 @@
         }
     }
 
-    fn probe_backend(&mut self, now: Duration) {
+    fn watch_backend(&mut self, now: Duration) {
         match &self.place {
             Some(place) if place.transport == Transport::Tcp => {
-                self.outputs.push_back(Output::ProbeBackend { server: place.backend.server });
+                self.outputs.push_back(Output::WatchBackend { server: place.backend.server });
             }
             // UDP has no connections to try.
-            _ => self.handle_probe(now, true),
+            _ => self.handle_watch(now, true),
         }
     }
 
-    /// Takes the answer to [`Output::ProbeBackend`].
-    pub fn handle_probe(&mut self, now: Duration, accepts: bool) {
-        self.health.on_probe(now, accepts);
+    /// Takes what [`Output::WatchBackend`] asks for: the connection was accepted, or it was refused
+    /// or has ended.
+    pub fn handle_watch(&mut self, now: Duration, accepts: bool) {
+        self.health.on_watch(now, accepts);
         self.counters.backend_accepts = u64::from(accepts);
     }
 
@@ -337,10 +338,13 @@
             SteeringMode::Locate => {
                 pass_on::locate(option, inner, self.place.as_ref().map(|place| &place.table))
             }
-            SteeringMode::Tour => pass_on::tour(option, self.tour_load(inner)),
+            SteeringMode::Tour => {
+                let load = self.tour_load(inner);
+                pass_on::tour(option, load, inner.kind)
+            }
             SteeringMode::Place => match self.load() {
                 Some(_) => Next::OpenHere,
-                None => Next::Refused,
+                None => pass_on::tour_again(option),
             },
         };
         match next {
--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -1,58 +1,65 @@
 //! Whether the back end beside this agent accepts connections.
 //!
 //! A dead back end has no flows and so the lowest load: without this check every tour would choose
-//! it. The embedder tries a connection when [`BackendHealth::take_due_probe`] says so.
+//! it. The embedder holds one idle connection to the back end: it opens one when
+//! [`BackendHealth::take_due_watch`] says so and reports when it is accepted and when it ends. A
+//! process that dies ends its connections at once, so there is no time in which a dead back end
+//! takes flows.
 
 use std::time::Duration;
 
-/// Time from one probe's answer to the next probe.
-const PROBE_INTERVAL: Duration = Duration::from_secs(1);
-/// The same while the back end does not accept.
+/// Time from a refused connection to the next try.
 const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// What is known of the back end.
 #[derive(Debug, Default)]
 pub(crate) struct BackendHealth {
     accepts: bool,
-    /// When to probe; `None` while a probe is under way or before there is a back end.
-    next_probe: Option<Duration>,
+    /// When to open the watching connection; `None` while there is one or none is wanted yet.
+    next_watch: Option<Duration>,
+    started: bool,
 }
 
 impl BackendHealth {
-    /// A back end that is known from now on; it takes no flow before it has accepted a probe.
+    /// A back end that is known from now on; it takes no flow before it has accepted a connection.
     pub(crate) fn start(&mut self, now: Duration) {
-        self.next_probe.get_or_insert(now);
+        if !std::mem::replace(&mut self.started, true) {
+            self.next_watch = Some(now);
+        }
     }
 
     pub(crate) fn accepts(&self) -> bool {
         self.accepts
     }
 
-    pub(crate) fn next_probe(&self) -> Option<Duration> {
-        self.next_probe
+    pub(crate) fn next_watch(&self) -> Option<Duration> {
+        self.next_watch
     }
 
-    /// Whether to probe now.
-    pub(crate) fn take_due_probe(&mut self, now: Duration) -> bool {
-        let due = self.next_probe.is_some_and(|next| next <= now);
+    /// Whether to open a watching connection now.
+    pub(crate) fn take_due_watch(&mut self, now: Duration) -> bool {
+        let due = self.next_watch.is_some_and(|next| next <= now);
         if due {
-            self.next_probe = None;
+            self.next_watch = None;
         }
         due
     }
 
-    /// Takes the answer to a probe.
-    pub(crate) fn on_probe(&mut self, now: Duration, accepts: bool) {
-        self.accepts = accepts;
-        let interval = if accepts { PROBE_INTERVAL } else { RETRY_INTERVAL };
-        self.next_probe = Some(now + interval);
+    /// The watching connection was accepted, or was refused or has ended.
+    ///
+    /// One that ends may only have been idle too long: the next is tried at once.
+    pub(crate) fn on_watch(&mut self, now: Duration, accepted: bool) {
+        let ended = std::mem::replace(&mut self.accepts, accepted) && !accepted;
+        self.next_watch = match accepted {
+            true => None,
+            false if ended => Some(now),
+            false => Some(now + RETRY_INTERVAL),
+        };
     }
 
-    /// A flow's connection was refused: no more flows until a probe is accepted again.
+    /// A flow's connection was refused: no more flows until a new watching connection is accepted.
     pub(crate) fn on_refused(&mut self, now: Duration) {
         self.accepts = false;
-        if let Some(next) = &mut self.next_probe {
-            *next = now + RETRY_INTERVAL;
-        }
+        self.next_watch = Some(now + RETRY_INTERVAL);
     }
 }
--- a/crates/agent/src/pass_on.rs
+++ b/crates/agent/src/pass_on.rs
@@ -1,7 +1,7 @@
 //! Where a packet goes that is not of a flow that lives here: pure decisions on its option.
 
 use loftdrift_steering::ServiceTable;
-use loftdrift_wire::{Candidate, InnerPacket, SteeringMode, SteeringOption, TourBest};
+use loftdrift_wire::{Candidate, InnerPacket, SegmentKind, SteeringMode, SteeringOption, TourBest};
 
 /// What becomes of a packet whose flow is not here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -39,16 +39,21 @@
 }
 
 /// A packet that opens a flow, on its tour. `load` is this agent's, `None` when it takes none.
-pub(crate) fn tour(option: &SteeringOption, load: Option<u16>) -> Next {
+///
+/// A SYN's tour asks the eligible candidates and then the reserve behind them, until one takes the
+/// flow. A datagram's tour always asks everyone, as any may hold its flow.
+pub(crate) fn tour(option: &SteeringOption, load: Option<u16>, kind: SegmentKind) -> Next {
     let mut option = *option;
-    let eligible = option.cursor < option.eligible;
-    if let (true, Some(load)) = (eligible, load)
+    if let Some(load) = load
         && option.best.is_none_or(|best| load < best.load)
     {
         option.best = Some(TourBest { index: option.cursor, load });
     }
     let cursor = option.cursor + 1;
-    if let Some(next) = advance(option, cursor) {
+    let taken = option.best.is_some() && cursor >= option.eligible;
+    if (!taken || kind == SegmentKind::Datagram)
+        && let Some(next) = advance(option, cursor)
+    {
         return next;
     }
     match option.best {
@@ -61,6 +66,12 @@
     }
 }
 
+/// The tour chose this agent, which takes no new flow any more: the tour begins again.
+pub(crate) fn tour_again(option: &SteeringOption) -> Next {
+    let again = SteeringOption { mode: SteeringMode::Tour, best: None, ..*option };
+    advance(again, 0).unwrap_or(Next::Refused)
+}
+
 /// On to the candidate at `cursor`; `None` when the list ends before it.
 fn advance(mut option: SteeringOption, cursor: u8) -> Option<Next> {
     let candidate = *option.candidates.as_slice().get(usize::from(cursor))?;
--- a/crates/app/src/agent_process.rs
+++ b/crates/app/src/agent_process.rs
@@ -18,6 +18,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -25,7 +26,7 @@
 
 const MAX_DATAGRAM_BYTES: usize = 65_535;
 const DATAGRAMS_A_TURN: usize = 64;
-const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
+const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
 const EVENT_QUEUE: usize = 4_096;
 
 /// What an agent's task works with.
@@ -49,7 +50,7 @@
 pub async fn run(task: AgentTask) -> Result<()> {
     let name = format!("agent {}", task.settings.backend);
     let (event_sender, events) = mpsc::channel(EVENT_QUEUE);
-    let (probe_sender, probes) = mpsc::channel(1);
+    let (watch_sender, watch_reports) = mpsc::channel(1);
     let shell = Shell {
         socket: task.socket,
         core: Agent::new(task.settings)?,
@@ -57,10 +58,17 @@
         started: Instant::now(),
         tasks: HashMap::new(),
         event_sender,
-        probe_sender,
+        watch_sender,
+        watch: JoinSet::new(),
     };
     shell
-        .run(task.drain, Inputs { events, probes }, task.configuration, task.stop, task.counters)
+        .run(
+            task.drain,
+            Inputs { events, watch_reports },
+            task.configuration,
+            task.stop,
+            task.counters,
+        )
         .await;
     Ok(())
 }
@@ -68,15 +76,22 @@
 /// What the shell's own tasks report.
 struct Inputs {
     events: mpsc::Receiver<FlowSocketEvent>,
-    probes: mpsc::Receiver<bool>,
+    watch_reports: mpsc::Receiver<bool>,
 }
 
-/// Tries a connection to the back end and reports whether it was accepted.
-async fn probe(server: SocketAddrV4, answer: mpsc::Sender<bool>) {
-    let connected = tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(server)).await;
-    let accepts = matches!(connected, Ok(Ok(_)));
+/// Holds an idle connection to the back end; reports when it is accepted and when it ends.
+async fn watch_backend(server: SocketAddrV4, reports: mpsc::Sender<bool>) {
+    let connected = tokio::time::timeout(WATCH_TIMEOUT, TcpStream::connect(server)).await;
+    if let Ok(Ok(mut stream)) = connected {
+        if reports.send(true).await.is_err() {
+            return;
+        }
+        let mut ignored = [0; 64];
+        // Bytes that the back end sends unasked are of no interest; an end is.
+        while matches!(stream.read(&mut ignored).await, Ok(1..)) {}
+    }
     // Without a listener the agent has ended.
-    let _ = answer.send(accepts).await;
+    let _ = reports.send(false).await;
 }
 
 struct Shell {
@@ -86,7 +101,9 @@
     started: Instant,
     tasks: HashMap<FlowId, CommandSender>,
     event_sender: mpsc::Sender<FlowSocketEvent>,
-    probe_sender: mpsc::Sender<bool>,
+    watch_sender: mpsc::Sender<bool>,
+    /// The one task that holds the watching connection.
+    watch: JoinSet<()>,
 }
 
 impl Shell {
@@ -114,8 +131,8 @@
                     let now = self.started.elapsed();
                     self.core.handle_socket(now, event.flow, event.event);
                 }
-                Some(accepts) = inputs.probes.recv() => {
-                    self.core.handle_probe(self.started.elapsed(), accepts);
+                Some(accepts) = inputs.watch_reports.recv() => {
+                    self.core.handle_watch(self.started.elapsed(), accepts);
                 }
                 () = sleep_until(timeout) => self.core.handle_timeout(self.started.elapsed()),
                 Ok(()) = configuration.changed() => self.adopt(&configuration),
@@ -180,8 +197,9 @@
                         let _ = task.send(command);
                     }
                 }
-                Output::ProbeBackend { server } => {
-                    tokio::spawn(probe(server, self.probe_sender.clone()));
+                Output::WatchBackend { server } => {
+                    self.watch.abort_all();
+                    self.watch.spawn(watch_backend(server, self.watch_sender.clone()));
                 }
                 Output::Ended { flow } => {
                     self.tasks.remove(&flow);
--- /dev/null
+++ b/crates/lab/src/assigner.rs
@@ -0,0 +1,88 @@
+//! Replays a log of flows under an assignment and samples its imbalance.
+
+use crate::flow_log::FlowLog;
+use crate::run::{SAMPLE_INTERVAL, largest_over_mean};
+use crate::scenario::Scenario;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+/// Loads of the back ends of each service while a log is replayed.
+pub(crate) type Loads = BTreeMap<(usize, u32), usize>;
+
+/// Mean imbalance of each service, sampled as in a run, when `assign` chooses each flow's back end
+/// from the loads at its opening.
+pub(crate) fn replay(
+    log: &FlowLog,
+    scenario: &Scenario,
+    mut assign: impl FnMut(usize, &[u32], &Loads) -> Option<u32>,
+) -> Vec<Vec<(Duration, f64)>> {
+    let mut loads = Loads::new();
+    let mut endings: BinaryHeap<Reverse<(Duration, usize, u32)>> = BinaryHeap::new();
+    let mut samples = vec![Vec::new(); scenario.services.len()];
+    let mut next_sample = scenario.warm_up;
+    for (index, flow) in log.flows.iter().enumerate() {
+        while next_sample < scenario.duration && next_sample < flow.opened {
+            end_until(&mut endings, &mut loads, next_sample);
+            take_sample(log, &loads, next_sample, &mut samples);
+            next_sample += SAMPLE_INTERVAL;
+        }
+        end_until(&mut endings, &mut loads, flow.opened);
+        let members = log.members_at(flow.service, flow.opened);
+        if let Some(chosen) = assign(index, members, &loads) {
+            *loads.entry((flow.service, chosen)).or_default() += 1;
+            endings.push(Reverse((flow.ended, flow.service, chosen)));
+        }
+    }
+    while next_sample < scenario.duration {
+        end_until(&mut endings, &mut loads, next_sample);
+        take_sample(log, &loads, next_sample, &mut samples);
+        next_sample += SAMPLE_INTERVAL;
+    }
+    samples
+}
+
+fn end_until(
+    endings: &mut BinaryHeap<Reverse<(Duration, usize, u32)>>,
+    loads: &mut Loads,
+    until: Duration,
+) {
+    while endings.peek().is_some_and(|Reverse((at, _, _))| *at <= until) {
+        let Some(Reverse((_, service, chosen))) = endings.pop() else { return };
+        if let Some(load) = loads.get_mut(&(service, chosen)) {
+            *load -= 1;
+        }
+    }
+}
+
+fn take_sample(log: &FlowLog, loads: &Loads, at: Duration, samples: &mut [Vec<(Duration, f64)>]) {
+    for (service, samples) in samples.iter_mut().enumerate() {
+        let members = log.members_at(service, at);
+        let load = |agent: &u32| loads.get(&(service, *agent)).copied().unwrap_or(0);
+        let loads: Vec<usize> = members.iter().map(load).collect();
+        samples.extend(largest_over_mean(&loads).map(|ratio| (at, ratio)));
+    }
+}
+
+/// The mean of samples; 1 when there are none.
+pub(crate) fn mean(samples: &[(Duration, f64)]) -> f64 {
+    if samples.is_empty() {
+        return 1.0;
+    }
+    samples.iter().map(|(_, ratio)| ratio).sum::<f64>() / samples.len() as f64
+}
+
+/// The least loaded member, the first of several.
+pub(crate) fn least_loaded(service: usize, members: &[u32], loads: &Loads) -> Option<u32> {
+    let load = |agent: &&u32| loads.get(&(service, **agent)).copied().unwrap_or(0);
+    members.iter().min_by_key(load).copied()
+}
+
+/// Mean imbalance of each service under an assigner that knows every load at every moment.
+pub(crate) fn all_knowing(log: &FlowLog, scenario: &Scenario) -> Vec<f64> {
+    let services: Vec<usize> = log.flows.iter().map(|flow| flow.service).collect();
+    let samples = replay(log, scenario, |index, members, loads| {
+        least_loaded(services[index], members, loads)
+    });
+    samples.iter().map(|samples| mean(samples)).collect()
+}
--- /dev/null
+++ b/crates/lab/src/bin/loftdrift-lab.rs
@@ -0,0 +1,296 @@
+//! The program `loftdrift-lab`: scenarios, comparisons, traces and exploration on a virtual clock.
+
+use anyhow::{Context, Result, bail};
+use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
+use loftdrift_lab::{
+    Comparison, Plan, Policy, Report, Scenario, Trace, compare, explore, run, shrink, write_plots,
+};
+use pico_args::Arguments;
+use std::io::IsTerminal;
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+const HELP: &str = "\
+loftdrift-lab: loftdrift's cores on a virtual clock
+
+usage: loftdrift-lab COMMAND ...
+
+commands:
+  run SCENARIO.toml [--seed N | --seeds A..B] [--jobs J] [--format json]
+      runs a scenario and checks its stated outcomes and the promises that always hold
+  compare SCENARIO.toml [--policies a,b,c] [--seed N | --seeds A..B] [--format json] [--plots DIR]
+      the same flows under other policies: loftdrift, hash-modulo, rendezvous, maglev, flow-table,
+      stale-choices, all-knowing
+  record SCENARIO.toml --out FILE [--seed N]        writes a trace with the run's outcomes
+  replay FILE                                       runs a trace against its outcomes
+  explore SCENARIO.toml [--count N] [--seconds S] [--first-seed N] [--jobs J] [--out FILE]
+      random timelines of changes and faults on top of the scenario; the first failing one is shrunk
+      and written as a scenario that `run` takes
+
+  --help, --version
+exit codes: 0 as stated, 1 an outcome was missed, 2 usage or a file that does not read
+";
+
+const EXIT_MISSED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+const DEFAULT_EXPLORATIONS: u64 = 1_000;
+const DEFAULT_OUT: &str = "failing.toml";
+
+fn main() -> ExitCode {
+    match command() {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+fn command() -> Result<ExitCode> {
+    let mut arguments = Arguments::from_env();
+    if arguments.contains("--version") {
+        println!("loftdrift-lab {}", env!("CARGO_PKG_VERSION"));
+        return Ok(ExitCode::SUCCESS);
+    }
+    let command = arguments.subcommand()?;
+    if arguments.contains("--help") || command.is_none() {
+        print!("{HELP}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    match command.as_deref() {
+        Some("run") => run_command(arguments),
+        Some("compare") => compare_command(arguments),
+        Some("record") => record_command(arguments),
+        Some("replay") => replay_command(arguments),
+        Some("explore") => explore_command(arguments),
+        other => bail!("unknown command `{}`; see loftdrift-lab --help", other.unwrap_or_default()),
+    }
+}
+
+fn read_scenario(file: &str) -> Result<Scenario> {
+    let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {file}"))?;
+    Ok(Scenario::parse(file, &text)?)
+}
+
+/// `--seed N`, `--seeds A..B` or seed 1.
+fn seeds(arguments: &mut Arguments) -> Result<std::ops::Range<u64>> {
+    let one: Option<u64> = arguments.opt_value_from_str("--seed")?;
+    let range: Option<String> = arguments.opt_value_from_str("--seeds")?;
+    match (one, range) {
+        (Some(seed), None) => Ok(seed..seed + 1),
+        (None, None) => Ok(1..2),
+        (None, Some(range)) => {
+            let (first, end) = range.split_once("..").context("--seeds: expected A..B")?;
+            Ok(first.parse().context("--seeds")?..end.parse().context("--seeds")?)
+        }
+        (Some(_), Some(_)) => bail!("give either --seed or --seeds"),
+    }
+}
+
+fn jobs(arguments: &mut Arguments) -> Result<usize> {
+    Ok(arguments.opt_value_from_str("--jobs")?.unwrap_or(1).max(1))
+}
+
+fn wants_json(arguments: &mut Arguments) -> Result<bool> {
+    let format: Option<String> = arguments.opt_value_from_str("--format")?;
+    match format.as_deref() {
+        None | Some("table") => Ok(false),
+        Some("json") => Ok(true),
+        Some(other) => bail!("--format {other}: expected table or json"),
+    }
+}
+
+fn free_file(mut arguments: Arguments, what: &str) -> Result<String> {
+    let file = arguments.free_from_str().with_context(|| format!("give {what}"))?;
+    let rest = arguments.finish();
+    match rest.first() {
+        None => Ok(file),
+        Some(word) => bail!("`{}` is not understood; see --help", word.to_string_lossy()),
+    }
+}
+
+/// A bar on a terminal, nothing elsewhere.
+fn progress(length: u64) -> ProgressBar {
+    if !std::io::stderr().is_terminal() {
+        return ProgressBar::with_draw_target(Some(length), ProgressDrawTarget::hidden());
+    }
+    let style = ProgressStyle::with_template("{wide_bar} {pos}/{len} {eta}");
+    ProgressBar::new(length).with_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()))
+}
+
+/// Does `work` for each number, on several threads; results in the order of numbers.
+fn for_each<T: Send>(
+    numbers: std::ops::Range<u64>,
+    jobs: usize,
+    work: impl Fn(u64) -> T + Sync,
+) -> Vec<T> {
+    let bar = progress(numbers.end.saturating_sub(numbers.start));
+    let next = AtomicU64::new(numbers.start);
+    let mut results: Vec<(u64, T)> = std::thread::scope(|scope| {
+        let worker = || {
+            let mut done = Vec::new();
+            loop {
+                let number = next.fetch_add(1, Ordering::Relaxed);
+                if number >= numbers.end {
+                    return done;
+                }
+                done.push((number, work(number)));
+                bar.inc(1);
+            }
+        };
+        let threads: Vec<_> = (0..jobs).map(|_| scope.spawn(worker)).collect();
+        threads.into_iter().flat_map(|thread| thread.join().unwrap_or_default()).collect()
+    });
+    bar.finish_and_clear();
+    results.sort_by_key(|(number, _)| *number);
+    results.into_iter().map(|(_, result)| result).collect()
+}
+
+fn run_command(mut arguments: Arguments) -> Result<ExitCode> {
+    let seeds = seeds(&mut arguments)?;
+    let jobs = jobs(&mut arguments)?;
+    let json = wants_json(&mut arguments)?;
+    let scenario = read_scenario(&free_file(arguments, "a scenario file")?)?;
+    let started = Instant::now();
+    let runs = for_each(seeds, jobs, |seed| run(&Plan::new(&scenario, seed)));
+    let elapsed = started.elapsed();
+    let mut missed = false;
+    let mut packets = 0;
+    for run in runs {
+        let report = run?.report;
+        packets += report.packets;
+        missed |= show_report(&scenario, &report, json)?;
+    }
+    if !json {
+        let rate = packets as f64 / elapsed.as_secs_f64();
+        println!("{:.1} s, {rate:.0} simulated datagrams a second", elapsed.as_secs_f64());
+    }
+    Ok(if missed { ExitCode::from(EXIT_MISSED) } else { ExitCode::SUCCESS })
+}
+
+/// Prints a report; `true` when an outcome was missed.
+fn show_report(scenario: &Scenario, report: &Report, json: bool) -> Result<bool> {
+    let missed = report.missed(&scenario.expect);
+    if json {
+        println!("{}", serde_json::json!({ "report": report, "missed": missed }));
+    } else {
+        print!("{}", report.lines());
+        for outcome in &missed {
+            println!("  MISSED with seed {}: {outcome}", report.seed);
+        }
+    }
+    Ok(!missed.is_empty())
+}
+
+fn compare_command(mut arguments: Arguments) -> Result<ExitCode> {
+    let seeds = seeds(&mut arguments)?;
+    let jobs = jobs(&mut arguments)?;
+    let json = wants_json(&mut arguments)?;
+    let plots: Option<String> = arguments.opt_value_from_str("--plots")?;
+    let names: Option<String> = arguments.opt_value_from_str("--policies")?;
+    let policies = match names {
+        None => Policy::ALL.iter().map(|(policy, _)| *policy).collect(),
+        Some(names) => {
+            let parse = |name: &str| {
+                Policy::parse(name).with_context(|| format!("unknown policy `{name}`"))
+            };
+            names.split(',').map(parse).collect::<Result<Vec<Policy>>>()?
+        }
+    };
+    let scenario = read_scenario(&free_file(arguments, "a scenario file")?)?;
+    let compared = for_each(seeds, jobs, |seed| compare(&scenario, seed, &policies));
+    let compared = compared.into_iter().collect::<Result<Vec<Vec<Comparison>>>>()?;
+    let services: Vec<String> = scenario.services.iter().map(|one| one.name.clone()).collect();
+    if let (Some(folder), Some(first)) = (plots, compared.first()) {
+        std::fs::create_dir_all(&folder).with_context(|| format!("cannot create {folder}"))?;
+        write_plots(Path::new(&folder), &services, first)?;
+    }
+    if json {
+        println!("{}", serde_json::to_string(&compared.concat())?);
+    } else {
+        print_comparison(&services, &policies, &compared);
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// One line a policy: sums of broken flows and means of imbalance over all seeds.
+fn print_comparison(services: &[String], policies: &[Policy], compared: &[Vec<Comparison>]) {
+    print!("{:<14} {:>9} {:>9}", "policy", "flows", "broken");
+    services.iter().for_each(|service| print!(" {service:>12}"));
+    println!();
+    for (index, policy) in policies.iter().enumerate() {
+        let rows: Vec<&Comparison> = compared.iter().map(|seed| &seed[index]).collect();
+        let flows: u64 = rows.iter().map(|row| row.flows).sum();
+        let broken: u64 = rows.iter().map(|row| row.broken).sum();
+        print!("{:<14} {flows:>9} {broken:>9}", policy.name());
+        for service in 0..services.len() {
+            let sum: f64 = rows.iter().map(|row| row.imbalance[service]).sum();
+            print!(" {:>12.3}", sum / rows.len() as f64);
+        }
+        println!();
+    }
+}
+
+fn record_command(mut arguments: Arguments) -> Result<ExitCode> {
+    let out: String = arguments.value_from_str("--out")?;
+    let seed: u64 = arguments.opt_value_from_str("--seed")?.unwrap_or(1);
+    let scenario = read_scenario(&free_file(arguments, "a scenario file")?)?;
+    let plan = Plan::new(&scenario, seed);
+    let report = run(&plan)?.report;
+    let trace = Trace { plan, report };
+    std::fs::write(&out, trace.write()).with_context(|| format!("cannot write {out}"))?;
+    print!("{}", trace.report.lines());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn replay_command(arguments: Arguments) -> Result<ExitCode> {
+    let file = free_file(arguments, "a trace file")?;
+    let text = std::fs::read_to_string(&file).with_context(|| format!("cannot read {file}"))?;
+    let trace = Trace::read(&text).with_context(|| file.clone())?;
+    let report = run(&trace.plan)?.report;
+    let missed = show_report(&trace.plan.scenario, &report, false)?;
+    if report != trace.report {
+        println!("MISSED: the outcomes differ from the recorded ones:\n{}", trace.report.lines());
+        return Ok(ExitCode::from(EXIT_MISSED));
+    }
+    println!("the outcomes are the recorded ones");
+    Ok(if missed { ExitCode::from(EXIT_MISSED) } else { ExitCode::SUCCESS })
+}
+
+fn explore_command(mut arguments: Arguments) -> Result<ExitCode> {
+    let count: u64 = arguments.opt_value_from_str("--count")?.unwrap_or(DEFAULT_EXPLORATIONS);
+    let seconds: Option<f64> = arguments.opt_value_from_str("--seconds")?;
+    let first: u64 = arguments.opt_value_from_str("--first-seed")?.unwrap_or(1);
+    let out: Option<String> = arguments.opt_value_from_str("--out")?;
+    let jobs = jobs(&mut arguments)?;
+    let scenario = read_scenario(&free_file(arguments, "a scenario file")?)?;
+    let end = seconds.map(|seconds| Instant::now() + Duration::from_secs_f64(seconds));
+    let is_over = || end.is_some_and(|end| Instant::now() >= end);
+    let explored = AtomicU64::new(0);
+    let failures = for_each(first..first + count, jobs, |seed| {
+        if is_over() {
+            return Ok(None);
+        }
+        explored.fetch_add(1, Ordering::Relaxed);
+        explore(&scenario, seed)
+    });
+    let explored = explored.into_inner();
+    let failures = failures.into_iter().collect::<Result<Vec<_>>>()?;
+    let failures: Vec<_> = failures.into_iter().flatten().collect();
+    println!("{explored} timelines explored, {} broke a promise", failures.len());
+    let Some(failing) = failures.into_iter().next() else { return Ok(ExitCode::SUCCESS) };
+    println!("seed {}: {}", failing.seed, failing.broken.join("; "));
+    let smallest = shrink(failing);
+    let out = out.unwrap_or_else(|| DEFAULT_OUT.to_owned());
+    let text = smallest.scenario.to_toml();
+    std::fs::write(&out, text).with_context(|| format!("cannot write {out}"))?;
+    println!(
+        "shrunk to {} events: loftdrift-lab run {out} --seed {}: {}",
+        smallest.scenario.events.len(),
+        smallest.seed,
+        smallest.broken.join("; ")
+    );
+    Ok(ExitCode::from(EXIT_MISSED))
+}
--- /dev/null
+++ b/crates/lab/src/explore.rs
@@ -0,0 +1,142 @@
+//! Random timelines of changes and faults; a failing one is shrunk to a small scenario.
+
+use crate::plan::Plan;
+use crate::run::run;
+use crate::scenario::{Action, Scenario, ScenarioEvent};
+use anyhow::Result;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+const MOST_EVENTS: usize = 10;
+const LONGEST_FREEZE_SECONDS: f64 = 4.0;
+
+/// A timeline that broke a promise.
+#[derive(Clone, Debug)]
+pub struct Failure {
+    /// The scenario with its timeline.
+    pub scenario: Scenario,
+    /// The seed.
+    pub seed: u64,
+    /// What did not hold.
+    pub broken: Vec<String>,
+}
+
+/// Runs the timeline that belongs to a seed; `None` when every promise held.
+pub fn explore(base: &Scenario, seed: u64) -> Result<Option<Failure>> {
+    failure(&random_timeline(base, seed), seed)
+}
+
+/// Runs a scenario; fails when its timeline makes no sense, as with an event for a missing back end.
+fn failure(scenario: &Scenario, seed: u64) -> Result<Option<Failure>> {
+    let broken = run(&Plan::new(scenario, seed))?.report.broken_promises();
+    let failed = !broken.is_empty();
+    Ok(failed.then(|| Failure { scenario: scenario.clone(), seed, broken }))
+}
+
+/// Leaves out events and flows for as long as the failure stays.
+pub fn shrink(failing: Failure) -> Failure {
+    let mut smallest = failing;
+    let mut index = 0;
+    while index < smallest.scenario.events.len() {
+        let mut candidate = smallest.scenario.clone();
+        candidate.events.remove(index);
+        match failure(&candidate, smallest.seed) {
+            Ok(Some(failure)) => smallest = failure,
+            Ok(None) | Err(_) => index += 1,
+        }
+    }
+    for service in 0..smallest.scenario.services.len() {
+        smallest = shrink_load(smallest, service);
+    }
+    smallest
+}
+
+fn shrink_load(mut smallest: Failure, service: usize) -> Failure {
+    loop {
+        let mut candidate = smallest.scenario.clone();
+        let load = &mut candidate.services[service];
+        load.initial_flows /= 2;
+        load.flows_per_second /= 2.0;
+        let is_empty = load.initial_flows == 0 && load.flows_per_second < 0.1;
+        match failure(&candidate, smallest.seed) {
+            Ok(Some(failure)) if !is_empty => smallest = failure,
+            _ => return smallest,
+        }
+    }
+}
+
+/// The back ends and balancers that a timeline has left so far.
+struct Remaining {
+    balancers: u32,
+    /// Names of back ends that take flows, per service.
+    taking: Vec<Vec<String>>,
+    added: Vec<u32>,
+}
+
+/// A timeline of events that a deployment must survive: a balancer and, in each service, a back
+/// end that takes flows are always left.
+fn random_timeline(base: &Scenario, seed: u64) -> Scenario {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0xE8B1);
+    let mut scenario = base.clone();
+    let names = |service: &crate::scenario::ScenarioService| {
+        (1..=service.backends).map(|number| format!("{}-{number}", service.name)).collect()
+    };
+    let mut remaining = Remaining {
+        balancers: base.balancers,
+        taking: base.services.iter().map(names).collect(),
+        added: base.services.iter().map(|service| service.backends).collect(),
+    };
+    let mut times: Vec<f64> = (0..random.random_range(1..=MOST_EVENTS))
+        .map(|_| random.random_range(0.5..base.duration.as_secs_f64()))
+        .collect();
+    times.sort_unstable_by(f64::total_cmp);
+    for at in times {
+        let action = remaining.random_action(base, &mut random);
+        scenario.events.push(ScenarioEvent { at: Duration::from_secs_f64(at), action });
+    }
+    scenario
+}
+
+impl Remaining {
+    fn random_action(&mut self, base: &Scenario, random: &mut ChaCha8Rng) -> Action {
+        let service = random.random_range(0..base.services.len());
+        match random.random_range(0..8) {
+            0 if self.balancers > 1 => {
+                self.balancers -= 1;
+                Action::StopBalancer
+            }
+            1 if self.balancers > 1 => {
+                self.balancers -= 1;
+                Action::KillBalancer
+            }
+            2 if self.taking[service].len() > 1 => {
+                let name = self.take(service, random);
+                Action::Command(format!("drain backend {name}"))
+            }
+            3 if self.taking[service].len() > 2 => Action::KillAgent(self.take(service, random)),
+            4 if self.taking[service].len() > 2 => Action::KillBackend(self.take(service, random)),
+            5 => {
+                let name = self.taking[service].choose(random).cloned().unwrap_or_default();
+                let time = random.random_range(0.1..LONGEST_FREEZE_SECONDS);
+                Action::FreezeAgent(name, Duration::from_secs_f64(time))
+            }
+            6 => {
+                self.added[service] += 1;
+                let name = &base.services[service].name;
+                self.taking[service].push(format!("{name}-{}", self.added[service]));
+                Action::AddBackend(name.clone())
+            }
+            _ => {
+                self.balancers += 1;
+                Action::StartBalancer
+            }
+        }
+    }
+
+    fn take(&mut self, service: usize, random: &mut ChaCha8Rng) -> String {
+        let index = random.random_range(0..self.taking[service].len());
+        self.taking[service].remove(index)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/policies.rs
@@ -0,0 +1,252 @@
+//! Assignment policies that loftdrift is compared with, evaluated on the log of a run.
+
+use crate::assigner::{Loads, least_loaded, replay};
+use crate::flow_log::{FlowLog, FlowSpan};
+use crate::scenario::Scenario;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use siphasher::sip::SipHasher13;
+use std::collections::HashMap;
+use std::hash::Hasher;
+use std::time::Duration;
+
+/// Load pages tell the load of so long ago.
+const LOAD_LAG: Duration = Duration::from_secs(1);
+/// Entries of the Maglev-style table, a prime well above the number of back ends.
+const MAGLEV_ENTRIES: usize = 1_021;
+
+/// A policy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// loftdrift's own cores, as they ran.
+    Loftdrift,
+    /// The flow's hash modulo the number of back ends.
+    HashModulo,
+    /// The highest rendezvous score.
+    Rendezvous,
+    /// A Maglev-style table, without state.
+    Maglev,
+    /// A Maglev-style table, and on each balancer a table of the flows that it has seen.
+    FlowTable,
+    /// The less loaded of two by load pages a second old, given a flow table shared by magic.
+    StaleChoices,
+    /// The least loaded, known at every moment, given a flow table shared by magic: the bound.
+    AllKnowing,
+}
+
+impl Policy {
+    /// Every policy with its name on the command line.
+    pub const ALL: [(Policy, &'static str); 7] = [
+        (Policy::Loftdrift, "loftdrift"),
+        (Policy::HashModulo, "hash-modulo"),
+        (Policy::Rendezvous, "rendezvous"),
+        (Policy::Maglev, "maglev"),
+        (Policy::FlowTable, "flow-table"),
+        (Policy::StaleChoices, "stale-choices"),
+        (Policy::AllKnowing, "all-knowing"),
+    ];
+
+    /// Its name.
+    pub fn name(self) -> &'static str {
+        Self::ALL.iter().find(|(policy, _)| *policy == self).map_or("", |(_, name)| name)
+    }
+
+    /// The policy of a name.
+    pub fn parse(name: &str) -> Option<Policy> {
+        Self::ALL.iter().find(|(_, known)| *known == name).map(|(policy, _)| *policy)
+    }
+}
+
+/// What a policy did with a log of flows.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct PolicyRun {
+    /// When flows broke.
+    pub(crate) broken_at: Vec<Duration>,
+    /// Per service, the imbalance at each sample.
+    pub(crate) imbalance: Vec<Vec<(Duration, f64)>>,
+}
+
+/// Evaluates a policy other than loftdrift itself.
+pub(crate) fn evaluate(policy: Policy, log: &FlowLog, scenario: &Scenario, seed: u64) -> PolicyRun {
+    let mut picker = Picker { tables: HashMap::new() };
+    match policy {
+        Policy::AllKnowing | Policy::Loftdrift => PolicyRun {
+            broken_at: Vec::new(),
+            imbalance: replay(log, scenario, |index, members, loads| {
+                least_loaded(log.flows[index].service, members, loads)
+            }),
+        },
+        Policy::StaleChoices => PolicyRun {
+            broken_at: Vec::new(),
+            imbalance: replay(log, scenario, stale_choices(log)),
+        },
+        Policy::HashModulo | Policy::Rendezvous | Policy::Maglev | Policy::FlowTable => {
+            let views = Views::new(log, scenario, seed);
+            let mut run = PolicyRun {
+                broken_at: Vec::new(),
+                imbalance: replay(log, scenario, |index, members, _| {
+                    picker.pick(policy, index, log.flows[index].service, members)
+                }),
+            };
+            let mut random = ChaCha8Rng::seed_from_u64(seed);
+            for (index, flow) in log.flows.iter().enumerate() {
+                run.broken_at.extend(break_time(
+                    policy,
+                    &mut picker,
+                    &views,
+                    index,
+                    flow,
+                    &mut random,
+                ));
+            }
+            run.broken_at.sort_unstable();
+            run
+        }
+    }
+}
+
+/// When a flow's packet first reaches another back end than its first packet did.
+fn break_time(
+    policy: Policy,
+    picker: &mut Picker,
+    views: &Views<'_>,
+    index: usize,
+    flow: &FlowSpan,
+    random: &mut ChaCha8Rng,
+) -> Option<Duration> {
+    let packets = flow.packets.max(1);
+    let mut home = None;
+    let mut pins: HashMap<usize, u32> = HashMap::new();
+    for packet in 0..packets {
+        let at = flow.opened + (flow.ended - flow.opened) * packet / packets;
+        let balancer = random.random_range(0..views.balancers());
+        let members = views.members(balancer, flow.service, at);
+        let picked = picker.pick(policy, index, flow.service, members);
+        let chosen = match policy {
+            Policy::FlowTable => picked.map(|picked| *pins.entry(balancer).or_insert(picked)),
+            _ => picked,
+        };
+        match (home, chosen) {
+            (None, chosen) => home = chosen,
+            (Some(home), chosen) if chosen != Some(home) => return Some(at),
+            _ => {}
+        }
+    }
+    None
+}
+
+/// What each balancer believes the members to be: changes reach it after a time of their own.
+struct Views<'a> {
+    log: &'a FlowLog,
+    /// Per balancer, when each change of members reaches it.
+    arrivals: Vec<Vec<Duration>>,
+}
+
+impl<'a> Views<'a> {
+    fn new(log: &'a FlowLog, scenario: &Scenario, seed: u64) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0x51E0);
+        let lag = scenario.configuration_lag;
+        let arrivals = (0..scenario.balancers).map(|_| {
+            let arrive = |change: usize| match change {
+                0 => Duration::ZERO,
+                _ => log.members[change].at + lag.mul_f64(random.random::<f64>()),
+            };
+            (0..log.members.len()).map(arrive).collect()
+        });
+        Views { log, arrivals: arrivals.collect() }
+    }
+
+    fn balancers(&self) -> usize {
+        self.arrivals.len()
+    }
+
+    fn members(&self, balancer: usize, service: usize, at: Duration) -> &[u32] {
+        let arrived = self.arrivals[balancer].iter().rposition(|arrival| *arrival <= at);
+        &self.log.members[arrived.unwrap_or(0)].services[service]
+    }
+}
+
+/// Chooses without state.
+struct Picker {
+    /// Maglev tables by service and members.
+    tables: HashMap<(usize, Vec<u32>), Vec<u32>>,
+}
+
+impl Picker {
+    fn pick(
+        &mut self,
+        policy: Policy,
+        flow: usize,
+        service: usize,
+        members: &[u32],
+    ) -> Option<u32> {
+        let hash = hash(0, flow as u64);
+        match policy {
+            Policy::HashModulo if !members.is_empty() => {
+                Some(members[hash as usize % members.len()])
+            }
+            Policy::Rendezvous => {
+                members.iter().copied().max_by_key(|agent| self::hash(u64::from(*agent) + 1, hash))
+            }
+            Policy::Maglev | Policy::FlowTable if !members.is_empty() => {
+                let table = self.tables.entry((service, members.to_vec()));
+                let table = table.or_insert_with(|| maglev_table(members));
+                Some(table[hash as usize % table.len()])
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Maglev's filling: members take turns to claim the next free entry of their own permutation.
+fn maglev_table(members: &[u32]) -> Vec<u32> {
+    let mut table: Vec<Option<u32>> = vec![None; MAGLEV_ENTRIES];
+    let steps = members.iter().map(|agent| {
+        let offset = hash(1, u64::from(*agent)) as usize % MAGLEV_ENTRIES;
+        let skip = hash(2, u64::from(*agent)) as usize % (MAGLEV_ENTRIES - 1) + 1;
+        (offset, skip)
+    });
+    let steps: Vec<(usize, usize)> = steps.collect();
+    let mut next = vec![0; members.len()];
+    let mut filled = 0;
+    while filled < MAGLEV_ENTRIES {
+        for (index, agent) in members.iter().enumerate() {
+            let (offset, skip) = steps[index];
+            let mut entry = (offset + next[index] * skip) % MAGLEV_ENTRIES;
+            while table[entry].is_some() && filled < MAGLEV_ENTRIES {
+                next[index] += 1;
+                entry = (offset + next[index] * skip) % MAGLEV_ENTRIES;
+            }
+            if filled < MAGLEV_ENTRIES {
+                table[entry] = Some(*agent);
+                next[index] += 1;
+                filled += 1;
+            }
+        }
+    }
+    table.into_iter().flatten().collect()
+}
+
+/// Two random choices on loads that were true at the last whole second.
+fn stale_choices(log: &FlowLog) -> impl FnMut(usize, &[u32], &Loads) -> Option<u32> {
+    let mut shown = Loads::new();
+    let mut next_refresh = Duration::ZERO;
+    move |index, members, loads| {
+        let flow = &log.flows[index];
+        if flow.opened >= next_refresh {
+            shown.clone_from(loads);
+            next_refresh = flow.opened + LOAD_LAG;
+        }
+        if members.is_empty() {
+            return None;
+        }
+        let choice = |salt| members[hash(salt, index as u64) as usize % members.len()];
+        least_loaded(flow.service, &[choice(3), choice(4)], &shown)
+    }
+}
+
+fn hash(salt: u64, value: u64) -> u64 {
+    let mut hasher = SipHasher13::new_with_keys(salt, 0);
+    hasher.write_u64(value);
+    hasher.finish()
+}
--- /dev/null
+++ b/crates/lab/src/run.rs
@@ -0,0 +1,365 @@
+//! Runs a plan and reports.
+
+use crate::assigner::{all_knowing, mean};
+use crate::backend::BackendBehaviour;
+use crate::caller::CallerBehaviour;
+use crate::flow_log::{FlowLog, FlowSpan, Members};
+use crate::plan::Plan;
+use crate::report::{Report, ServiceReport};
+use crate::scenario::{Action, Scenario};
+use crate::world::{World, WorldSettings};
+use anyhow::{Context, Result, anyhow};
+use loftdrift_configuration::{BackendState, Configuration, apply, parse_script};
+use loftdrift_flow::FlowId;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// How often loads are sampled.
+pub const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+/// A back end that leaves opens no flow later than this after the acceptance.
+const LEAVING_BOUND: Duration = Duration::from_secs(3);
+/// The fabric turns away from a dead balancer after so long.
+const FABRIC_DETECTION: Duration = Duration::from_millis(300);
+/// A stopped balancer forwards for so long.
+const BALANCER_DRAIN: Duration = Duration::from_secs(1);
+/// Time for the last flows to end after no more are opened.
+const LONGEST_TAIL: Duration = Duration::from_secs(600);
+const TAIL_STEP: Duration = Duration::from_secs(5);
+const FLOW_BUFFER_BYTES: usize = 4 * 1024;
+const FIRST_SERVICE: u32 = 0x0A14_0000;
+const SERVICE_PORT: u16 = 80;
+
+/// What a run has shown, with the log of its flows.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The figures.
+    pub report: Report,
+    /// Each flow and the members of each service over time.
+    pub log: FlowLog,
+    /// Per service, the imbalance of open flows at each sample.
+    pub imbalance: Vec<Vec<(Duration, f64)>>,
+    /// When flows broke.
+    pub broken_at: Vec<Duration>,
+}
+
+/// Samples of one service: largest share over the mean.
+#[derive(Clone, Debug, Default)]
+struct SampledService {
+    flows: Vec<(Duration, f64)>,
+    busy: Vec<(Duration, f64)>,
+}
+
+/// What the scripts of a run share.
+struct Shared {
+    scenario: Scenario,
+    random: ChaCha8Rng,
+    configuration: Configuration,
+    /// Numbers of agents by the names of their back ends.
+    agents: BTreeMap<String, u32>,
+    next_balancer: u32,
+    members: Vec<Members>,
+    /// Agents that are leaving, with the flows that they had opened when they had to have stopped.
+    left: Vec<(u32, u64)>,
+    flows: Vec<(FlowId, usize, Duration, u32)>,
+    sampled: Vec<SampledService>,
+    problems: Vec<String>,
+}
+
+type SharedCell = Rc<RefCell<Shared>>;
+
+/// Runs a plan to the end of its last flow.
+pub fn run(plan: &Plan) -> Result<Run> {
+    let scenario = &plan.scenario;
+    let mut world = World::new(WorldSettings {
+        seed: plan.seed,
+        network: scenario.network,
+        cookies: scenario.cookies,
+        unknown_grace: scenario.unknown_grace,
+        flow_buffer_bytes: FLOW_BUFFER_BYTES,
+    })?;
+    let shared = Rc::new(RefCell::new(Shared {
+        scenario: scenario.clone(),
+        random: ChaCha8Rng::seed_from_u64(plan.seed ^ 0x5EED),
+        configuration: Configuration::default(),
+        agents: BTreeMap::new(),
+        next_balancer: 0,
+        members: Vec::new(),
+        left: Vec::new(),
+        flows: Vec::new(),
+        sampled: vec![SampledService::default(); scenario.services.len()],
+        problems: Vec::new(),
+    }));
+    start(&mut world, &shared)?;
+    schedule(&mut world, &shared, plan);
+    world.run_until(scenario.duration);
+    let give_up = scenario.duration + LONGEST_TAIL;
+    while world.outcome().flows_unfinished() > 0 && world.now() < give_up {
+        let next = world.now() + TAIL_STEP;
+        world.run_until(next);
+    }
+    // A script that was never run holds the last other reference.
+    let shared = shared.borrow();
+    if let Some(problem) = shared.problems.first() {
+        return Err(anyhow!("{problem}"));
+    }
+    Ok(conclude(&world, &shared, plan))
+}
+
+/// The address of the service in that place of the scenario.
+pub fn service_address(index: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(FIRST_SERVICE + index as u32 + 1), SERVICE_PORT)
+}
+
+fn start(world: &mut World, shared: &SharedCell) -> Result<()> {
+    let mut state = shared.borrow_mut();
+    let services = state.scenario.services.clone();
+    let mut script = String::new();
+    for (index, service) in services.iter().enumerate() {
+        let address = service_address(index);
+        let candidates = service.candidates;
+        script.push_str(&format!("create service {} at {address} ", service.name));
+        script.push_str(&format!("candidates {candidates}\n"));
+        for _ in 0..service.backends {
+            script.push_str(&state.add_backend(world, &service.name)?);
+        }
+    }
+    state.accept(&script).context("the scenario's services")?;
+    for _ in 0..state.scenario.balancers {
+        state.next_balancer += 1;
+        world.add_balancer(state.next_balancer);
+    }
+    world.configure_all(&state.configuration);
+    state.note_members(Duration::ZERO);
+    Ok(())
+}
+
+fn schedule(world: &mut World, shared: &SharedCell, plan: &Plan) {
+    for flow in plan.flows.clone() {
+        let cell = Rc::clone(shared);
+        world.at(flow.at(), move |world| {
+            let mut state = cell.borrow_mut();
+            let service = &state.scenario.services[flow.service];
+            let behaviour = CallerBehaviour {
+                service: service.name.clone(),
+                requests: flow.requests,
+                answer_bytes: service.answer_bytes,
+                pause: service.pause,
+                timestamps: flow.timestamps,
+            };
+            let id = world.open_flow(service_address(flow.service), &behaviour);
+            state.flows.push((id, flow.service, world.now(), flow.requests));
+        });
+    }
+    for event in plan.scenario.events.clone() {
+        let cell = Rc::clone(shared);
+        world.at(event.at, move |world| {
+            if let Err(problem) = carry_out(world, &cell, &event.action) {
+                let at = event.at.as_secs_f64();
+                cell.borrow_mut().problems.push(format!("event at {at} s: {problem:#}"));
+            }
+        });
+    }
+    let mut at = plan.scenario.warm_up;
+    while at < plan.scenario.duration {
+        let cell = Rc::clone(shared);
+        world.at(at, move |world| cell.borrow_mut().sample(world));
+        at += SAMPLE_INTERVAL;
+    }
+}
+
+fn carry_out(world: &mut World, shared: &SharedCell, action: &Action) -> Result<()> {
+    let mut state = shared.borrow_mut();
+    let now = world.now();
+    match action {
+        Action::StopBalancer | Action::KillBalancer => {
+            let oldest = *world.balancers_in_use().first().context("no balancer is left")?;
+            if *action == Action::KillBalancer {
+                world.kill_balancer(oldest);
+                world.at(now + FABRIC_DETECTION, move |world| world.withdraw_balancer(oldest));
+            } else {
+                world.withdraw_balancer(oldest);
+                world.at(now + BALANCER_DRAIN, move |world| world.kill_balancer(oldest));
+            }
+        }
+        Action::StartBalancer => {
+            state.next_balancer += 1;
+            let number = state.next_balancer;
+            world.add_balancer(number);
+            world.configure_balancer(number, &state.configuration);
+        }
+        Action::Command(script) => {
+            state.accept(script)?;
+            state.spread(world, shared);
+        }
+        Action::AddBackend(service) => {
+            let service = service.clone();
+            let statement = state.add_backend(world, &service)?;
+            state.accept(&statement)?;
+            state.spread(world, shared);
+        }
+        Action::KillAgent(name) => world.kill_agent(state.agent(name)?),
+        Action::KillBackend(name) => world.kill_backend(state.agent(name)?),
+        Action::FreezeAgent(name, time) => world.freeze_agent(state.agent(name)?, *time),
+    }
+    Ok(())
+}
+
+impl Shared {
+    fn agent(&self, name: &str) -> Result<u32> {
+        self.agents.get(name).copied().with_context(|| format!("there is no back end `{name}`"))
+    }
+
+    /// Starts a back end with its agent; returns the statement that attaches it.
+    fn add_backend(&mut self, world: &mut World, service: &str) -> Result<String> {
+        let settings = self.scenario.services.iter().find(|one| one.name == service);
+        let settings = settings.with_context(|| format!("there is no service `{service}`"))?;
+        let prefix = format!("{service}-");
+        let number = self.agents.keys().filter(|name| name.starts_with(&prefix)).count() + 1;
+        let name = format!("{service}-{number}");
+        let agent = self.agents.len() as u32 + 1;
+        let slots = settings.slots;
+        let behaviour = BackendBehaviour {
+            service: service.to_owned(),
+            work: settings.work,
+            slots: slots as usize,
+        };
+        world.add_agent(agent, &name, behaviour)?;
+        self.agents.insert(name.clone(), agent);
+        let address = World::agent_address(agent);
+        Ok(format!(
+            "attach backend {name} to {service} at 127.0.0.1:80 agent {address} slots {slots} \
+             state active\n"
+        ))
+    }
+
+    fn accept(&mut self, script: &str) -> Result<()> {
+        let statements = parse_script("scenario", script)?;
+        let edited = apply(&self.configuration, &statements);
+        let edited = edited.map_err(|errors| {
+            let list: Vec<String> = errors.iter().map(|(_, error)| error.to_string()).collect();
+            anyhow!("{}", list.join("; "))
+        });
+        self.configuration = edited?;
+        Ok(())
+    }
+
+    /// Has every node learn the newest configuration, each after its own time.
+    fn spread(&mut self, world: &mut World, shared: &SharedCell) {
+        let now = world.now();
+        self.note_members(now);
+        let newest = Rc::new(self.configuration.clone());
+        let lag = self.scenario.configuration_lag;
+        for number in 1..=self.next_balancer {
+            let newest = Rc::clone(&newest);
+            let at = now + lag.mul_f64(self.random.random::<f64>());
+            world.at(at, move |world| world.configure_balancer(number, &newest));
+        }
+        for number in self.agents.values().copied() {
+            let newest = Rc::clone(&newest);
+            let at = now + lag.mul_f64(self.random.random::<f64>());
+            world.at(at, move |world| world.configure_agent(number, &newest));
+        }
+        for number in self.leaving() {
+            let cell = Rc::clone(shared);
+            world.at(now + LEAVING_BOUND, move |world| {
+                let opened = world.agent(number).map_or(0, |agent| agent.counters.flows_opened);
+                cell.borrow_mut().left.push((number, opened));
+            });
+        }
+    }
+
+    fn leaving(&self) -> Vec<u32> {
+        let backends = self.configuration.services.values().flat_map(|one| &one.backends);
+        let leaving = backends.filter(|(_, backend)| backend.state == BackendState::Leaving);
+        leaving.filter_map(|(name, _)| self.agents.get(name).copied()).collect()
+    }
+
+    /// Numbers of the agents of a service that take new flows.
+    fn taking(&self, service: usize) -> Vec<u32> {
+        let name = &self.scenario.services[service].name;
+        let Some(service) = self.configuration.services.get(name) else { return Vec::new() };
+        let taking = service.backends.iter().filter(|(_, one)| one.state.takes_new_flows());
+        taking.filter_map(|(name, _)| self.agents.get(name).copied()).collect()
+    }
+
+    fn note_members(&mut self, at: Duration) {
+        let services = (0..self.scenario.services.len()).map(|service| self.taking(service));
+        let services = services.collect();
+        self.members.push(Members { at, services });
+    }
+
+    fn sample(&mut self, world: &World) {
+        for service in 0..self.scenario.services.len() {
+            let taking = self.taking(service);
+            let flows = |number: &u32| world.agent(*number).map_or(0, |agent| agent.flow_count());
+            let flows = largest_over_mean(&taking.iter().map(flows).collect::<Vec<_>>());
+            let busy = |number: &u32| world.busy_slots(*number);
+            let busy = largest_over_mean(&taking.iter().map(busy).collect::<Vec<_>>());
+            let sampled = &mut self.sampled[service];
+            sampled.flows.extend(flows.map(|ratio| (world.now(), ratio)));
+            sampled.busy.extend(busy.map(|ratio| (world.now(), ratio)));
+        }
+    }
+}
+
+/// The largest over the mean; `None` when all are zero.
+pub(crate) fn largest_over_mean(loads: &[usize]) -> Option<f64> {
+    let total: usize = loads.iter().sum();
+    let largest = loads.iter().copied().max()?;
+    (total > 0).then(|| largest as f64 * loads.len() as f64 / total as f64)
+}
+
+fn conclude(world: &World, shared: &Shared, plan: &Plan) -> Run {
+    let flows = shared.flows.iter().map(|(id, service, opened, requests)| FlowSpan {
+        opened: *opened,
+        ended: world.ended_at(*id).unwrap_or_else(|| world.now()),
+        service: *service,
+        packets: *requests,
+    });
+    let log = FlowLog { flows: flows.collect(), members: shared.members.clone() };
+    let bound = all_knowing(&log, &plan.scenario);
+    let services = shared.scenario.services.iter().enumerate().map(|(index, service)| {
+        let sampled = &shared.sampled[index];
+        ServiceReport {
+            name: service.name.clone(),
+            imbalance: mean(&sampled.flows),
+            all_knowing: bound[index],
+            busy_imbalance: mean(&sampled.busy),
+        }
+    });
+    let counters = shared.agents.values().filter_map(|number| world.agent(*number));
+    let (mut passed_on, mut delivered) = (0, 0);
+    for agent in counters {
+        passed_on += agent.counters.passed_on;
+        delivered += agent.counters.delivered;
+    }
+    let opened_after = shared.left.iter().map(|(number, opened)| {
+        let now = world.agent(*number).map_or(*opened, |agent| agent.counters.flows_opened);
+        now.saturating_sub(*opened)
+    });
+    let outcome = world.outcome();
+    let report = Report {
+        scenario: plan.scenario.name.clone(),
+        seed: plan.seed,
+        flows_opened: outcome.flows_opened,
+        flows_broken: outcome.flows_broken,
+        flows_lost: outcome.flows_lost,
+        flows_unfinished: outcome.flows_unfinished(),
+        requests_sent: outcome.requests_sent,
+        answered_whole: outcome.answered_whole,
+        wrong_answers: outcome.wrong_answers,
+        misdelivered: outcome.misdelivered,
+        doubled: outcome.doubled(),
+        opened_after_leaving: opened_after.sum(),
+        extra_hops: if delivered == 0 { 0.0 } else { passed_on as f64 / delivered as f64 },
+        packets: world.packets(),
+        services: services.collect(),
+    };
+    let imbalance = shared.sampled.iter().map(|sampled| sampled.flows.clone()).collect();
+    Run { report, log, imbalance, broken_at: world.broken_at().to_vec() }
+}
--- /dev/null
+++ b/crates/lab/src/scenario.rs
@@ -0,0 +1,354 @@
+//! Scenarios: topology, load, timeline and stated outcomes, read from checked TOML.
+
+use crate::network::NetworkSettings;
+use loftdrift_findings::{Collector, Findings};
+use loftdrift_settings::{Overrides, Reader};
+use std::fmt::Write;
+use std::time::Duration;
+use toml_edit::{ImDocument, Table};
+
+/// A scenario.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scenario {
+    /// What it shows.
+    pub name: String,
+    /// How long flows are opened and loads are sampled.
+    pub duration: Duration,
+    /// Samples before this time do not count.
+    pub warm_up: Duration,
+    /// Balancers at the start.
+    pub balancers: u32,
+    /// Whether agents send flow cookies.
+    pub cookies: bool,
+    /// How long a flow stays unknown before it is reset.
+    pub unknown_grace: Duration,
+    /// A change reaches each node after a time drawn evenly from zero to this.
+    pub configuration_lag: Duration,
+    /// The network.
+    pub network: NetworkSettings,
+    /// The services.
+    pub services: Vec<ScenarioService>,
+    /// What happens, in the file's order.
+    pub events: Vec<ScenarioEvent>,
+    /// What must come out.
+    pub expect: Expectations,
+}
+
+/// A service with its back ends and its load.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScenarioService {
+    /// Its name; its back ends are `NAME-1`, `NAME-2` and so on.
+    pub name: String,
+    /// Back ends at the start.
+    pub backends: u32,
+    /// Slots of each.
+    pub slots: u32,
+    /// Length of a new flow's tour.
+    pub candidates: u32,
+    /// Flows opened at the start, within a second.
+    pub initial_flows: u32,
+    /// Further flows each second.
+    pub flows_per_second: f64,
+    /// Requests on each flow: at least, at most.
+    pub requests: (u32, u32),
+    /// Pause between a flow's requests.
+    pub pause: Duration,
+    /// Size of each answer, in bytes.
+    pub answer_bytes: usize,
+    /// Time that a request takes.
+    pub work: Duration,
+    /// Share of flows that offer TCP timestamps, from 0 to 1.
+    pub timestamps: f64,
+}
+
+/// Something that happens at a time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ScenarioEvent {
+    /// When.
+    pub at: Duration,
+    /// What.
+    pub action: Action,
+}
+
+/// What happens.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Action {
+    /// The oldest balancer is stopped as planned.
+    StopBalancer,
+    /// The oldest balancer dies.
+    KillBalancer,
+    /// A balancer starts.
+    StartBalancer,
+    /// Operators' statements are accepted.
+    Command(String),
+    /// A back end with its agent starts and is attached to a service.
+    AddBackend(String),
+    /// An agent dies with its flows.
+    KillAgent(String),
+    /// A back end dies, its agent lives on.
+    KillBackend(String),
+    /// An agent is frozen for some time.
+    FreezeAgent(String, Duration),
+}
+
+/// Stated outcomes; what is missing is not checked.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Expectations {
+    /// Flows broken other than by the death of their agent or back end.
+    pub flows_broken: Option<u64>,
+    /// Mean over time of the largest share over the mean, for each service.
+    pub imbalance: Option<f64>,
+    /// The same, as a multiple of the all-knowing assigner's on the same flows.
+    pub imbalance_ratio: Option<f64>,
+    /// Packets passed on between agents, for each packet delivered.
+    pub extra_hops: Option<f64>,
+}
+
+impl Scenario {
+    /// Reads a scenario; `file` names it in findings.
+    pub fn parse(file: &str, text: &str) -> Result<Scenario, Findings> {
+        let mut findings = Collector::new(file, text);
+        let document = match ImDocument::parse(text) {
+            Ok(document) => document,
+            Err(error) => {
+                let offset = error.span().map_or(0, |span| span.start);
+                findings.add(offset, error.message().trim().to_owned(), "a TOML document");
+                return Err(findings
+                    .finish(())
+                    .err()
+                    .unwrap_or_else(|| unreachable_findings(file)));
+            }
+        };
+        let none = Overrides::default();
+        let mut reader = Reader::new(&mut findings, document.as_table(), &none);
+        let scenario = read_scenario(&mut reader, &none);
+        reader.finish();
+        match scenario {
+            Some(scenario) => findings.finish(scenario),
+            None => Err(findings.finish(()).err().unwrap_or_else(|| unreachable_findings(file))),
+        }
+    }
+
+    /// The scenario as a file that [`Scenario::parse`] reads.
+    pub fn to_toml(&self) -> String {
+        let mut text = String::new();
+        let seconds = |time: Duration| format!("{:?}", time.as_secs_f64());
+        // Writing to a string cannot fail.
+        let _ = writeln!(
+            text,
+            "name = {:?}\nseconds = {}\nwarm_up_seconds = {}\nbalancers = {}\ncookies = {}\n\
+             unknown_grace_seconds = {}\nconfiguration_lag_seconds = {}\n\n[network]\n\
+             delay_seconds = {}\njitter_seconds = {}\nloss = {:?}\nduplicates = {:?}",
+            self.name,
+            seconds(self.duration),
+            seconds(self.warm_up),
+            self.balancers,
+            self.cookies,
+            seconds(self.unknown_grace),
+            seconds(self.configuration_lag),
+            seconds(self.network.delay),
+            seconds(self.network.jitter),
+            self.network.loss,
+            self.network.duplicates,
+        );
+        for service in &self.services {
+            let _ = writeln!(
+                text,
+                "\n[[services]]\nname = {:?}\nbackends = {}\nslots = {}\ncandidates = {}\n\
+                 initial_flows = {}\nflows_per_second = {:?}\nleast_requests = {}\n\
+                 most_requests = {}\npause_seconds = {}\nanswer_bytes = {}\nwork_seconds = {}\n\
+                 timestamps = {:?}",
+                service.name,
+                service.backends,
+                service.slots,
+                service.candidates,
+                service.initial_flows,
+                service.flows_per_second,
+                service.requests.0,
+                service.requests.1,
+                seconds(service.pause),
+                service.answer_bytes,
+                seconds(service.work),
+                service.timestamps,
+            );
+        }
+        for event in &self.events {
+            let _ = writeln!(text, "\n[[events]]\nat = {}", seconds(event.at));
+            let _ = match &event.action {
+                Action::StopBalancer => writeln!(text, "action = \"stop-balancer\""),
+                Action::KillBalancer => writeln!(text, "action = \"kill-balancer\""),
+                Action::StartBalancer => writeln!(text, "action = \"start-balancer\""),
+                Action::Command(command) => {
+                    writeln!(text, "action = \"command\"\ncommand = {command:?}")
+                }
+                Action::AddBackend(service) => {
+                    writeln!(text, "action = \"add-backend\"\ntarget = {service:?}")
+                }
+                Action::KillAgent(name) => {
+                    writeln!(text, "action = \"kill-agent\"\ntarget = {name:?}")
+                }
+                Action::KillBackend(name) => {
+                    writeln!(text, "action = \"kill-backend\"\ntarget = {name:?}")
+                }
+                Action::FreezeAgent(name, time) => writeln!(
+                    text,
+                    "action = \"freeze-agent\"\ntarget = {name:?}\nfor_seconds = {}",
+                    seconds(*time)
+                ),
+            };
+        }
+        let _ = writeln!(text, "\n[expect]");
+        if let Some(broken) = self.expect.flows_broken {
+            let _ = writeln!(text, "flows_broken = {broken}");
+        }
+        for (name, value) in [
+            ("imbalance", self.expect.imbalance),
+            ("imbalance_ratio", self.expect.imbalance_ratio),
+            ("extra_hops", self.expect.extra_hops),
+        ] {
+            if let Some(value) = value {
+                let _ = writeln!(text, "{name} = {value:?}");
+            }
+        }
+        text
+    }
+}
+
+/// A reader that returns nothing has recorded a finding, so this is not reached.
+fn unreachable_findings(file: &str) -> Findings {
+    Findings { file: file.to_owned(), list: Vec::new() }
+}
+
+// Each reader below asks for every setting before the first `?`, so that all findings are made.
+
+fn read_scenario(reader: &mut Reader<'_, '_>, none: &Overrides) -> Option<Scenario> {
+    let name = reader.text("name");
+    let duration = reader.seconds("seconds", 60.0);
+    let warm_up = reader.seconds("warm_up_seconds", 2.0);
+    let balancers = reader.count("balancers", 1, 4);
+    let cookies = reader.switch("cookies", true);
+    let unknown_grace = reader.seconds("unknown_grace_seconds", 20.0);
+    let configuration_lag = reader.seconds("configuration_lag_seconds", 2.0);
+    let empty = Table::new();
+    let network = reader.table("network").unwrap_or(&empty);
+    let network = read_inner(reader, network, none, read_network);
+    let expect = reader.table("expect").unwrap_or(&empty);
+    let expect = read_inner(reader, expect, none, read_expectations);
+    let services = reader.tables("services");
+    if services.is_empty() {
+        reader.finding(0, "there is no service".to_owned(), "at least one [[services]] table");
+    }
+    let services: Vec<_> =
+        services.iter().map(|table| read_inner(reader, table, none, read_service)).collect();
+    let events = reader.tables("events");
+    let events: Vec<_> =
+        events.iter().map(|table| read_inner(reader, table, none, read_event)).collect();
+    Some(Scenario {
+        name: name?,
+        duration: duration?,
+        warm_up: warm_up?,
+        balancers: balancers? as u32,
+        cookies: cookies?,
+        unknown_grace: unknown_grace?,
+        configuration_lag: configuration_lag?,
+        network: network?,
+        services: services.into_iter().collect::<Option<_>>()?,
+        events: events.into_iter().collect::<Option<_>>()?,
+        expect: expect?,
+    })
+}
+
+fn read_inner<T>(
+    reader: &mut Reader<'_, '_>,
+    table: &Table,
+    none: &Overrides,
+    read: fn(&mut Reader<'_, '_>) -> Option<T>,
+) -> Option<T> {
+    let mut inner = reader.inner(table, none);
+    let value = read(&mut inner);
+    inner.finish();
+    value
+}
+
+fn read_network(reader: &mut Reader<'_, '_>) -> Option<NetworkSettings> {
+    let usual = NetworkSettings::default();
+    let delay = reader.seconds("delay_seconds", usual.delay.as_secs_f64());
+    let jitter = reader.seconds("jitter_seconds", usual.jitter.as_secs_f64());
+    let loss = reader.number("loss", 0.0, 1.0, 0.0);
+    let duplicates = reader.number("duplicates", 0.0, 1.0, 0.0);
+    Some(NetworkSettings { delay: delay?, jitter: jitter?, loss: loss?, duplicates: duplicates? })
+}
+
+fn read_expectations(reader: &mut Reader<'_, '_>) -> Option<Expectations> {
+    const NOT_CHECKED: f64 = -1.0;
+    let broken = reader.number("flows_broken", NOT_CHECKED, f64::MAX, NOT_CHECKED);
+    let imbalance = reader.number("imbalance", NOT_CHECKED, f64::MAX, NOT_CHECKED);
+    let ratio = reader.number("imbalance_ratio", NOT_CHECKED, f64::MAX, NOT_CHECKED);
+    let hops = reader.number("extra_hops", NOT_CHECKED, f64::MAX, NOT_CHECKED);
+    let stated = |value: f64| (value >= 0.0).then_some(value);
+    Some(Expectations {
+        flows_broken: stated(broken?).map(|count| count as u64),
+        imbalance: stated(imbalance?),
+        imbalance_ratio: stated(ratio?),
+        extra_hops: stated(hops?),
+    })
+}
+
+fn read_service(reader: &mut Reader<'_, '_>) -> Option<ScenarioService> {
+    let name = reader.text("name");
+    let backends = reader.count("backends", 1, 7);
+    let slots = reader.count("slots", 1, 7);
+    let candidates = reader.count("candidates", 1, 3);
+    let initial_flows = reader.count("initial_flows", 0, 0);
+    let flows_per_second = reader.number("flows_per_second", 0.0, 1e6, 0.0);
+    let least = reader.count("least_requests", 1, 1);
+    let most = reader.count("most_requests", 1, 20);
+    let pause = reader.seconds("pause_seconds", 0.5);
+    let answer_bytes = reader.count("answer_bytes", 1, 2_000);
+    let work = reader.seconds("work_seconds", 0.005);
+    let timestamps = reader.number("timestamps", 0.0, 1.0, 1.0);
+    let (least, most) = (least? as u32, most? as u32);
+    if least > most {
+        let offset = reader.offset();
+        reader.finding(offset, "least_requests is above most_requests".to_owned(), "at most it");
+    }
+    Some(ScenarioService {
+        name: name?,
+        backends: backends? as u32,
+        slots: slots? as u32,
+        candidates: candidates? as u32,
+        initial_flows: initial_flows? as u32,
+        flows_per_second: flows_per_second?,
+        requests: (least, most),
+        pause: pause?,
+        answer_bytes: answer_bytes? as usize,
+        work: work?,
+        timestamps: timestamps?,
+    })
+}
+
+fn read_event(reader: &mut Reader<'_, '_>) -> Option<ScenarioEvent> {
+    const ACTIONS: &str = "stop-balancer, kill-balancer, start-balancer, command, add-backend, \
+                           kill-agent, kill-backend or freeze-agent";
+    let at = reader.seconds("at", 0.0);
+    let action = reader.text("action")?;
+    let action = match action.as_str() {
+        "stop-balancer" => Action::StopBalancer,
+        "kill-balancer" => Action::KillBalancer,
+        "start-balancer" => Action::StartBalancer,
+        "command" => Action::Command(reader.text("command")?),
+        "add-backend" => Action::AddBackend(reader.text("target")?),
+        "kill-agent" => Action::KillAgent(reader.text("target")?),
+        "kill-backend" => Action::KillBackend(reader.text("target")?),
+        "freeze-agent" => {
+            let time = reader.seconds("for_seconds", 1.0);
+            Action::FreezeAgent(reader.text("target")?, time?)
+        }
+        other => {
+            let offset = reader.offset();
+            reader.finding(offset, format!("unknown action `{other}`"), ACTIONS);
+            return None;
+        }
+    };
+    Some(ScenarioEvent { at: at?, action })
+}
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -108,6 +108,9 @@
     buffer: Vec<u8>,
     outcome: Outcome,
     packets: u64,
+    /// When callers' flows ended, whichever way.
+    ended: BTreeMap<FlowId, Duration>,
+    broken_at: Vec<Duration>,
 }
 
 impl World {
@@ -128,6 +131,8 @@
             buffer: vec![0; HEADROOM_BYTES + usize::from(u16::MAX)],
             outcome: Outcome::default(),
             packets: 0,
+            ended: BTreeMap::new(),
+            broken_at: Vec::new(),
             settings,
         })
     }
@@ -223,6 +228,8 @@
         let Some(agent) = self.agents.get_mut(&address) else {
             return;
         };
+        self.outcome.flows_lost += agent.core.flow_count() as u64;
+        agent.core.handle_watch(self.now, false);
         for flow in agent.backend.kill() {
             agent.core.handle_socket(self.now, flow, SocketEvent::Failed);
         }
@@ -300,9 +307,14 @@
         flow
     }
 
-    /// Whether a caller's flow goes on.
-    pub fn is_open(&self, flow: FlowId) -> bool {
-        self.callers.get(flow).is_some_and(|open| !open.body.caller.finished)
+    /// When flows broke.
+    pub fn broken_at(&self) -> &[Duration] {
+        &self.broken_at
+    }
+
+    /// When a caller's flow ended, whichever way; `None` while it goes on.
+    pub fn ended_at(&self, flow: FlowId) -> Option<Duration> {
+        self.ended.get(&flow).copied()
     }
 
     fn next_caller_address(&mut self) -> SocketAddrV4 {
@@ -418,8 +430,8 @@
                 Output::Transmit { to, datagram } => self.transmit(address, to, &datagram),
                 Output::Socket { flow, command } => self.handle_command(address, flow, command),
                 Output::StartSocket { .. } => {}
-                Output::ProbeBackend { .. } => {
-                    agent.core.handle_probe(self.now, agent.backend.accepts());
+                Output::WatchBackend { .. } => {
+                    agent.core.handle_watch(self.now, agent.backend.accepts());
                 }
                 Output::Ended { flow } => agent.backend.drop_connection(flow),
             }
@@ -566,6 +578,10 @@
         }
         if gone && !finished {
             self.outcome.flows_broken += 1;
+            self.broken_at.push(self.now);
+        }
+        if gone || finished {
+            self.ended.entry(flow).or_insert(self.now);
         }
         if gone {
             self.callers.remove(flow);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -6,7 +6,7 @@
 mod reader;
 mod roles;
 
-pub use reader::Overrides;
+pub use reader::{Overrides, Reader};
 pub use roles::{
     AgentProcess, BackendProcess, BalancerProcess, CallersProcess, FabricListener, FabricProcess,
     ListenerTransport, PlatformProcess, Role, Settings,
--- a/crates/settings/src/reader.rs
+++ b/crates/settings/src/reader.rs
@@ -34,8 +34,9 @@
     Nothing,
 }
 
-/// Reads one table.
-pub(crate) struct Reader<'a, 'c> {
+/// Reads one table: asks for each setting by name, collects findings, and at the end reports every
+/// key that nobody asked for.
+pub struct Reader<'a, 'c> {
     findings: &'c mut Collector<'a>,
     table: &'c Table,
     overrides: &'c Overrides,
@@ -45,7 +46,8 @@
 }
 
 impl<'a, 'c> Reader<'a, 'c> {
-    pub(crate) fn new(
+    /// A reader of one table.
+    pub fn new(
         findings: &'c mut Collector<'a>,
         table: &'c Table,
         overrides: &'c Overrides,
@@ -53,12 +55,13 @@
         Reader { findings, table, overrides, known: BTreeSet::new(), listeners: Vec::new() }
     }
 
-    pub(crate) fn finding(&mut self, offset: usize, problem: String, expected: &str) {
+    /// Records a finding at a byte offset.
+    pub fn finding(&mut self, offset: usize, problem: String, expected: &str) {
         self.findings.add(offset, problem, expected);
     }
 
     /// Reports every key that no reader has asked for.
-    pub(crate) fn finish(mut self) {
+    pub fn finish(mut self) {
         let keys: Vec<String> = self.table.iter().map(|(key, _)| key.to_owned()).collect();
         let known = self.known.iter().copied().collect::<Vec<_>>().join(", ");
         for key in keys {
@@ -117,7 +120,8 @@
         self.finding(0, format!("flag `--{flag} {value}` is not understood"), expected);
     }
 
-    pub(crate) fn optional_text(&mut self, name: &'static str) -> Option<String> {
+    /// A text that may be missing.
+    pub fn optional_text(&mut self, name: &'static str) -> Option<String> {
         match self.find(name) {
             Found::Flag(text) => Some(text.to_owned()),
             Found::File(value) => match value.as_str() {
@@ -131,12 +135,14 @@
         }
     }
 
-    pub(crate) fn text(&mut self, name: &'static str) -> Option<String> {
+    /// A text.
+    pub fn text(&mut self, name: &'static str) -> Option<String> {
         let value = self.optional_text(name);
         self.require(name, value, "a text in quotes")
     }
 
-    pub(crate) fn optional_address(&mut self, name: &'static str) -> Option<SocketAddrV4> {
+    /// An address that may be missing.
+    pub fn optional_address(&mut self, name: &'static str) -> Option<SocketAddrV4> {
         match self.find(name) {
             Found::Flag(text) => match text.parse() {
                 Ok(address) => Some(address),
@@ -156,24 +162,27 @@
         }
     }
 
-    pub(crate) fn address(&mut self, name: &'static str) -> Option<SocketAddrV4> {
+    /// An address.
+    pub fn address(&mut self, name: &'static str) -> Option<SocketAddrV4> {
         let value = self.optional_address(name);
         self.require(name, value, ADDRESS)
     }
 
     /// An address to listen on, which no other setting may name, unless the kernel chooses the port.
-    pub(crate) fn optional_listener(&mut self, name: &'static str) -> Option<SocketAddrV4> {
+    pub fn optional_listener(&mut self, name: &'static str) -> Option<SocketAddrV4> {
         let address = self.optional_address(name)?;
         self.claim(name, address, self.key_offset(name));
         Some(address)
     }
 
-    pub(crate) fn listener(&mut self, name: &'static str) -> Option<SocketAddrV4> {
+    /// An address to listen on.
+    pub fn listener(&mut self, name: &'static str) -> Option<SocketAddrV4> {
         let value = self.optional_listener(name);
         self.require(name, value, ADDRESS)
     }
 
-    pub(crate) fn claim(&mut self, name: &'static str, address: SocketAddrV4, offset: usize) {
+    /// Notes an address that this process listens on; a finding when another setting names it.
+    pub fn claim(&mut self, name: &'static str, address: SocketAddrV4, offset: usize) {
         let taken = self.listeners.iter().find(|(listener, _)| *listener == address);
         if let Some((_, other)) = taken.filter(|_| address.port() != 0) {
             let problem = format!("`{name}` listens on {address}, as `{other}` does");
@@ -182,7 +191,8 @@
         self.listeners.push((address, name));
     }
 
-    pub(crate) fn count(&mut self, name: &'static str, least: u64, default: u64) -> Option<u64> {
+    /// A whole number of at least `least`.
+    pub fn count(&mut self, name: &'static str, least: u64, default: u64) -> Option<u64> {
         let expected = format!("a whole number of at least {least}");
         let number = match self.find(name) {
             Found::Flag(text) => match text.parse::<u64>() {
@@ -204,7 +214,8 @@
         Some(number)
     }
 
-    pub(crate) fn number(
+    /// A number in a range.
+    pub fn number(
         &mut self,
         name: &'static str,
         least: f64,
@@ -239,11 +250,13 @@
         Some(number)
     }
 
-    pub(crate) fn seconds(&mut self, name: &'static str, default: f64) -> Option<Duration> {
+    /// A time in seconds, up to a day.
+    pub fn seconds(&mut self, name: &'static str, default: f64) -> Option<Duration> {
         self.number(name, 0.0, LONGEST, default).map(Duration::from_secs_f64)
     }
 
-    pub(crate) fn switch(&mut self, name: &'static str, default: bool) -> Option<bool> {
+    /// `true` or `false`.
+    pub fn switch(&mut self, name: &'static str, default: bool) -> Option<bool> {
         match self.find(name) {
             Found::Flag(text) => match text.parse() {
                 Ok(value) => Some(value),
@@ -262,7 +275,8 @@
         }
     }
 
-    pub(crate) fn texts(&mut self, name: &'static str) -> Vec<(String, usize)> {
+    /// A list of texts, each with its byte offset.
+    pub fn texts(&mut self, name: &'static str) -> Vec<(String, usize)> {
         let array = match self.find(name) {
             Found::File(Value::Array(array)) => array,
             Found::File(value) => {
@@ -286,7 +300,8 @@
         texts
     }
 
-    pub(crate) fn addresses(&mut self, name: &'static str) -> Vec<SocketAddrV4> {
+    /// A list of addresses.
+    pub fn addresses(&mut self, name: &'static str) -> Vec<SocketAddrV4> {
         let mut addresses = Vec::new();
         for (text, offset) in self.texts(name) {
             match text.parse() {
@@ -298,7 +313,7 @@
     }
 
     /// The zone of this process, which must be among `zones` when these are listed.
-    pub(crate) fn zone(&mut self) -> Option<String> {
+    pub fn zone(&mut self) -> Option<String> {
         let zones: Vec<String> = self.texts("zones").into_iter().map(|(zone, _)| zone).collect();
         let zone = self.optional_text("zone")?;
         if !zones.is_empty() && !zones.contains(&zone) {
@@ -310,7 +325,7 @@
     }
 
     /// The tables of an array of tables.
-    pub(crate) fn tables(&mut self, name: &'static str) -> Vec<&'c Table> {
+    pub fn tables(&mut self, name: &'static str) -> Vec<&'c Table> {
         self.known.insert(name);
         match self.table.get(name) {
             Some(Item::ArrayOfTables(tables)) => tables.iter().collect(),
@@ -323,8 +338,26 @@
         }
     }
 
+    /// A table that may be missing.
+    pub fn table(&mut self, name: &'static str) -> Option<&'c Table> {
+        self.known.insert(name);
+        match self.table.get(name)? {
+            Item::Table(table) => Some(table),
+            _ => {
+                let offset = self.key_offset(name);
+                self.finding(offset, format!("`{name}` is no table"), "a [table]");
+                None
+            }
+        }
+    }
+
+    /// The byte offset at which this table starts.
+    pub fn offset(&self) -> usize {
+        self.table.span().map_or(0, |span| span.start)
+    }
+
     /// A reader of a table inside this one, to which flags do not reach.
-    pub(crate) fn inner<'i>(&'i mut self, table: &'i Table, none: &'i Overrides) -> Reader<'a, 'i> {
+    pub fn inner<'i>(&'i mut self, table: &'i Table, none: &'i Overrides) -> Reader<'a, 'i> {
         Reader::new(self.findings, table, none)
     }
 }
--- a/crates/steering/src/service.rs
+++ b/crates/steering/src/service.rs
@@ -5,7 +5,7 @@
 use loftdrift_configuration::{Member, Service};
 use loftdrift_wire::{
     BackendId, Candidate, CandidateList, FlowCookie, FlowKey, MAX_CANDIDATES, ServiceId,
-    SteeringMode, SteeringOption, Transport,
+    SteeringMode, SteeringOption,
 };
 
 /// Most times that agents pass one packet on: every candidate once, the way back to the best of a
@@ -109,26 +109,21 @@
         self.any_suspect = self.suspects.contains(&true);
     }
 
-    /// The option of a packet that may open a flow: a tour of the newest generation's candidates,
-    /// suspects left out unless all are.
+    /// The option of a packet that may open a flow: a tour of the newest generation's candidates.
     ///
-    /// A datagram may as well be of a flow that exists, so its tour goes on to every other
-    /// candidate that may hold it. A SYN needs no more: an agent that is offered a flow which
-    /// another one holds never gets that flow's acknowledgement.
+    /// Others take the places of suspects. Behind the tour's candidates stands a reserve, suspects
+    /// last: a datagram may be of a flow that lives there, and a SYN goes on to it when no candidate
+    /// takes the flow.
     pub fn open(&self, flow: &FlowKey) -> SteeringOption {
         let bucket = self.bucket(flow);
         let agents = &bucket.agents[..usize::from(bucket.length)];
-        let (newest, older) = agents.split_at(usize::from(bucket.eligible));
         let mut candidates = CandidateList::new();
-        self.push(&mut candidates, newest.iter().filter(|agent| self.is_living(**agent)));
-        if candidates.as_slice().is_empty() {
-            self.push(&mut candidates, newest.iter());
-        }
-        let open_to = candidates.as_slice().len();
-        if flow.transport == Transport::Udp {
-            self.push(&mut candidates, older.iter().filter(|agent| self.is_living(**agent)));
-        }
-        self.option(SteeringMode::Tour, open_to, candidates)
+        self.push(&mut candidates, agents.iter().filter(|agent| self.is_living(**agent)));
+        let living = candidates.as_slice().len();
+        self.push(&mut candidates, agents.iter().filter(|agent| !self.is_living(**agent)));
+        let open_to = if living == 0 { agents.len() } else { living };
+        let eligible = open_to.min(usize::from(bucket.eligible));
+        self.option(SteeringMode::Tour, eligible, candidates)
     }
 
     /// The option of a packet of a flow that exists: the back end that its cookie names, then the
