Tours ask back ends that only a newer configuration names

Ruled out: holding new flows back until every balancer has the configuration (two phases), which delays every change by the slowest node.

Change: an agent at the end of a tour that nobody took adds the back ends of its own configuration when that is newer than the packet's. Shrinking keeps a timeline survivable, so that it does not end in a scenario without back ends.

Conclusion: refusal now needs every known back end to refuse.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -340,7 +340,8 @@
             }
             SteeringMode::Tour => {
                 let load = self.tour_load(inner);
-                pass_on::tour(option, load, inner.kind)
+                let table = self.place.as_ref().map(|place| &place.table);
+                pass_on::tour(option, load, inner.kind, table)
             }
             SteeringMode::Place => match self.load() {
                 Some(_) => Next::OpenHere,
--- a/crates/agent/src/pass_on.rs
+++ b/crates/agent/src/pass_on.rs
@@ -26,14 +26,9 @@
     table: Option<&ServiceTable>,
 ) -> Next {
     let mut option = *option;
-    let newer = table.filter(|table| table.epoch() > option.epoch);
-    if let Some(table) = newer {
-        let known = table.locate(&inner.flow, inner.timestamp_echo);
-        for candidate in known.candidates.as_slice() {
-            option.candidates.push(*candidate);
-        }
-        option.epoch = table.epoch();
-    }
+    let known = table.map(|table| (table.epoch(), table.locate(&inner.flow, inner.timestamp_echo)));
+    let known = known.as_ref().map(|(epoch, known)| (*epoch, known.candidates.as_slice()));
+    add_newer(&mut option, known);
     let cursor = option.cursor + 1;
     advance(option, cursor).unwrap_or(Next::Unknown)
 }
@@ -41,8 +36,14 @@
 /// A packet that opens a flow, on its tour. `load` is this agent's, `None` when it takes none.
 ///
 /// A SYN's tour asks the eligible candidates and then the reserve behind them, until one takes the
-/// flow. A datagram's tour always asks everyone, as any may hold its flow.
-pub(crate) fn tour(option: &SteeringOption, load: Option<u16>, kind: SegmentKind) -> Next {
+/// flow. A datagram's tour always asks everyone, as any may hold its flow. When nobody takes it,
+/// the back ends that only a newer configuration of this agent names are asked as well.
+pub(crate) fn tour(
+    option: &SteeringOption,
+    load: Option<u16>,
+    kind: SegmentKind,
+    table: Option<&ServiceTable>,
+) -> Next {
     let mut option = *option;
     if let Some(load) = load
         && option.best.is_none_or(|best| load < best.load)
@@ -57,7 +58,10 @@
         return next;
     }
     match option.best {
-        None => Next::Refused,
+        None => {
+            add_newer(&mut option, table.map(|table| (table.epoch(), table.agents())));
+            advance(option, cursor).unwrap_or(Next::Refused)
+        }
         Some(best) if best.index == option.cursor => Next::OpenHere,
         Some(best) => {
             option.mode = SteeringMode::Place;
@@ -72,6 +76,15 @@
     advance(again, 0).unwrap_or(Next::Refused)
 }
 
+/// Adds the candidates of an epoch that is newer than the packet's.
+fn add_newer(option: &mut SteeringOption, known: Option<(u64, &[Candidate])>) {
+    let Some((epoch, candidates)) = known.filter(|(epoch, _)| *epoch > option.epoch) else {
+        return;
+    };
+    candidates.iter().for_each(|candidate| option.candidates.push(*candidate));
+    option.epoch = epoch;
+}
+
 /// On to the candidate at `cursor`; `None` when the list ends before it.
 fn advance(mut option: SteeringOption, cursor: u8) -> Option<Next> {
     let candidate = *option.candidates.as_slice().get(usize::from(cursor))?;
--- a/crates/lab/src/explore.rs
+++ b/crates/lab/src/explore.rs
@@ -2,7 +2,7 @@
 
 use crate::plan::Plan;
 use crate::run::run;
-use crate::scenario::{Action, Scenario, ScenarioEvent};
+use crate::scenario::{Action, Scenario, ScenarioEvent, ScenarioService};
 use anyhow::Result;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -42,6 +42,10 @@
     while index < smallest.scenario.events.len() {
         let mut candidate = smallest.scenario.clone();
         candidate.events.remove(index);
+        if !is_survivable(&candidate) {
+            index += 1;
+            continue;
+        }
         match failure(&candidate, smallest.seed) {
             Ok(Some(failure)) => smallest = failure,
             Ok(None) | Err(_) => index += 1,
@@ -53,6 +57,26 @@
     smallest
 }
 
+/// Whether a balancer and, in each service, a back end that takes flows are always left.
+fn is_survivable(scenario: &Scenario) -> bool {
+    let mut remaining = Remaining::new(scenario);
+    scenario.events.iter().all(|event| {
+        match &event.action {
+            Action::StopBalancer | Action::KillBalancer => {
+                remaining.balancers = remaining.balancers.saturating_sub(1);
+            }
+            Action::StartBalancer => remaining.balancers += 1,
+            Action::AddBackend(service) => remaining.add(scenario, service),
+            Action::KillAgent(name) | Action::KillBackend(name) => remaining.remove(name),
+            Action::Command(command) => {
+                remaining.remove(command.rsplit(' ').next().unwrap_or_default());
+            }
+            Action::FreezeAgent(..) => {}
+        }
+        remaining.balancers > 0 && remaining.taking.iter().all(|names| !names.is_empty())
+    })
+}
+
 fn shrink_load(mut smallest: Failure, service: usize) -> Failure {
     loop {
         let mut candidate = smallest.scenario.clone();
@@ -80,14 +104,7 @@
 fn random_timeline(base: &Scenario, seed: u64) -> Scenario {
     let mut random = ChaCha8Rng::seed_from_u64(seed ^ 0xE8B1);
     let mut scenario = base.clone();
-    let names = |service: &crate::scenario::ScenarioService| {
-        (1..=service.backends).map(|number| format!("{}-{number}", service.name)).collect()
-    };
-    let mut remaining = Remaining {
-        balancers: base.balancers,
-        taking: base.services.iter().map(names).collect(),
-        added: base.services.iter().map(|service| service.backends).collect(),
-    };
+    let mut remaining = Remaining::new(base);
     let mut times: Vec<f64> = (0..random.random_range(1..=MOST_EVENTS))
         .map(|_| random.random_range(0.5..base.duration.as_secs_f64()))
         .collect();
@@ -100,6 +117,28 @@
 }
 
 impl Remaining {
+    fn new(base: &Scenario) -> Self {
+        let names = |service: &ScenarioService| {
+            (1..=service.backends).map(|number| format!("{}-{number}", service.name)).collect()
+        };
+        Remaining {
+            balancers: base.balancers,
+            taking: base.services.iter().map(names).collect(),
+            added: base.services.iter().map(|service| service.backends).collect(),
+        }
+    }
+
+    fn add(&mut self, base: &Scenario, service: &str) {
+        let place = base.services.iter().position(|one| one.name == service);
+        let Some(place) = place else { return };
+        self.added[place] += 1;
+        self.taking[place].push(format!("{service}-{}", self.added[place]));
+    }
+
+    fn remove(&mut self, name: &str) {
+        self.taking.iter_mut().for_each(|names| names.retain(|known| known != name));
+    }
+
     fn random_action(&mut self, base: &Scenario, random: &mut ChaCha8Rng) -> Action {
         let service = random.random_range(0..base.services.len());
         match random.random_range(0..8) {
@@ -123,10 +162,9 @@
                 Action::FreezeAgent(name, Duration::from_secs_f64(time))
             }
             6 => {
-                self.added[service] += 1;
-                let name = &base.services[service].name;
-                self.taking[service].push(format!("{name}-{}", self.added[service]));
-                Action::AddBackend(name.clone())
+                let name = base.services[service].name.clone();
+                self.add(base, &name);
+                Action::AddBackend(name)
             }
             _ => {
                 self.balancers += 1;
