Shift new work between the sites by a timed share

Cause: operators set how new work shifts between two sites; until now only joins and drains moved it.

Change: shift SERVICE to site right 25% over 10m. A balancer decides by the flow's hash which site a new flow is meant for and tours that site's candidates; the share moves with the time since the Unix epoch, so that a restarted balancer stands where the others do. A new shift begins at the share that the last one has reached. Existing flows are looked for in the candidates of both sites.

Ruled out: generations with weights, which would make one generation a step and use up the history; the schedule from each node's adoption, which a restart would begin anew.

--- a/crates/app/src/balancer_process.rs
+++ b/crates/app/src/balancer_process.rs
@@ -12,7 +12,7 @@
 use loftdrift_settings::{BalancerProcess, Role};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::task::JoinSet;
@@ -142,7 +142,7 @@
     }
 
     async fn probe(&mut self) {
-        for probe in self.core.tick(self.started.elapsed()) {
+        for probe in self.core.tick(self.started.elapsed(), unix_now()) {
             if send(&self.socket, probe.to, &probe.echo.encode()).await.is_err() {
                 self.core.counters.send_failures += 1;
             }
@@ -150,6 +150,11 @@
     }
 }
 
+/// The time since the Unix epoch; zero when the host's clock stands before it.
+fn unix_now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
+
 /// Sends at once when the socket has room, as it nearly always has.
 async fn send(socket: &UdpSocket, to: SocketAddrV4, datagram: &[u8]) -> std::io::Result<usize> {
     match socket.try_send_to(datagram, to.into()) {
--- a/crates/app/src/ctl.rs
+++ b/crates/app/src/ctl.rs
@@ -5,14 +5,14 @@
 use loftdrift_charts::ChartNames;
 use loftdrift_configuration::{
     BackendState, Commit, CommitAction, CommitOutcome, Configuration, Documents, KEY_PREFIX, Query,
-    Statement, StatementKind, StoreReply, StoreRequest, apply, parse_script,
+    Statement, StatementKind, StoreReply, StoreRequest, apply, parse_script, stamp,
 };
 use loftdrift_findings::{Collector, Findings};
 use loftdrift_platform::StoreClient;
 use rand::Rng;
 use serde_json::json;
 use std::process::ExitCode;
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const FIRST_PAUSE: Duration = Duration::from_millis(50);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
@@ -41,10 +41,12 @@
 
 /// Carries out a call.
 pub async fn run(store: &StoreClient, call: &Call) -> Result<ExitCode> {
-    let statements = match parse_script(&call.name, &call.script) {
+    let mut statements = match parse_script(&call.name, &call.script) {
         Ok(statements) => statements,
         Err(findings) => return Ok(refuse_script(call, &findings)),
     };
+    let unix_now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    stamp(&mut statements, unix_now.as_secs());
     let changes = statements.iter().any(|one| !matches!(one.kind, StatementKind::Show(_)));
     let mut code = ExitCode::SUCCESS;
     if changes && call.dry_run {
--- a/crates/balancer/src/core.rs
+++ b/crates/balancer/src/core.rs
@@ -45,6 +45,8 @@
     map: SteeringMap,
     prober: Prober,
     draining: bool,
+    /// The time since the Unix epoch at the last tick.
+    unix_now: Duration,
     /// What was counted so far.
     pub counters: BalancerCounters,
 }
@@ -56,6 +58,7 @@
             map: SteeringMap::default(),
             prober: Prober::new(probing),
             draining: false,
+            unix_now: Duration::ZERO,
             counters: BalancerCounters::default(),
         }
     }
@@ -67,6 +70,7 @@
             return false;
         }
         self.map = SteeringMap::new(configuration);
+        self.map.set_time(self.unix_now);
         self.prober.set_peers(now, self.map.agents().map(|candidate| candidate.agent));
         self.refresh_suspects();
         self.counters.configurations_adopted += 1;
@@ -85,8 +89,11 @@
         self.draining = true;
     }
 
-    /// The probes to send now. Call it about every 100 ms.
-    pub fn tick(&mut self, now: Duration) -> Vec<loftdrift_liveness::Probe> {
+    /// Moves shifts between sites on and returns the probes to send now. Call it about every 100 ms
+    /// with the time since the Unix epoch as well.
+    pub fn tick(&mut self, now: Duration, unix_now: Duration) -> Vec<loftdrift_liveness::Probe> {
+        self.unix_now = unix_now;
+        self.map.set_time(unix_now);
         let probes = self.prober.tick(now);
         self.counters.control_bytes += (probes.len() * ECHO_BYTES) as u64;
         if self.prober.take_changed() {
--- a/crates/configuration/src/commit.rs
+++ b/crates/configuration/src/commit.rs
@@ -176,6 +176,7 @@
             StatementKind::DeleteService { name } => Some(name.clone()),
             StatementKind::AttachBackend { service, .. } => Some(service.clone()),
             StatementKind::ChangeBackend { name, .. } => service_of(name),
+            StatementKind::Shift { service, .. } => Some(service.clone()),
             StatementKind::Show(_) => None,
         };
         self.statements.iter().filter_map(touch).collect()
--- a/crates/configuration/src/edit.rs
+++ b/crates/configuration/src/edit.rs
@@ -2,10 +2,11 @@
 
 use crate::language::{Statement, StatementKind};
 use crate::lifecycle::{BackendEvent, BackendState, backend_chart};
-use crate::model::{Backend, Configuration, Service, Version};
+use crate::model::{Backend, Configuration, Service, Site, SiteShift, Version};
 use loftdrift_charts::{ChartNames, TypedStep};
 use loftdrift_wire::MAX_VNI;
 use std::collections::BTreeMap;
+use std::time::Duration;
 use thiserror::Error;
 
 /// Why a statement cannot be applied. Nothing of its script is.
@@ -78,6 +79,7 @@
         StatementKind::DeleteService { name } => delete_service(configuration, name),
         StatementKind::AttachBackend { .. } => attach_backend(configuration, statement),
         StatementKind::ChangeBackend { name, event } => change_backend(configuration, name, *event),
+        StatementKind::Shift { .. } => shift(configuration, statement),
         StatementKind::Show(_) => Ok(()),
     }
 }
@@ -112,6 +114,7 @@
         changed: configuration.version,
         backends: BTreeMap::new(),
         generations: Vec::new(),
+        shift: None,
     };
     configuration.services.insert(name.clone(), service);
     Ok(())
@@ -201,6 +204,29 @@
     Ok(())
 }
 
+/// A new shift begins at the share that the one before it has reached.
+fn shift(configuration: &mut Configuration, statement: &StatementKind) -> Result<(), EditError> {
+    const PERMILLE_PER_PERCENT: u16 = 10;
+    const WHOLE: u16 = 1_000;
+    let StatementKind::Shift { service, site, percent, seconds, starts } = statement else {
+        return Ok(());
+    };
+    let version = configuration.version;
+    let target = configuration.services.get_mut(service);
+    let target = target.ok_or_else(|| EditError::UnknownService(service.clone()))?;
+    let share = u16::from(*percent) * PERMILLE_PER_PERCENT;
+    let to_permille = match site {
+        Site::Right => share,
+        Site::Left => WHOLE - share,
+    };
+    let now = Duration::from_secs(*starts);
+    let from_permille = target.shift.map_or(0, |shift| shift.right_permille(now));
+    target.shift =
+        Some(SiteShift { from_permille, to_permille, starts: *starts, seconds: *seconds });
+    mark_changed(target, version);
+    Ok(())
+}
+
 fn mark_changed(service: &mut Service, version: Version) {
     service.changed = version;
     service.renew_generation(version.revision);
--- a/crates/configuration/src/language.rs
+++ b/crates/configuration/src/language.rs
@@ -23,6 +23,7 @@
 /// `docs/design/0001-steering.md` gives imbalance and hops for other lengths.
 const DEFAULT_CANDIDATES: u8 = 4;
 const MOST_CANDIDATES: u32 = 6;
+const LONGEST_SHIFT_SECONDS: u64 = 30 * 24 * 3_600;
 
 /// A statement with its place in the script.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -80,6 +81,19 @@
         /// What happens to it.
         event: BackendEvent,
     },
+    /// `shift SERVICE to site`
+    Shift {
+        /// The service.
+        service: String,
+        /// The site that new flows move to.
+        site: Site,
+        /// Its share of new flows at the end, in percent.
+        percent: u8,
+        /// How long the shift takes, in seconds.
+        seconds: u64,
+        /// When it starts, in seconds since the Unix epoch; see [`stamp`].
+        starts: u64,
+    },
     /// `show`
     Show(Query),
 }
@@ -95,6 +109,17 @@
     Draining,
 }
 
+/// Gives statements that start now their time, in seconds since the Unix epoch.
+///
+/// Parsing knows no clock; whoever carries a script out calls this first.
+pub fn stamp(statements: &mut [Statement], unix_seconds: u64) {
+    for statement in statements {
+        if let StatementKind::Shift { starts, .. } = &mut statement.kind {
+            *starts = unix_seconds;
+        }
+    }
+}
+
 /// Reads a script; `file` names it in findings.
 pub fn parse_script(file: &str, text: &str) -> Result<Vec<Statement>, Findings> {
     let mut findings = Collector::new(file, text);
@@ -138,7 +163,7 @@
 fn rule_words(rule: Rule) -> &'static str {
     match rule {
         Rule::script | Rule::statement => {
-            "a statement (create, delete, attach, activate, drain, detach or show)"
+            "a statement (create, delete, attach, activate, drain, detach, shift or show)"
         }
         Rule::create_service => "create service NAME at IP:PORT",
         Rule::delete_service => "delete service NAME",
@@ -146,6 +171,11 @@
         Rule::activate => "activate backend NAME",
         Rule::drain => "drain backend NAME",
         Rule::detach => "detach backend NAME",
+        Rule::shift => "shift SERVICE to site left|right PERCENT% [over DURATION]",
+        Rule::over_option => "over DURATION",
+        Rule::percent => "a share such as 25%",
+        Rule::duration => "a duration such as 30s, 10m or 2h",
+        Rule::word_site => "site",
         Rule::show => "show services, show backends or show draining",
         Rule::show_services => "services",
         Rule::show_backends => "backends",
@@ -239,6 +269,17 @@
         Rule::activate => change(parts.next()?, BackendEvent::Activate),
         Rule::drain => change(parts.next()?, BackendEvent::Drain),
         Rule::detach => change(parts.next()?, BackendEvent::Detach),
+        Rule::shift => {
+            let service = parts.next()?.as_str().to_owned();
+            let site = if parts.next()?.as_str() == "right" { Site::Right } else { Site::Left };
+            let percent = read_percent(findings, parts.next()?)?;
+            let over = parts.next().and_then(|option| option.into_inner().next());
+            let seconds = match over {
+                Some(duration) => read_duration(findings, duration)?,
+                None => 0,
+            };
+            Some(StatementKind::Shift { service, site, percent, seconds, starts: 0 })
+        }
         Rule::show => match parts.next()?.as_rule() {
             Rule::show_services => Some(StatementKind::Show(Query::Services)),
             Rule::show_backends => Some(StatementKind::Show(Query::Backends)),
@@ -252,7 +293,12 @@
 fn is_plain_word(rule: Rule) -> bool {
     matches!(
         rule,
-        Rule::word_service | Rule::word_backend | Rule::word_at | Rule::word_to | Rule::word_agent
+        Rule::word_service
+            | Rule::word_backend
+            | Rule::word_at
+            | Rule::word_to
+            | Rule::word_agent
+            | Rule::word_site
     )
 }
 
@@ -288,3 +334,31 @@
         }
     }
 }
+
+fn read_percent(findings: &mut Collector<'_>, pair: Pair<'_, Rule>) -> Option<u8> {
+    let percent = pair.as_str().trim_end_matches('%').parse::<u8>().ok();
+    let percent = percent.filter(|percent| *percent <= 100);
+    if percent.is_none() {
+        let problem = format!("`{}` is out of range", pair.as_str());
+        findings.add(pair.as_span().start(), problem, "a share from 0% to 100%");
+    }
+    percent
+}
+
+/// A duration in seconds.
+fn read_duration(findings: &mut Collector<'_>, pair: Pair<'_, Rule>) -> Option<u64> {
+    let text = pair.as_str();
+    let (digits, unit) = text.split_at(text.len() - 1);
+    let factor = match unit {
+        "h" => 3_600,
+        "m" => 60,
+        _ => 1,
+    };
+    let seconds = digits.parse::<u64>().ok().and_then(|number| number.checked_mul(factor));
+    let seconds = seconds.filter(|seconds| *seconds <= LONGEST_SHIFT_SECONDS);
+    if seconds.is_none() {
+        let problem = format!("`{text}` is out of range");
+        findings.add(pair.as_span().start(), problem, "a duration of at most 720h");
+    }
+    seconds
+}
--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -17,13 +17,13 @@
     DocumentError, Documents, HEAD_KEY, Head, KEY_PREFIX, outcome_key, service_key,
 };
 pub use edit::{EditError, apply};
-pub use language::{Query, Statement, StatementKind, parse_script};
+pub use language::{Query, Statement, StatementKind, parse_script, stamp};
 pub use lifecycle::{
     BackendEvent, BackendState, ProcessEvent, ProcessState, agent_chart, backend_chart,
     balancer_chart,
 };
 pub use model::{
     Backend, Configuration, Generation, MAX_GENERATIONS, Member, Service, ServiceTransport, Site,
-    Version,
+    SiteShift, Version,
 };
 pub use store::{KeyValue, StoreCondition, StoreReply, StoreRequest, StoreWrite};
--- a/crates/configuration/src/model.rs
+++ b/crates/configuration/src/model.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 /// Most generations of a service's members that are kept for flows that live on.
 pub const MAX_GENERATIONS: usize = 6;
@@ -95,6 +96,36 @@
     pub backends: BTreeMap<String, Backend>,
     /// The members that took new flows, newest first; never empty once a back end is attached.
     pub generations: Vec<Generation>,
+    /// How new flows are shared between the sites; without it, sites do not matter.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shift: Option<SiteShift>,
+}
+
+/// A share of new flows that moves to the right site over time. Flows that exist stay.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SiteShift {
+    /// The right site's share at the start, in thousandths.
+    pub from_permille: u16,
+    /// Its share at the end, in thousandths.
+    pub to_permille: u16,
+    /// When it starts, in seconds since the Unix epoch.
+    pub starts: u64,
+    /// How long it takes, in seconds.
+    pub seconds: u64,
+}
+
+impl SiteShift {
+    /// The right site's share at a time since the Unix epoch, in thousandths.
+    pub fn right_permille(&self, now: Duration) -> u16 {
+        let elapsed = now.saturating_sub(Duration::from_secs(self.starts));
+        let whole = Duration::from_secs(self.seconds);
+        if elapsed >= whole {
+            return self.to_permille;
+        }
+        let part = elapsed.as_secs_f64() / whole.as_secs_f64();
+        let from = f64::from(self.from_permille);
+        (from + (f64::from(self.to_permille) - from) * part).round() as u16
+    }
 }
 
 impl Service {
@@ -111,7 +142,7 @@
             .backends
             .values()
             .filter(|backend| backend.state.takes_new_flows())
-            .map(|backend| Member { backend: backend.id, agent: backend.agent })
+            .map(|backend| Member { backend: backend.id, agent: backend.agent, site: backend.site })
             .collect();
         if self.generations.first().is_some_and(|newest| newest.members == members) {
             return;
@@ -137,6 +168,8 @@
     pub backend: u16,
     /// UDP address of its agent.
     pub agent: SocketAddrV4,
+    /// Side of a migration it stands on.
+    pub site: Site,
 }
 
 impl Member {
--- a/crates/configuration/tests/edits.rs
+++ b/crates/configuration/tests/edits.rs
@@ -1,6 +1,7 @@
 //! What statements do to a configuration.
 
-use loftdrift_configuration::{Configuration, EditError, apply, parse_script};
+use loftdrift_configuration::{Configuration, EditError, apply, parse_script, stamp};
+use std::time::Duration;
 
 fn edit(configuration: &Configuration, script: &str) -> Configuration {
     let statements = parse_script("test", script).expect("a script");
@@ -70,3 +71,31 @@
     assert_eq!((findings.list[0].place.line, findings.list[0].place.column), (2, 7));
     assert_eq!(findings.list[0].expected, "backend");
 }
+
+#[test]
+fn a_shift_moves_the_share_over_time_and_the_next_one_begins_where_it_is() {
+    let run = |configuration: &Configuration, script: &str, unix_seconds: u64| {
+        let mut statements = parse_script("test", script).expect("a script");
+        stamp(&mut statements, unix_seconds);
+        apply(configuration, &statements).expect("a change that fits")
+    };
+    let share = |configuration: &Configuration, unix_seconds: u64| {
+        let shift = configuration.services["tiles"].shift.expect("a shift");
+        shift.right_permille(Duration::from_secs(unix_seconds))
+    };
+    let first = run(&two_backends(), "shift tiles to site right 50% over 10m", 1_000);
+    let shares: Vec<u16> = [900, 1_000, 1_300, 1_600, 9_999].map(|at| share(&first, at)).into();
+    assert_eq!(shares, [0, 0, 250, 500, 500]);
+    let back = run(&first, "shift tiles to site left 100% over 100s", 1_300);
+    assert_eq!([1_300, 1_350, 1_400].map(|at| share(&back, at)), [250, 125, 0]);
+    let refused = refusals(&two_backends(), "shift nobody to site right 1%");
+    assert!(matches!(&refused[0], EditError::UnknownService(name) if name == "nobody"));
+}
+
+#[test]
+fn shares_and_durations_out_of_range_are_found() {
+    let script = "shift tiles to site right 101%\nshift tiles to site left 5% over 721h";
+    let findings = parse_script("test", script).expect_err("findings");
+    assert_eq!(findings.list.len(), 2, "{findings}");
+    assert_eq!((findings.list[1].place.line, findings.list[1].place.column), (2, 34));
+}
--- a/crates/lab/src/run.rs
+++ b/crates/lab/src/run.rs
@@ -9,7 +9,7 @@
 use crate::scenario::{Action, Scenario};
 use crate::world::{World, WorldSettings};
 use anyhow::{Context, Result, anyhow};
-use loftdrift_configuration::{BackendState, Configuration, apply, parse_script};
+use loftdrift_configuration::{BackendState, Configuration, apply, parse_script, stamp};
 use loftdrift_flow::FlowId;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -131,7 +131,7 @@
             script.push_str(&state.add_backend(world, &service.name)?);
         }
     }
-    state.accept(&script).context("the scenario's services")?;
+    state.accept(Duration::ZERO, &script).context("the scenario's services")?;
     for _ in 0..state.scenario.balancers {
         state.next_balancer += 1;
         world.add_balancer(state.next_balancer);
@@ -196,13 +196,13 @@
             world.configure_balancer(number, &state.configuration);
         }
         Action::Command(script) => {
-            state.accept(script)?;
+            state.accept(now, script)?;
             state.spread(world, shared);
         }
         Action::AddBackend(service) => {
             let service = service.clone();
             let statement = state.add_backend(world, &service)?;
-            state.accept(&statement)?;
+            state.accept(now, &statement)?;
             state.spread(world, shared);
         }
         Action::KillAgent(name) => {
@@ -234,6 +234,7 @@
         let name = format!("{service}-{number}");
         let agent = self.agents.len() as u32 + 1;
         let slots = settings.slots;
+        let site = if number > settings.left_backends as usize { "right" } else { "left" };
         let behaviour = BackendBehaviour {
             service: service.to_owned(),
             work: settings.work,
@@ -244,12 +245,13 @@
         let address = World::agent_address(agent);
         Ok(format!(
             "attach backend {name} to {service} at 127.0.0.1:80 agent {address} slots {slots} \
-             state active\n"
+             site {site} state active\n"
         ))
     }
 
-    fn accept(&mut self, script: &str) -> Result<()> {
-        let statements = parse_script("scenario", script)?;
+    fn accept(&mut self, now: Duration, script: &str) -> Result<()> {
+        let mut statements = parse_script("scenario", script)?;
+        stamp(&mut statements, now.as_secs());
         let edited = apply(&self.configuration, &statements);
         let edited = edited.map_err(|errors| {
             let list: Vec<String> = errors.iter().map(|(_, error)| error.to_string()).collect();
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -41,6 +41,8 @@
     pub name: String,
     /// Back ends at the start.
     pub backends: u32,
+    /// The first so many back ends stand on the left site, the others on the right.
+    pub left_backends: u32,
     /// Slots of each.
     pub slots: u32,
     /// Length of a new flow's tour.
@@ -154,12 +156,13 @@
         for service in &self.services {
             let _ = writeln!(
                 text,
-                "\n[[services]]\nname = {:?}\nbackends = {}\nslots = {}\ncandidates = {}\n\
+                "\n[[services]]\nname = {:?}\nbackends = {}\nleft_backends = {}\nslots = {}\ncandidates = {}\n\
                  initial_flows = {}\nflows_per_second = {:?}\nleast_requests = {}\n\
                  most_requests = {}\npause_seconds = {}\nanswer_bytes = {}\nwork_seconds = {}\n\
                  timestamps = {:?}",
                 service.name,
                 service.backends,
+                service.left_backends,
                 service.slots,
                 service.candidates,
                 service.initial_flows,
@@ -311,6 +314,7 @@
 fn read_service(reader: &mut Reader<'_, '_>) -> Option<ScenarioService> {
     let name = reader.text("name");
     let backends = reader.count("backends", 1, 7);
+    let left_backends = reader.count("left_backends", 0, u64::from(u32::MAX));
     let slots = reader.count("slots", 1, 7);
     let candidates = reader.count("candidates", 1, 4);
     let initial_flows = reader.count("initial_flows", 0, 0);
@@ -329,6 +333,7 @@
     Some(ScenarioService {
         name: name?,
         backends: backends? as u32,
+        left_backends: left_backends? as u32,
         slots: slots? as u32,
         candidates: candidates? as u32,
         initial_flows: initial_flows? as u32,
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -397,7 +397,7 @@
         let Some(core) = self.balancers.get_mut(&address) else {
             return;
         };
-        for probe in core.tick(self.now) {
+        for probe in core.tick(self.now, self.now) {
             self.transmit(address, probe.to, probe.echo.encode());
         }
         self.queue.push(self.now + BALANCER_TICK, Event::BalancerTick(address));
--- a/crates/steering/src/buckets.rs
+++ b/crates/steering/src/buckets.rs
@@ -1,7 +1,7 @@
 //! Bucket tables: for each bucket of flow hashes the members of one generation, best first.
 
 use crate::hash::rendezvous_score;
-use loftdrift_configuration::Generation;
+use loftdrift_configuration::{Generation, Member, Site};
 
 const BUCKETS_PER_MEMBER: usize = 16;
 const FEWEST_BUCKETS: usize = 64;
@@ -14,11 +14,20 @@
 /// Places in `generation.members` of the `most` best members of a bucket, best first.
 ///
 /// Rendezvous hashing: adding or removing a member moves no other pair of bucket and member.
-pub(crate) fn best_members(generation: &Generation, bucket: usize, most: usize) -> Vec<usize> {
+/// Members on `site` alone when there are any.
+pub(crate) fn best_members(
+    generation: &Generation,
+    site: Option<Site>,
+    bucket: usize,
+    most: usize,
+) -> Vec<usize> {
+    let on_site = |member: &Member| site.is_none_or(|site| member.site == site);
+    let any_on_site = generation.members.iter().any(on_site);
     let mut scored: Vec<(u64, usize)> = generation
         .members
         .iter()
         .enumerate()
+        .filter(|(_, member)| !any_on_site || on_site(member))
         .map(|(index, member)| (rendezvous_score(bucket, member.backend), index))
         .collect();
     scored.sort_unstable_by(|left, right| right.cmp(left));
--- a/crates/steering/src/map.rs
+++ b/crates/steering/src/map.rs
@@ -5,6 +5,7 @@
 use loftdrift_wire::{Candidate, FlowKey, ServiceId, Transport};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct ServiceAddress {
@@ -57,6 +58,11 @@
         self.tables.iter().flat_map(ServiceTable::agents)
     }
 
+    /// Moves the shares of the sites to where they are at a time since the Unix epoch.
+    pub fn set_time(&mut self, unix_now: Duration) {
+        self.tables.iter_mut().for_each(|table| table.set_time(unix_now));
+    }
+
     /// Takes this node's opinion on each agent: `true` for those believed dead.
     pub fn set_suspects(&mut self, believed_dead: impl Fn(&Candidate) -> bool) {
         for table in &mut self.tables {
--- a/crates/steering/src/service.rs
+++ b/crates/steering/src/service.rs
@@ -2,16 +2,20 @@
 
 use crate::buckets::{best_members, bucket_count};
 use crate::hash::flow_hash;
-use loftdrift_configuration::{Member, Service};
+use loftdrift_configuration::{Member, Service, Site, SiteShift};
 use loftdrift_wire::{
     BackendId, Candidate, CandidateList, FlowCookie, FlowKey, MAX_CANDIDATES, ServiceId,
     SteeringMode, SteeringOption,
 };
+use std::time::Duration;
 
 /// Most times that agents pass one packet on: every candidate once, the way back to the best of a
 /// tour, and room for the candidates that a newer agent adds.
 pub const MAX_HOPS: u8 = 16;
 
+/// The hash's bits that choose the site stand above those that choose the bucket.
+const SHARE_HASH_SHIFT: u32 = 32;
+
 /// A bucket's candidates as places in [`ServiceTable::agents`].
 #[derive(Clone, Copy, Debug, Default)]
 struct Bucket {
@@ -22,6 +26,10 @@
 }
 
 impl Bucket {
+    fn agents(&self) -> &[u16] {
+        &self.agents[..usize::from(self.length)]
+    }
+
     fn push(&mut self, agent: u16) {
         let length = usize::from(self.length);
         if length == MAX_CANDIDATES || self.agents[..length].contains(&agent) {
@@ -32,6 +40,15 @@
     }
 }
 
+/// Bucket tables by the site that a new flow is meant for.
+#[derive(Clone, Debug)]
+enum SiteBuckets {
+    /// Sites do not matter.
+    Any(Vec<Bucket>),
+    /// New flows are shared between the sites.
+    Shared { left: Vec<Bucket>, right: Vec<Bucket> },
+}
+
 /// The candidates of one service's flows.
 #[derive(Clone, Debug)]
 pub struct ServiceTable {
@@ -39,7 +56,10 @@
     epoch: u64,
     /// The hash's bits that choose the bucket.
     mask: usize,
-    buckets: Vec<Bucket>,
+    buckets: SiteBuckets,
+    shift: Option<SiteShift>,
+    /// The right site's share of new flows now, in thousandths.
+    right_permille: u16,
     /// Every back end of the kept generations and of the configuration, in the order of identity.
     agents: Vec<Candidate>,
     /// Whether the agent in that place is believed dead by this node.
@@ -56,27 +76,47 @@
             id: service.service_id(),
             epoch: service.generations.first().map_or(0, |newest| newest.epoch),
             mask: count - 1,
-            buckets: Vec::new(),
+            buckets: SiteBuckets::Any(Vec::new()),
+            shift: service.shift,
+            right_permille: service.shift.map_or(0, |shift| shift.from_permille),
             suspects: vec![false; agents.len()],
             any_suspect: false,
             agents,
         };
-        table.buckets = (0..count).map(|bucket| table.fill(service, bucket)).collect();
+        table.buckets = match service.shift {
+            None => SiteBuckets::Any(table.fill_all(service, None)),
+            Some(_) => SiteBuckets::Shared {
+                left: table.fill_all(service, Some(Site::Left)),
+                right: table.fill_all(service, Some(Site::Right)),
+            },
+        };
         table
     }
 
+    fn fill_all(&self, service: &Service, site: Option<Site>) -> Vec<Bucket> {
+        (0..=self.mask).map(|bucket| self.fill(service, site, bucket)).collect()
+    }
+
+    /// Moves the shares of the sites to where they are at a time since the Unix epoch.
+    pub fn set_time(&mut self, unix_now: Duration) {
+        if let Some(shift) = &self.shift {
+            self.right_permille = shift.right_permille(unix_now);
+        }
+    }
+
     /// Where a back end stands in [`ServiceTable::agents`].
     fn place(&self, backend: BackendId) -> Option<u16> {
         let found = self.agents.binary_search_by_key(&backend, |candidate| candidate.backend);
         found.ok().map(|place| place as u16)
     }
 
-    fn fill(&self, service: &Service, bucket: usize) -> Bucket {
+    /// A bucket's candidates; those on `site` first, unless there is none.
+    fn fill(&self, service: &Service, site: Option<Site>, bucket: usize) -> Bucket {
         let most = usize::from(service.candidates);
         let mut filled = Bucket::default();
         for (age, generation) in service.generations.iter().enumerate() {
             let own_bucket = bucket & (bucket_count(generation) - 1);
-            let best = best_members(generation, own_bucket, most).into_iter();
+            let best = best_members(generation, site, own_bucket, most).into_iter();
             let best = best.map(|index| BackendId(generation.members[index].backend));
             best.filter_map(|backend| self.place(backend)).for_each(|agent| filled.push(agent));
             if age == 0 {
@@ -115,8 +155,8 @@
     /// last: a datagram may be of a flow that lives there, and a SYN goes on to it when no candidate
     /// takes the flow.
     pub fn open(&self, flow: &FlowKey) -> SteeringOption {
-        let bucket = self.bucket(flow);
-        let agents = &bucket.agents[..usize::from(bucket.length)];
+        let (bucket, _) = self.buckets(flow);
+        let agents = bucket.agents();
         let mut candidates = CandidateList::new();
         self.push(&mut candidates, agents.iter().filter(|agent| self.is_living(**agent)));
         let living = candidates.as_slice().len();
@@ -129,27 +169,48 @@
     /// The option of a packet of a flow that exists: the back end that its cookie names, then the
     /// candidates of every kept generation, newest first, suspects last.
     pub fn locate(&self, flow: &FlowKey, timestamp_echo: Option<u32>) -> SteeringOption {
-        let bucket = self.bucket(flow);
-        let agents = &bucket.agents[..usize::from(bucket.length)];
+        let (bucket, other) = self.buckets(flow);
         let mut candidates = CandidateList::new();
         let named = timestamp_echo.and_then(|echo| FlowCookie::backend(echo, self.id));
         let named = named.and_then(|backend| self.place(backend));
         if let Some(place) = named {
             candidates.push_distinct(self.agents[usize::from(place)]);
         }
+        let Some(other) = other else {
+            self.push_others(&mut candidates, bucket.agents(), named);
+            return self.option(SteeringMode::Locate, 0, candidates);
+        };
+        // The flow may have been opened when the shares of the sites were others.
+        let mut both = *bucket;
+        other.agents().iter().for_each(|agent| both.push(*agent));
+        self.push_others(&mut candidates, both.agents(), named);
+        self.option(SteeringMode::Locate, 0, candidates)
+    }
+
+    /// Appends agents but the one listed already, suspects last.
+    fn push_others(&self, candidates: &mut CandidateList, agents: &[u16], named: Option<u16>) {
         let others = agents.iter().filter(|agent| Some(**agent) != named);
         if self.any_suspect {
             let living = others.clone().filter(|agent| self.is_living(**agent));
-            self.push(&mut candidates, living);
-            self.push(&mut candidates, others.filter(|agent| !self.is_living(**agent)));
+            self.push(candidates, living);
+            self.push(candidates, others.filter(|agent| !self.is_living(**agent)));
         } else {
-            self.push(&mut candidates, others);
+            self.push(candidates, others);
         }
-        self.option(SteeringMode::Locate, 0, candidates)
     }
 
-    fn bucket(&self, flow: &FlowKey) -> &Bucket {
-        &self.buckets[flow_hash(flow) as usize & self.mask]
+    /// The flow's bucket for the site that it is meant for, and that for the other site.
+    fn buckets(&self, flow: &FlowKey) -> (&Bucket, Option<&Bucket>) {
+        let hash = flow_hash(flow);
+        let place = hash as usize & self.mask;
+        match &self.buckets {
+            SiteBuckets::Any(buckets) => (&buckets[place], None),
+            SiteBuckets::Shared { left, right } => {
+                let is_right = (hash >> SHARE_HASH_SHIFT) % 1_000 < u64::from(self.right_permille);
+                let (own, other) = if is_right { (right, left) } else { (left, right) };
+                (&own[place], Some(&other[place]))
+            }
+        }
     }
 
     /// Appends agents that are not listed yet.
