Find flows without cookie in pools of any history, list after list

Ruled out: keeping more generations (a longer list does not fit the option: GENEVE allows 124 bytes, 13 candidates); asking leaving back ends first (fails as soon as twelve leave).

Change: an agent at the end of a list that nobody knew the flow of gives the packet the service's next twelve back ends, four further lists at most. History is now a short cut, not a need, for services of up to 60 back ends.

Conclusion: cost falls on packets that nobody knows; others are unchanged.

--- a/crates/agent/src/pass_on.rs
+++ b/crates/agent/src/pass_on.rs
@@ -1,7 +1,10 @@
 //! Where a packet goes that is not of a flow that lives here: pure decisions on its option.
 
-use loftdrift_steering::ServiceTable;
-use loftdrift_wire::{Candidate, InnerPacket, SegmentKind, SteeringMode, SteeringOption, TourBest};
+use loftdrift_steering::{MAX_HOPS, ServiceTable};
+use loftdrift_wire::{
+    Candidate, CandidateList, InnerPacket, MAX_CANDIDATES, MAX_PAGES, SegmentKind, SteeringMode,
+    SteeringOption, TourBest,
+};
 
 /// What becomes of a packet whose flow is not here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -19,7 +22,7 @@
 }
 
 /// A packet of a flow that exists: on down the list, then to candidates that only a newer
-/// configuration names.
+/// configuration names, then through further lists of the service's other back ends.
 pub(crate) fn locate(
     option: &SteeringOption,
     inner: &InnerPacket,
@@ -30,7 +33,27 @@
     let known = known.as_ref().map(|(epoch, known)| (*epoch, known.candidates.as_slice()));
     add_newer(&mut option, known);
     let cursor = option.cursor + 1;
-    advance(option, cursor).unwrap_or(Next::Unknown)
+    advance(option, cursor).or_else(|| next_page(option, table?)).unwrap_or(Next::Unknown)
+}
+
+/// On to the next list of back ends that are not on this one; `None` when there are no more or the
+/// packet had its share.
+///
+/// Only packets without a cookie whose flow is older than the kept generations come so far.
+fn next_page(mut option: SteeringOption, table: &ServiceTable) -> Option<Next> {
+    let asked = option.candidates;
+    option.candidates = CandidateList::new();
+    while option.candidates.as_slice().is_empty() {
+        if option.page == MAX_PAGES {
+            return None;
+        }
+        let page = table.agents().chunks(MAX_CANDIDATES).nth(usize::from(option.page))?;
+        option.page += 1;
+        let others = page.iter().filter(|candidate| asked.position(candidate.backend).is_none());
+        others.for_each(|candidate| option.candidates.push_distinct(*candidate));
+    }
+    option.hops_left = MAX_HOPS;
+    advance(option, 0)
 }
 
 /// A packet that opens a flow, on its tour. `load` is this agent's, `None` when it takes none.
--- a/crates/agent/tests/limits.rs
+++ b/crates/agent/tests/limits.rs
@@ -45,7 +45,16 @@
 fn option(mode: SteeringMode) -> SteeringOption {
     let mut candidates = CandidateList::new();
     candidates.push(Candidate { backend: BackendId(1), agent: address("10.2.0.1:6081") });
-    SteeringOption { mode, cursor: 0, hops_left: 16, eligible: 1, best: None, epoch: 1, candidates }
+    SteeringOption {
+        mode,
+        cursor: 0,
+        hops_left: 16,
+        page: 0,
+        eligible: 1,
+        best: None,
+        epoch: 1,
+        candidates,
+    }
 }
 
 fn syn(port: u16, service: [u8; 4]) -> Vec<u8> {
--- a/crates/bench/benches/agent.rs
+++ b/crates/bench/benches/agent.rs
@@ -20,7 +20,16 @@
 fn option(mode: SteeringMode, agent: SocketAddrV4) -> SteeringOption {
     let mut candidates = CandidateList::new();
     candidates.push(Candidate { backend: BackendId(1), agent });
-    SteeringOption { mode, cursor: 0, hops_left: 16, eligible: 1, best: None, epoch: 1, candidates }
+    SteeringOption {
+        mode,
+        cursor: 0,
+        hops_left: 16,
+        page: 0,
+        eligible: 1,
+        best: None,
+        epoch: 1,
+        candidates,
+    }
 }
 
 /// Callers with open flows to one agent, whose back end takes every byte and answers nothing.
--- a/crates/lab/tests/planned_changes.rs
+++ b/crates/lab/tests/planned_changes.rs
@@ -181,3 +181,29 @@
     world.run_until(seconds(120.0));
     assert_clean(world.outcome(), 6);
 }
+
+/// Callers without timestamps, more changes than generations are kept, and more back ends than one
+/// list holds.
+#[test]
+fn flows_outlive_the_kept_history_in_a_large_pool() {
+    const BACKENDS: u32 = 20;
+    const CHANGES: u32 = 8;
+    for seed in SEEDS {
+        let settings = WorldSettings { seed, ..WorldSettings::default() };
+        let mut world = world(settings, 2, BACKENDS + CHANGES);
+        let mut scripts = vec![create(BACKENDS)];
+        let change = |number: u32| {
+            format!("{}\n{}", attach(BACKENDS + number), drain(BACKENDS + 1 - number))
+        };
+        scripts.extend((1..=CHANGES).map(change));
+        let list = configurations(&scripts);
+        world.configure_all(&list[0]);
+        open_flows(&mut world, 100, seconds(0.0), seconds(1.0), &callers(40, seconds(0.5), false));
+        for (index, configuration) in list.into_iter().enumerate().skip(1) {
+            let at = seconds(1.0 + index as f64);
+            world.at(at, move |world| world.configure_all(&configuration));
+        }
+        world.run_until(seconds(120.0));
+        assert_clean(world.outcome(), seed);
+    }
+}
--- a/crates/steering/src/service.rs
+++ b/crates/steering/src/service.rs
@@ -9,8 +9,8 @@
 };
 use std::time::Duration;
 
-/// Most times that agents pass one packet on: every candidate once, the way back to the best of a
-/// tour, and room for the candidates that a newer agent adds.
+/// Most times that agents pass one packet on, for each list: every candidate once, the way back to
+/// the best of a tour, and room for the candidates that a newer agent adds.
 pub const MAX_HOPS: u8 = 16;
 
 /// The hash's bits that choose the site stand above those that choose the bucket.
@@ -232,6 +232,7 @@
             mode,
             cursor: 0,
             hops_left: MAX_HOPS,
+            page: 0,
             eligible: eligible as u8,
             best: None,
             epoch: self.epoch,
--- a/crates/wire/src/steering_option.rs
+++ b/crates/wire/src/steering_option.rs
@@ -6,6 +6,8 @@
 
 /// Most candidates that one packet carries.
 pub const MAX_CANDIDATES: usize = 12;
+/// Most further lists that a packet is given when nobody on its first one knows its flow.
+pub const MAX_PAGES: u8 = 4;
 /// Most bytes of the option's body; GENEVE allows 124.
 pub const MAX_OPTION_BYTES: usize = FIXED_BYTES + MAX_CANDIDATES * CANDIDATE_BYTES;
 
@@ -123,6 +125,8 @@
     pub cursor: u8,
     /// How many more times agents may pass the packet on.
     pub hops_left: u8,
+    /// How many lists before this one were asked in vain, at most [`MAX_PAGES`].
+    pub page: u8,
     /// The first so many candidates may open new flows; the rest may only hold old ones.
     pub eligible: u8,
     /// The best candidate seen on the tour.
@@ -150,6 +154,10 @@
     Candidates,
 }
 
+/// The lower half of the first byte is the mode, the upper half the page.
+const PAGE_SHIFT: u32 = 4;
+const MODE_MASK: u8 = 0x0F;
+
 #[derive(Encode, Decode)]
 struct FixedPart {
     mode: u8,
@@ -178,7 +186,7 @@
     /// Writes the body and returns its length in bytes, a multiple of 4.
     pub fn encode(&self, body: &mut [u8; MAX_OPTION_BYTES]) -> usize {
         let fixed = FixedPart {
-            mode: self.mode as u8,
+            mode: self.mode as u8 | (self.page << PAGE_SHIFT),
             cursor: self.cursor,
             hops_left: self.hops_left,
             eligible: self.eligible,
@@ -229,7 +237,11 @@
 
 impl FixedPart {
     fn into_option(self, candidates: CandidateList) -> Result<SteeringOption, OptionError> {
-        let mode = match self.mode {
+        let page = self.mode >> PAGE_SHIFT;
+        if page > MAX_PAGES {
+            return Err(OptionError::Index);
+        }
+        let mode = match self.mode & MODE_MASK {
             0 => SteeringMode::Locate,
             1 => SteeringMode::Tour,
             2 => SteeringMode::Place,
@@ -245,6 +257,7 @@
             mode,
             cursor: self.cursor,
             hops_left: self.hops_left,
+            page,
             eligible: self.eligible,
             best,
             epoch: self.epoch,
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -3,8 +3,8 @@
 use arbtest::arbitrary::{self, Unstructured};
 use loftdrift_testkit::check_fixed_seeds;
 use loftdrift_wire::{
-    BackendId, Candidate, CandidateList, Echo, EchoKind, FlowCookie, GenevePacket, MAX_VNI,
-    ServiceId, SteeringMode, SteeringOption, TourBest, encode_packet, parse_inner,
+    BackendId, Candidate, CandidateList, Echo, EchoKind, FlowCookie, GenevePacket, MAX_PAGES,
+    MAX_VNI, ServiceId, SteeringMode, SteeringOption, TourBest, encode_packet, parse_inner,
 };
 use std::net::SocketAddrV4;
 
@@ -22,6 +22,7 @@
         mode: *input.choose(&modes)?,
         cursor: input.int_in_range(0..=last)?,
         hops_left: input.arbitrary()?,
+        page: input.int_in_range(0..=MAX_PAGES)?,
         eligible: input.int_in_range(0..=last + 1)?,
         best: input.arbitrary::<bool>()?.then_some(best),
         epoch: input.arbitrary()?,
