A back end that has come up works up to its full share

Cause: cold back ends were told apart only by the operators' state joining; one that restarts is cold as well.

Change: an agent counts each flow double when its back end has just come up, less and less over ten seconds (ramp_seconds), and counts the flow to come, so that a back end without flows does not take all new ones.

Conclusion: warm-up costs balance only while back ends come up, which is its purpose.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -25,9 +25,9 @@
 use std::time::Duration;
 
 /// Loads compare in sixteenths of flows per slot.
-const LOAD_SCALE: u64 = 16;
-/// A back end that warms up counts each flow so many times.
-const JOINING_LOAD_FACTOR: u64 = 2;
+const LOAD_SCALE: f64 = 16.0;
+/// A back end that is joining, or has just come up, counts each flow so many times.
+const COLD_LOAD_FACTOR: f64 = 2.0;
 
 /// A caller that does not acknowledge the SYN-ACK for so long is forgotten.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -339,11 +339,11 @@
                 pass_on::locate(option, inner, self.place.as_ref().map(|place| &place.table))
             }
             SteeringMode::Tour => {
-                let load = self.tour_load(inner);
+                let load = self.tour_load(now, inner);
                 let table = self.place.as_ref().map(|place| &place.table);
                 pass_on::tour(option, load, inner.kind, table)
             }
-            SteeringMode::Place => match self.load() {
+            SteeringMode::Place => match self.load(now) {
                 Some(_) => Next::OpenHere,
                 None => pass_on::tour_again(option),
             },
@@ -400,7 +400,7 @@
     }
 
     /// This agent's load, `None` when it takes no new flow.
-    fn load(&mut self) -> Option<u16> {
+    fn load(&mut self, now: Duration) -> Option<u16> {
         let place = self.place.as_ref()?;
         if self.stopping || !place.backend.state.takes_new_flows() {
             self.counters.passed_over_leaving += 1;
@@ -415,18 +415,21 @@
             self.counters.passed_over_full += 1;
             return None;
         }
-        let factor = match place.backend.state {
-            BackendState::Joining => JOINING_LOAD_FACTOR,
-            _ => 1,
+        let coldness = match place.backend.state {
+            BackendState::Joining => 1.0,
+            _ => self.health.coldness(now, self.settings.ramp),
         };
-        let load = flows * factor * LOAD_SCALE / u64::from(place.backend.slots.max(1));
-        Some(load.min(u64::from(u16::MAX)) as u16)
+        let factor = 1.0 + (COLD_LOAD_FACTOR - 1.0) * coldness;
+        // Counting the flow to come keeps a cold back end without flows from taking all new ones.
+        let flows = (flows + 1) as f64 * factor;
+        let load = flows * LOAD_SCALE / f64::from(place.backend.slots.max(1));
+        Some(load.min(f64::from(u16::MAX)) as u16)
     }
 
     /// The load that a tour compares. Datagrams of one flow must all choose alike, though loads
     /// move between them, so every candidate that takes new flows says zero and the first wins.
-    fn tour_load(&mut self, inner: &InnerPacket) -> Option<u16> {
-        let load = self.load();
+    fn tour_load(&mut self, now: Duration, inner: &InnerPacket) -> Option<u16> {
+        let load = self.load(now);
         match inner.kind {
             SegmentKind::Datagram => load.map(|_| 0),
             _ => load,
--- a/crates/agent/src/health.rs
+++ b/crates/agent/src/health.rs
@@ -18,6 +18,8 @@
     /// When to open the watching connection; `None` while there is one or none is wanted yet.
     next_watch: Option<Duration>,
     started: bool,
+    /// Since when the back end accepts connections without a break.
+    accepts_since: Duration,
 }
 
 impl BackendHealth {
@@ -32,6 +34,15 @@
         self.accepts
     }
 
+    /// How much of the ramp of a back end that has just come up is still before it, from 1 to 0.
+    pub(crate) fn coldness(&self, now: Duration, ramp: Duration) -> f64 {
+        let elapsed = now.saturating_sub(self.accepts_since);
+        if elapsed >= ramp {
+            return 0.0;
+        }
+        1.0 - elapsed.as_secs_f64() / ramp.as_secs_f64()
+    }
+
     pub(crate) fn next_watch(&self) -> Option<Duration> {
         self.next_watch
     }
@@ -49,6 +60,9 @@
     ///
     /// One that ends may only have been idle too long: the next is tried at once.
     pub(crate) fn on_watch(&mut self, now: Duration, accepted: bool) {
+        if accepted && !self.accepts {
+            self.accepts_since = now;
+        }
         let ended = std::mem::replace(&mut self.accepts, accepted) && !accepted;
         self.next_watch = match accepted {
             true => None,
--- a/crates/agent/src/settings.rs
+++ b/crates/agent/src/settings.rs
@@ -17,6 +17,8 @@
     /// How long a flow must stay unknown before its packets are answered with a reset. Longer than
     /// a configuration takes to reach every node, so that a flow is never reset for a disagreement.
     pub unknown_grace: Duration,
+    /// A back end that has come up works up to its full share of new flows for so long.
+    pub ramp: Duration,
     /// A UDP flow without packets for so long is over.
     pub udp_idle: Duration,
     /// Seed of the flows' initial sequence numbers.
--- a/crates/agent/tests/limits.rs
+++ b/crates/agent/tests/limits.rs
@@ -26,6 +26,7 @@
         cookies: true,
         unknown_grace: Duration::from_secs(20),
         udp_idle: Duration::from_secs(30),
+        ramp: Duration::from_secs(10),
         seed: 7,
     })
     .expect("a chart");
@@ -157,6 +158,33 @@
     assert_eq!(agent.counters.flows_opened, 1);
 }
 
+/// The load that the agent writes into a tour that goes on to another candidate.
+fn told_load(agent: &mut Agent, now: Duration) -> u16 {
+    let mut option = option(SteeringMode::Tour);
+    let other = Candidate { backend: BackendId(2), agent: address("10.2.0.2:6081") };
+    option.candidates.push(other);
+    option.eligible = 2;
+    let datagram = encode_packet(TILES_VNI, Some(&option), &syn(5_000, SERVICE));
+    agent.handle_datagram(now, address("10.1.0.1:6081"), &datagram);
+    let Some(Output::Transmit { datagram, .. }) = agent.take_output() else {
+        panic!("the packet was kept")
+    };
+    let passed_on = GenevePacket::parse(&datagram).expect("a packet").steering;
+    passed_on.and_then(|option| option.best).expect("a load").load
+}
+
+#[test]
+fn a_back_end_that_has_come_up_works_up_to_its_full_share() {
+    let mut agent = agent(10);
+    let seconds = Duration::from_secs;
+    let loads = [0, 5, 10, 60].map(|at| told_load(&mut agent, seconds(at)));
+    assert!(loads[0] > loads[1] && loads[1] > loads[2], "{loads:?}");
+    assert_eq!((loads[0], loads[3]), (2 * loads[2], loads[2]));
+    agent.handle_watch(seconds(60), false);
+    agent.handle_watch(seconds(61), true);
+    assert_eq!(told_load(&mut agent, seconds(61)), loads[0]);
+}
+
 #[test]
 fn a_doubled_syn_opens_one_flow() {
     let mut agent = agent(10);
--- a/crates/app/src/agent_process.rs
+++ b/crates/app/src/agent_process.rs
@@ -231,6 +231,7 @@
         cookies: settings.cookies,
         unknown_grace: settings.unknown_grace,
         udp_idle: settings.udp_idle,
+        ramp: settings.ramp,
         seed: rand::random(),
     };
     let task =
--- a/crates/app/src/demo/world.rs
+++ b/crates/app/src/demo/world.rs
@@ -37,6 +37,7 @@
 const FLOW_BUFFER_BYTES: usize = 16 * 1024;
 const UNKNOWN_GRACE: Duration = Duration::from_secs(20);
 const UDP_IDLE: Duration = Duration::from_secs(30);
+const RAMP: Duration = Duration::from_secs(10);
 const SETTLE_BOUND: Duration = Duration::from_secs(10);
 const SETTLE_POLL: Duration = Duration::from_millis(20);
 const EXECUTIONS_TIMEOUT: Duration = Duration::from_secs(10);
@@ -224,6 +225,7 @@
                 cookies: true,
                 unknown_grace: UNKNOWN_GRACE,
                 udp_idle: UDP_IDLE,
+                ramp: RAMP,
                 seed: self.seed ^ u64::from(agent.port()),
             },
             drain: AGENT_DRAIN,
--- a/crates/bench/benches/agent.rs
+++ b/crates/bench/benches/agent.rs
@@ -53,6 +53,7 @@
             cookies: true,
             unknown_grace: Duration::from_secs(20),
             udp_idle: Duration::from_secs(30),
+            ramp: Duration::from_secs(10),
             seed: 1,
         })
         .expect("a chart");
--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -99,6 +99,7 @@
             cookies: true,
             unknown_grace: Duration::from_secs(20),
             udp_idle: Duration::from_secs(30),
+            ramp: Duration::from_secs(10),
             seed: 1,
         })
         .expect("a chart");
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -195,6 +195,7 @@
             cookies: self.settings.cookies,
             unknown_grace: self.settings.unknown_grace,
             udp_idle: Duration::from_secs(30),
+            ramp: Duration::from_secs(10),
             seed: self.random.random(),
         })?;
         let backend = SimulatedBackend::new(behaviour);
--- a/crates/settings/src/roles.rs
+++ b/crates/settings/src/roles.rs
@@ -11,6 +11,7 @@
 /// A configuration is in force everywhere within 18 s; the grace must be longer.
 const DEFAULT_UNKNOWN_GRACE_SECONDS: f64 = 20.0;
 const DEFAULT_UDP_IDLE_SECONDS: f64 = 30.0;
+const DEFAULT_RAMP_SECONDS: f64 = 10.0;
 const DEFAULT_BALANCER_DRAIN_SECONDS: f64 = 2.0;
 const DEFAULT_AGENT_DRAIN_SECONDS: f64 = 3_600.0;
 
@@ -93,6 +94,8 @@
     pub unknown_grace: Duration,
     /// A UDP flow without packets for so long is over.
     pub udp_idle: Duration,
+    /// A back end that has come up works up to its full share for so long.
+    pub ramp: Duration,
 }
 
 /// TCP or UDP.
@@ -311,6 +314,7 @@
     let cookies = reader.switch("cookies", true);
     let unknown_grace = reader.seconds("unknown_grace_seconds", DEFAULT_UNKNOWN_GRACE_SECONDS);
     let udp_idle = reader.seconds("udp_idle_seconds", DEFAULT_UDP_IDLE_SECONDS);
+    let ramp = reader.seconds("ramp_seconds", DEFAULT_RAMP_SECONDS);
     Some(AgentProcess {
         listen: listen?,
         backend: backend?,
@@ -323,6 +327,7 @@
         cookies: cookies?,
         unknown_grace: unknown_grace?,
         udp_idle: udp_idle?,
+        ramp: ramp?,
     })
 }
 
