--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -2,6 +2,7 @@
 
 use crate::counters::AgentCounters;
 use crate::health::BackendHealth;
+use crate::offers::Offers;
 use crate::pass_on::{self, Next};
 use crate::settings::AgentSettings;
 use crate::udp::{self, UdpFlow};
@@ -99,6 +100,7 @@
     stopping: bool,
     flows: FlowTable<FlowBody>,
     unknown: UnknownFlows,
+    offers: Offers,
     outputs: VecDeque<Output>,
     sequence_seed: u64,
     /// What was counted so far.
@@ -116,6 +118,7 @@
             stopping: false,
             flows: FlowTable::default(),
             unknown: UnknownFlows::new(settings.unknown_grace),
+            offers: Offers::default(),
             outputs: VecDeque::new(),
             sequence_seed: settings.seed,
             settings,
@@ -341,10 +344,17 @@
             SteeringMode::Tour => {
                 let load = self.tour_load(now, inner);
                 let table = self.place.as_ref().map(|place| &place.table);
-                pass_on::tour(option, load, inner.kind, table)
+                let next = pass_on::tour(option, load, inner.kind, table);
+                if matches!(&next, Next::PassOn(_, on) if on.best_index() == Some(option.cursor)) {
+                    self.offers.make(now);
+                }
+                next
             }
             SteeringMode::Place => match self.load(now) {
-                Some(_) => Next::OpenHere,
+                Some(_) => {
+                    self.offers.take();
+                    Next::OpenHere
+                }
                 None => pass_on::tour_again(option),
             },
         };
@@ -411,6 +421,7 @@
             return None;
         }
         let flows = self.flows.busy() as u64;
+        let offers = self.offers.count(now) as u64;
         if flows >= u64::from(place.backend.connections) {
             self.counters.passed_over_full += 1;
             return None;
@@ -421,7 +432,7 @@
         };
         let factor = 1.0 + (COLD_LOAD_FACTOR - 1.0) * coldness;
         // Counting the flow to come keeps a cold back end without flows from taking all new ones.
-        let flows = (flows + 1) as f64 * factor;
+        let flows = (flows + offers + 1) as f64 * factor;
         let load = flows * LOAD_SCALE / f64::from(place.backend.slots.max(1));
         Some(load.min(f64::from(u16::MAX)) as u16)
     }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -9,6 +9,7 @@
 mod agent;
 mod counters;
 mod health;
+mod offers;
 mod pass_on;
 mod settings;
 mod udp;
--- a/crates/lab/src/plan.rs
+++ b/crates/lab/src/plan.rs
@@ -53,7 +53,7 @@
                 });
             };
             for _ in 0..service.initial_flows {
-                let at = random.random::<f64>();
+                let at = random.random::<f64>() * service.initial_time.as_secs_f64();
                 open(at, &mut random);
             }
             let end = scenario.duration.as_secs_f64();
--- a/crates/lab/src/scenario.rs
+++ b/crates/lab/src/scenario.rs
@@ -47,8 +47,10 @@
     pub slots: u32,
     /// Length of a new flow's tour.
     pub candidates: u32,
-    /// Flows opened at the start, within a second.
+    /// Flows opened at the start.
     pub initial_flows: u32,
+    /// Time within which they are opened.
+    pub initial_time: Duration,
     /// Further flows each second.
     pub flows_per_second: f64,
     /// Requests on each flow: at least, at most.
@@ -157,7 +159,7 @@
             let _ = writeln!(
                 text,
                 "\n[[services]]\nname = {:?}\nbackends = {}\nleft_backends = {}\nslots = {}\ncandidates = {}\n\
-                 initial_flows = {}\nflows_per_second = {:?}\nleast_requests = {}\n\
+                 initial_flows = {}\ninitial_seconds = {}\nflows_per_second = {:?}\nleast_requests = {}\n\
                  most_requests = {}\npause_seconds = {}\nanswer_bytes = {}\nwork_seconds = {}\n\
                  timestamps = {:?}",
                 service.name,
@@ -166,6 +168,7 @@
                 service.slots,
                 service.candidates,
                 service.initial_flows,
+                seconds(service.initial_time),
                 service.flows_per_second,
                 service.requests.0,
                 service.requests.1,
@@ -318,6 +321,7 @@
     let slots = reader.count("slots", 1, 7);
     let candidates = reader.count("candidates", 1, 4);
     let initial_flows = reader.count("initial_flows", 0, 0);
+    let initial_time = reader.seconds("initial_seconds", 1.0);
     let flows_per_second = reader.number("flows_per_second", 0.0, 1e6, 0.0);
     let least = reader.count("least_requests", 1, 1);
     let most = reader.count("most_requests", 1, 20);
@@ -337,6 +341,7 @@
         slots: slots? as u32,
         candidates: candidates? as u32,
         initial_flows: initial_flows? as u32,
+        initial_time: initial_time?,
         flows_per_second: flows_per_second?,
         requests: (least, most),
         pause: pause?,
--- a/crates/wire/src/steering_option.rs
+++ b/crates/wire/src/steering_option.rs
@@ -183,6 +183,11 @@
         self.candidates.as_slice().get(usize::from(self.cursor)).copied()
     }
 
+    /// Place of the best candidate seen on the tour.
+    pub fn best_index(&self) -> Option<u8> {
+        self.best.map(|best| best.index)
+    }
+
     /// Writes the body and returns its length in bytes, a multiple of 4.
     pub fn encode(&self, body: &mut [u8; MAX_OPTION_BYTES]) -> usize {
         let fixed = FixedPart {
