--- a/crates/lab/tests/support/mod.rs
+++ b/crates/lab/tests/support/mod.rs
@@ -42,6 +42,10 @@
     format!("drain backend tiles-{number}")
 }
 
+pub fn activate(number: u32) -> String {
+    format!("activate backend tiles-{number}")
+}
+
 /// The script that creates the tile service with back ends `1..=count`.
 pub fn create(count: u32) -> String {
     let attached = (1..=count).map(attach);
