Split the agent and the simulated world; one place for drops and process wiring

Change: agent/admission.rs (whether a flow is taken, and the load that is told), output.rs and place.rs leave agent.rs with deciding and settling; the lab's world is split into nodes and clock, agents, callers; counters::PacketDrops is one set that balancer and agent include; app/process.rs wires both daemons. rustfmt formats all of it.

Ruled out: a common shell for balancer and agent: their loops share a socket and little else.

Names in /metrics are unchanged.

Conclusion: no behaviour changed.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -1,76 +1,32 @@
 //! The agent.
 
+use crate::admission::Admission;
 use crate::counters::AgentCounters;
-use crate::health::BackendHealth;
-use crate::offers::Offers;
+use crate::output::Output;
 use crate::pass_on::{self, Next};
+use crate::place::Place;
 use crate::settings::AgentSettings;
 use crate::udp::{self, UdpFlow};
 use crate::unknown::UnknownFlows;
 use bytes::Bytes;
-use loftdrift_configuration::{Backend, BackendState, Configuration, Service, Version};
+use loftdrift_configuration::{Configuration, Version};
 use loftdrift_findings::Findings;
 use loftdrift_flow::{
     Endpoint, EndpointSettings, FlowChart, FlowId, FlowState, FlowTable, SocketCommand,
     SocketEvent, SplicedFlow, Timestamps, flow_chart, segment_checksum_is_right,
 };
-use loftdrift_steering::ServiceTable;
 use loftdrift_wire::{
-    BackendId, ECHO_BYTES, Echo, EchoKind, FlowCookie, FlowKey, GenevePacket, InnerPacket,
-    SegmentKind, ServiceId, SteeringMode, SteeringOption, Transport, encode_packet, parse_inner,
-    reset_for,
+    ECHO_BYTES, Echo, EchoKind, FlowCookie, FlowKey, GenevePacket, InnerPacket, SegmentKind,
+    SteeringMode, SteeringOption, Transport, encode_packet, parse_inner, reset_for,
 };
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// Loads compare in sixteenths of flows per slot.
-const LOAD_SCALE: f64 = 16.0;
-/// A back end that is joining, or has just come up, counts each flow so many times.
-const COLD_LOAD_FACTOR: f64 = 2.0;
-
 /// A caller that does not acknowledge the SYN-ACK for so long is forgotten.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(15);
 
-/// What the embedder does next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Send a datagram.
-    Transmit {
-        /// To this address.
-        to: SocketAddrV4,
-        /// The datagram.
-        datagram: Vec<u8>,
-    },
-    /// Start a socket task for a flow; it dials the back end at this address.
-    StartSocket {
-        /// The flow.
-        flow: FlowId,
-        /// The back end.
-        server: SocketAddrV4,
-        /// TCP or UDP.
-        transport: Transport,
-    },
-    /// Try a TCP connection to the back end and report to [`Agent::handle_probe`].
-    WatchBackend {
-        /// The back end.
-        server: SocketAddrV4,
-    },
-    /// Pass a command to a flow's socket task.
-    Socket {
-        /// The flow.
-        flow: FlowId,
-        /// The command.
-        command: SocketCommand,
-    },
-    /// The flow is over; drop what belongs to it.
-    Ended {
-        /// The flow.
-        flow: FlowId,
-    },
-}
-
 /// A flow's protocol part.
 #[derive(Debug)]
 enum FlowBody {
@@ -78,17 +34,6 @@
     Udp(UdpFlow),
 }
 
-/// What the configuration says about this agent's back end.
-#[derive(Debug)]
-struct Place {
-    table: ServiceTable,
-    backend: Backend,
-    backend_id: BackendId,
-    service_id: ServiceId,
-    transport: Transport,
-    address: SocketAddrV4,
-}
-
 /// An agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -96,11 +41,9 @@
     chart: Arc<FlowChart>,
     version: Version,
     place: Option<Place>,
-    health: BackendHealth,
-    stopping: bool,
+    admission: Admission,
     flows: FlowTable<FlowBody>,
     unknown: UnknownFlows,
-    offers: Offers,
     outputs: VecDeque<Output>,
     sequence_seed: u64,
     /// What was counted so far.
@@ -114,11 +57,9 @@
             chart: Arc::new(flow_chart()?),
             version: Version::default(),
             place: None,
-            health: BackendHealth::default(),
-            stopping: false,
+            admission: Admission::new(settings.ramp),
             flows: FlowTable::default(),
             unknown: UnknownFlows::new(settings.unknown_grace),
-            offers: Offers::default(),
             outputs: VecDeque::new(),
             sequence_seed: settings.seed,
             settings,
@@ -136,7 +77,7 @@
         let found = configuration.find_backend(&self.settings.backend);
         self.place = found.map(|(service, backend)| Place::new(service, backend));
         if self.place.is_some() {
-            self.health.start(now);
+            self.admission.health.start(now);
         }
         self.counters.configurations_adopted += 1;
         self.counters.configuration_incarnation = self.version.incarnation;
@@ -156,7 +97,7 @@
 
     /// Opens no new flows from now on.
     pub fn start_draining(&mut self) {
-        self.stopping = true;
+        self.admission.stopping = true;
     }
 
     /// How many flows burden the back end; those that only wait for stray segments do not.
@@ -171,13 +112,13 @@
 
     /// When [`Agent::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Option<Duration> {
-        let deadlines = [self.flows.next_wake_up(), self.health.next_watch()];
+        let deadlines = [self.flows.next_wake_up(), self.admission.health.next_watch()];
         deadlines.into_iter().flatten().min()
     }
 
     /// Does what is due at `now`.
     pub fn handle_timeout(&mut self, now: Duration) {
-        if self.health.take_due_watch(now) {
+        if self.admission.health.take_due_watch(now) {
             self.watch_backend(now);
         }
         while let Some(flow) = self.flows.pop_due(now) {
@@ -207,7 +148,7 @@
     /// Takes what [`Output::WatchBackend`] asks for: the connection was accepted, or it was refused
     /// or has ended.
     pub fn handle_watch(&mut self, now: Duration, accepts: bool) {
-        self.health.on_watch(now, accepts);
+        self.admission.health.on_watch(now, accepts);
         self.counters.backend_accepts = u64::from(accepts);
     }
 
@@ -224,7 +165,7 @@
             self.counters.flows_failed += 1;
         }
         if event == SocketEvent::Failed && is_refused {
-            self.health.on_refused(now);
+            self.admission.health.on_refused(now);
             self.counters.backend_accepts = 0;
         }
         match (&mut entry.body, event) {
@@ -247,7 +188,7 @@
         self.counters.received += 1;
         let packet = match GenevePacket::parse(datagram) {
             Ok(packet) => packet,
-            Err(error) => return self.counters.count_geneve(error),
+            Err(error) => return self.counters.packets.count_geneve(error),
         };
         if packet.control {
             return self.handle_control(from, &packet);
@@ -261,12 +202,12 @@
             return;
         }
         let Some(option) = packet.steering else {
-            self.counters.dropped_steering_option += 1;
+            self.counters.packets.dropped_steering_option += 1;
             return;
         };
         let inner = match parse_inner(packet.inner) {
             Ok(inner) => inner,
-            Err(error) => return self.counters.count_inner(error),
+            Err(error) => return self.counters.packets.count_inner(error),
         };
         if inner.flow.service != place.address || inner.flow.transport != place.transport {
             self.counters.refused_other_service += 1;
@@ -290,7 +231,7 @@
                 let datagram = Echo { kind: EchoKind::Reply, sequence }.encode();
                 self.outputs.push_back(Output::Transmit { to: from, datagram });
             }
-            _ => self.counters.dropped_control += 1,
+            _ => self.counters.packets.dropped_control += 1,
         }
     }
 
@@ -346,13 +287,13 @@
                 let table = self.place.as_ref().map(|place| &place.table);
                 let next = pass_on::tour(option, load, inner.kind, table);
                 if matches!(&next, Next::PassOn(_, on) if on.best_index() == Some(option.cursor)) {
-                    self.offers.make(now);
+                    self.admission.offers.make(now);
                 }
                 next
             }
             SteeringMode::Place => match self.load(now) {
                 Some(_) => {
-                    self.offers.take();
+                    self.admission.offers.take();
                     Next::OpenHere
                 }
                 None => pass_on::tour_again(option),
@@ -412,29 +353,14 @@
     /// This agent's load, `None` when it takes no new flow.
     fn load(&mut self, now: Duration) -> Option<u16> {
         let place = self.place.as_ref()?;
-        if self.stopping || !place.backend.state.takes_new_flows() {
-            self.counters.passed_over_leaving += 1;
-            return None;
-        }
-        if !self.health.accepts() {
-            self.counters.passed_over_unreachable += 1;
-            return None;
-        }
-        let flows = self.flows.busy() as u64;
-        let offers = self.offers.count(now) as u64;
-        if flows >= u64::from(place.backend.connections) {
-            self.counters.passed_over_full += 1;
-            return None;
+        let load = self.admission.load(now, &place.backend, self.flows.busy());
+        match load {
+            Ok(load) => Some(load),
+            Err(refusal) => {
+                self.counters.count_refusal(refusal);
+                None
+            }
         }
-        let coldness = match place.backend.state {
-            BackendState::Joining => 1.0,
-            _ => self.health.coldness(now, self.settings.ramp),
-        };
-        let factor = 1.0 + (COLD_LOAD_FACTOR - 1.0) * coldness;
-        // Counting the flow to come keeps a cold back end without flows from taking all new ones.
-        let flows = (flows + offers + 1) as f64 * factor;
-        let load = flows * LOAD_SCALE / f64::from(place.backend.slots.max(1));
-        Some(load.min(f64::from(u16::MAX)) as u16)
     }
 
     /// The load that a tour compares. Datagrams of one flow must all choose alike, though loads
@@ -528,19 +454,6 @@
     }
 }
 
-impl Place {
-    fn new(service: &Service, backend: &Backend) -> Self {
-        Place {
-            table: ServiceTable::new(service),
-            backend: backend.clone(),
-            backend_id: BackendId(backend.id),
-            service_id: service.service_id(),
-            transport: service.transport.into(),
-            address: service.address,
-        }
-    }
-}
-
 fn checksum_is_right(packet: &[u8], transport: Transport) -> bool {
     match transport {
         Transport::Tcp => segment_checksum_is_right(packet),
--- a/crates/agent/src/counters.rs
+++ b/crates/agent/src/counters.rs
@@ -1,7 +1,7 @@
 //! What an agent counts.
 
-use loftdrift_counters::counter_set;
-use loftdrift_wire::{GeneveError, InnerError};
+use crate::admission::Refusal;
+use loftdrift_counters::{PacketDrops, counter_set};
 
 counter_set! {
     /// Counters of one agent.
@@ -34,26 +34,6 @@
         unknown_reset,
         /// Liveness echoes answered.
         echoes_answered,
-        /// Dropped: the datagram ends inside the GENEVE header or options.
-        dropped_truncated,
-        /// Dropped: unknown GENEVE version.
-        dropped_geneve_version,
-        /// Dropped: the inner protocol is not IPv4.
-        dropped_geneve_protocol,
-        /// Dropped: unknown critical GENEVE option.
-        dropped_geneve_option,
-        /// Dropped: steering option missing or malformed.
-        dropped_steering_option,
-        /// Dropped: control packet that is no echo request.
-        dropped_control,
-        /// Dropped: inner packet is not a whole IPv4 packet.
-        dropped_inner_malformed,
-        /// Dropped: wrong IPv4 header checksum.
-        dropped_inner_checksum,
-        /// Dropped: fragment.
-        dropped_inner_fragment,
-        /// Dropped: neither TCP nor UDP.
-        dropped_inner_transport,
         /// Dropped: wrong TCP or UDP checksum.
         dropped_transport_checksum,
         /// Dropped: passed on too often.
@@ -79,25 +59,18 @@
         /// Revision of the configuration in force.
         configuration_revision,
     }
+    includes {
+        /// Packets that do not decode.
+        packets: PacketDrops,
+    }
 }
 
 impl AgentCounters {
-    pub(crate) fn count_geneve(&mut self, error: GeneveError) {
-        match error {
-            GeneveError::Truncated => self.dropped_truncated += 1,
-            GeneveError::UnknownVersion => self.dropped_geneve_version += 1,
-            GeneveError::UnknownProtocol => self.dropped_geneve_protocol += 1,
-            GeneveError::UnknownCriticalOption => self.dropped_geneve_option += 1,
-            GeneveError::Steering(_) => self.dropped_steering_option += 1,
-        }
-    }
-
-    pub(crate) fn count_inner(&mut self, error: InnerError) {
-        match error {
-            InnerError::Malformed => self.dropped_inner_malformed += 1,
-            InnerError::Checksum => self.dropped_inner_checksum += 1,
-            InnerError::Fragment => self.dropped_inner_fragment += 1,
-            InnerError::UnknownTransport => self.dropped_inner_transport += 1,
+    pub(crate) fn count_refusal(&mut self, refusal: Refusal) {
+        match refusal {
+            Refusal::Leaving => self.passed_over_leaving += 1,
+            Refusal::Unreachable => self.passed_over_unreachable += 1,
+            Refusal::Full => self.passed_over_full += 1,
         }
     }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,15 +6,19 @@
 //! [`Agent::take_output`] returns, owns the sockets to the back end, and calls
 //! [`Agent::handle_timeout`] at [`Agent::next_timeout`].
 
+mod admission;
 mod agent;
 mod counters;
 mod health;
 mod offers;
+mod output;
 mod pass_on;
+mod place;
 mod settings;
 mod udp;
 mod unknown;
 
-pub use crate::agent::{Agent, Output};
+pub use crate::agent::Agent;
 pub use crate::counters::AgentCounters;
+pub use crate::output::Output;
 pub use crate::settings::AgentSettings;
--- /dev/null
+++ b/crates/agent/src/place.rs
@@ -0,0 +1,30 @@
+//! Where the configuration puts this agent.
+
+use loftdrift_configuration::{Backend, Service};
+use loftdrift_steering::ServiceTable;
+use loftdrift_wire::{BackendId, ServiceId, Transport};
+use std::net::SocketAddrV4;
+
+/// What the configuration says about this agent's back end.
+#[derive(Debug)]
+pub(crate) struct Place {
+    pub(crate) table: ServiceTable,
+    pub(crate) backend: Backend,
+    pub(crate) backend_id: BackendId,
+    pub(crate) service_id: ServiceId,
+    pub(crate) transport: Transport,
+    pub(crate) address: SocketAddrV4,
+}
+
+impl Place {
+    pub(crate) fn new(service: &Service, backend: &Backend) -> Self {
+        Place {
+            table: ServiceTable::new(service),
+            backend: backend.clone(),
+            backend_id: BackendId(backend.id),
+            service_id: service.service_id(),
+            transport: service.transport.into(),
+            address: service.address,
+        }
+    }
+}
--- a/crates/app/src/agent_process.rs
+++ b/crates/app/src/agent_process.rs
@@ -4,14 +4,11 @@
 use crate::balancer_process::sleep_until;
 use crate::lifecycle::Lifecycle;
 use crate::metrics::{self, PUBLISH_INTERVAL};
-use crate::sockets::{announce, bind_tcp, bind_udp};
 use anyhow::Result;
 use loftdrift_agent::{Agent, AgentSettings, Output};
 use loftdrift_configuration::{Configuration, ProcessEvent, ProcessState, agent_chart};
 use loftdrift_counters::PublishedSet;
 use loftdrift_flow::FlowId;
-use loftdrift_platform::{StoreClient, follow};
-use loftdrift_settings::{AgentProcess, Role};
 use loftdrift_splice::{CommandSender, FlowSocketEvent, SocketSource};
 use loftdrift_wire::Transport;
 use std::collections::HashMap;
@@ -208,33 +205,3 @@
         }
     }
 }
-
-/// Runs an agent as its own process, with its configuration and metrics.
-pub async fn run_process(settings: AgentProcess, stop: mpsc::Receiver<()>) -> Result<()> {
-    let socket = bind_udp("listen", settings.listen).await?;
-    announce("listen", socket.local_addr())?;
-    let (published, configuration) = watch::channel(None);
-    let store = StoreClient::new(settings.platform.into());
-    let mut background = JoinSet::new();
-    background.spawn(follow(store, rand::random(), published));
-    let (counters, published_counters) = metrics::channel(Role::Agent.name());
-    background.spawn(metrics::log_periodically(published_counters.clone()));
-    if let Some(address) = settings.metrics {
-        let listener = bind_tcp("metrics", address).await?;
-        announce("metrics", listener.local_addr())?;
-        background.spawn(metrics::serve(listener, published_counters));
-    }
-    let core = AgentSettings {
-        backend: settings.backend,
-        fabric: settings.fabric,
-        flow_buffer_bytes: settings.flow_buffer_bytes,
-        cookies: settings.cookies,
-        unknown_grace: settings.unknown_grace,
-        udp_idle: settings.udp_idle,
-        ramp: settings.ramp,
-        seed: rand::random(),
-    };
-    let task =
-        AgentTask { socket, settings: core, drain: settings.drain, configuration, stop, counters };
-    run(task).await
-}
--- a/crates/app/src/balancer_process.rs
+++ b/crates/app/src/balancer_process.rs
@@ -2,20 +2,16 @@
 
 use crate::lifecycle::Lifecycle;
 use crate::metrics::{self, PUBLISH_INTERVAL};
-use crate::sockets::{announce, bind_tcp, bind_udp};
 use anyhow::Result;
 use loftdrift_balancer::{Balancer, HEADROOM_BYTES, Verdict};
 use loftdrift_configuration::{Configuration, ProcessEvent, ProcessState, balancer_chart};
 use loftdrift_counters::PublishedSet;
 use loftdrift_liveness::ProbeSettings;
-use loftdrift_platform::{StoreClient, follow};
-use loftdrift_settings::{BalancerProcess, Role};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 const MAX_DATAGRAM_BYTES: usize = 65_535;
@@ -172,29 +168,3 @@
         None => std::future::pending().await,
     }
 }
-
-/// Runs a balancer as its own process, with its configuration and metrics.
-pub async fn run_process(settings: BalancerProcess, stop: mpsc::Receiver<()>) -> Result<()> {
-    let socket = bind_udp("listen", settings.listen).await?;
-    announce("listen", socket.local_addr())?;
-    let (published, configuration) = watch::channel(None);
-    let store = StoreClient::new(settings.platform.into());
-    let mut background = JoinSet::new();
-    background.spawn(follow(store, rand::random(), published));
-    let (counters, published_counters) = metrics::channel(Role::Balancer.name());
-    background.spawn(metrics::log_periodically(published_counters.clone()));
-    if let Some(address) = settings.metrics {
-        let listener = bind_tcp("metrics", address).await?;
-        announce("metrics", listener.local_addr())?;
-        background.spawn(metrics::serve(listener, published_counters));
-    }
-    let task = BalancerTask {
-        socket,
-        drain: settings.drain,
-        probes_per_second: settings.probes_per_second,
-        configuration,
-        stop,
-        counters,
-    };
-    run(task).await
-}
--- a/crates/app/src/bin/loftdrift.rs
+++ b/crates/app/src/bin/loftdrift.rs
@@ -6,7 +6,7 @@
 };
 use loftdrift::ctl::{self, Call, Format};
 use loftdrift::demo::{self, DemoSettings};
-use loftdrift::{agent_process, balancer_process, check, signals};
+use loftdrift::{check, process, signals};
 use loftdrift_platform::StoreClient;
 use loftdrift_settings::{Role, Settings};
 use pico_args::Arguments;
@@ -67,7 +67,7 @@
 async fn run_balancer(arguments: Arguments) -> Result<ExitCode> {
     start_logging();
     if let Settings::Balancer(settings) = read_settings(Role::Balancer, arguments)? {
-        balancer_process::run_process(settings, signals::stop_requests()?).await?;
+        process::run_balancer(settings, signals::stop_requests()?).await?;
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -75,7 +75,7 @@
 async fn run_agent(arguments: Arguments) -> Result<ExitCode> {
     start_logging();
     if let Settings::Agent(settings) = read_settings(Role::Agent, arguments)? {
-        agent_process::run_process(settings, signals::stop_requests()?).await?;
+        process::run_agent(settings, signals::stop_requests()?).await?;
     }
     Ok(ExitCode::SUCCESS)
 }
--- a/crates/app/src/lib.rs
+++ b/crates/app/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod demo;
 pub mod lifecycle;
 pub mod metrics;
+pub mod process;
 pub mod signals;
 mod sockets;
 pub mod standins;
--- /dev/null
+++ b/crates/app/src/process.rs
@@ -0,0 +1,91 @@
+//! Runs a balancer or an agent as its own process, with its configuration and metrics.
+
+use crate::agent_process::{self, AgentTask};
+use crate::balancer_process::{self, BalancerTask};
+use crate::metrics;
+use crate::sockets::{announce, bind_tcp, bind_udp};
+use anyhow::Result;
+use loftdrift_agent::AgentSettings;
+use loftdrift_configuration::Configuration;
+use loftdrift_counters::PublishedSet;
+use loftdrift_platform::{StoreClient, follow};
+use loftdrift_settings::{AgentProcess, BalancerProcess, Role};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinSet;
+
+/// What a daemon works with besides its own settings.
+struct Surroundings {
+    socket: UdpSocket,
+    configuration: watch::Receiver<Option<Arc<Configuration>>>,
+    counters: watch::Sender<PublishedSet>,
+    /// Follows the configuration and serves metrics until it is dropped.
+    background: JoinSet<()>,
+}
+
+impl Surroundings {
+    async fn open(
+        role: Role,
+        listen: SocketAddrV4,
+        platform: SocketAddrV4,
+        metrics: Option<SocketAddrV4>,
+    ) -> Result<Self> {
+        let socket = bind_udp("listen", listen).await?;
+        announce("listen", socket.local_addr())?;
+        let mut background = JoinSet::new();
+        let (published, configuration) = watch::channel(None);
+        let store = StoreClient::new(platform.into());
+        background.spawn(follow(store, rand::random(), published));
+        let (counters, published_counters) = metrics::channel(role.name());
+        background.spawn(metrics::log_periodically(published_counters.clone()));
+        if let Some(address) = metrics {
+            let listener = bind_tcp("metrics", address).await?;
+            announce("metrics", listener.local_addr())?;
+            background.spawn(metrics::serve(listener, published_counters));
+        }
+        Ok(Surroundings { socket, configuration, counters, background })
+    }
+}
+
+/// Runs a balancer until it is stopped.
+pub async fn run_balancer(settings: BalancerProcess, stop: mpsc::Receiver<()>) -> Result<()> {
+    let BalancerProcess { listen, platform, metrics, .. } = settings;
+    let surroundings = Surroundings::open(Role::Balancer, listen, platform, metrics).await?;
+    let _background = surroundings.background;
+    balancer_process::run(BalancerTask {
+        socket: surroundings.socket,
+        drain: settings.drain,
+        probes_per_second: settings.probes_per_second,
+        configuration: surroundings.configuration,
+        stop,
+        counters: surroundings.counters,
+    })
+    .await
+}
+
+/// Runs an agent until it is stopped.
+pub async fn run_agent(settings: AgentProcess, stop: mpsc::Receiver<()>) -> Result<()> {
+    let AgentProcess { listen, platform, metrics, .. } = settings;
+    let surroundings = Surroundings::open(Role::Agent, listen, platform, metrics).await?;
+    let _background = surroundings.background;
+    agent_process::run(AgentTask {
+        socket: surroundings.socket,
+        settings: AgentSettings {
+            backend: settings.backend,
+            fabric: settings.fabric,
+            flow_buffer_bytes: settings.flow_buffer_bytes,
+            cookies: settings.cookies,
+            unknown_grace: settings.unknown_grace,
+            udp_idle: settings.udp_idle,
+            ramp: settings.ramp,
+            seed: rand::random(),
+        },
+        drain: settings.drain,
+        configuration: surroundings.configuration,
+        stop,
+        counters: surroundings.counters,
+    })
+    .await
+}
--- a/crates/balancer/src/core.rs
+++ b/crates/balancer/src/core.rs
@@ -114,7 +114,7 @@
         let packet = match GenevePacket::parse(&buffer[HEADROOM_BYTES..end]) {
             Ok(packet) => packet,
             Err(error) => {
-                self.counters.count_geneve(error);
+                self.counters.packets.count_geneve(error);
                 return Verdict::Done;
             }
         };
@@ -126,13 +126,13 @@
             return Verdict::Done;
         }
         if packet.steering.is_some() {
-            self.counters.dropped_steering_option += 1;
+            self.counters.packets.dropped_steering_option += 1;
             return Verdict::Done;
         }
         let inner = match parse_inner(packet.inner) {
             Ok(inner) => inner,
             Err(error) => {
-                self.counters.count_inner(error);
+                self.counters.packets.count_inner(error);
                 return Verdict::Done;
             }
         };
@@ -196,7 +196,7 @@
                 Verdict::Done
             }
             None => {
-                self.counters.dropped_control += 1;
+                self.counters.packets.dropped_control += 1;
                 Verdict::Done
             }
         }
--- a/crates/balancer/tests/bad_input.rs
+++ b/crates/balancer/tests/bad_input.rs
@@ -74,24 +74,24 @@
 #[test]
 fn each_kind_of_bad_datagram_has_its_counter() {
     let good = encode_packet(0, None, &tiles_syn());
-    assert_dropped(&good[..5], |counters| counters.dropped_truncated);
+    assert_dropped(&good[..5], |counters| counters.packets.dropped_truncated);
     let mut version = good.clone();
     version[0] |= 0x40;
-    assert_dropped(&version, |counters| counters.dropped_geneve_version);
+    assert_dropped(&version, |counters| counters.packets.dropped_geneve_version);
     let mut protocol = good.clone();
     protocol[2] = 0x65;
-    assert_dropped(&protocol, |counters| counters.dropped_geneve_protocol);
+    assert_dropped(&protocol, |counters| counters.packets.dropped_geneve_protocol);
     let mut critical = good[..8].to_vec();
     critical[0] = 1;
     critical.extend_from_slice(&[0, 1, 0x85, 0]);
     critical.extend_from_slice(&good[8..]);
-    assert_dropped(&critical, |counters| counters.dropped_geneve_option);
-    assert_dropped(&good[..good.len() - 3], |counters| counters.dropped_inner_malformed);
+    assert_dropped(&critical, |counters| counters.packets.dropped_geneve_option);
+    assert_dropped(&good[..good.len() - 3], |counters| counters.packets.dropped_inner_malformed);
     let mut checksum = good.clone();
     checksum[8 + 10] ^= 0xFF;
-    assert_dropped(&checksum, |counters| counters.dropped_inner_checksum);
+    assert_dropped(&checksum, |counters| counters.packets.dropped_inner_checksum);
     assert_dropped(&encode_packet(0, None, &fragment()), |counters| {
-        counters.dropped_inner_fragment
+        counters.packets.dropped_inner_fragment
     });
     let unknown = encode_packet(0, None, &syn([10, 20, 0, 9], &[]));
     assert_dropped(&unknown, |counters| counters.dropped_unknown_service);
--- a/crates/counters/src/lib.rs
+++ b/crates/counters/src/lib.rs
@@ -3,6 +3,10 @@
 //! A core counts in plain integers of a struct made by [`counter_set!`]; its shell copies the
 //! struct out every second. [`render`] turns any number of copies into the Prometheus text format.
 
+mod packet_drops;
+
+pub use packet_drops::PacketDrops;
+
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric, text};
 use prometheus_client::metrics::counter::ConstCounter;
@@ -39,7 +43,8 @@
 
 /// Defines a struct of public `u64` counters that implements [`CounterSet`].
 ///
-/// The doc comment of each field is its help text. Fields behind `gauges` may fall.
+/// The doc comment of each field is its help text. Fields behind `gauges` may fall; those behind
+/// `includes` are counter sets whose values are listed with the others.
 #[macro_export]
 macro_rules! counter_set {
     (
@@ -48,17 +53,20 @@
             $(#[doc = $doc:literal] $field:ident,)*
         }
         $(gauges { $(#[doc = $gauge_doc:literal] $gauge:ident,)* })?
+        $(includes { $(#[doc = $inner_doc:literal] $inner:ident: $inner_set:ty,)* })?
     ) => {
         $(#[doc = $set_doc])*
         #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
         pub struct $name {
             $(#[doc = $doc] pub $field: u64,)*
             $($(#[doc = $gauge_doc] pub $gauge: u64,)*)?
+            $($(#[doc = $inner_doc] pub $inner: $inner_set,)*)?
         }
 
         impl $crate::CounterSet for $name {
             fn samples(&self) -> Vec<$crate::Sample> {
-                vec![
+                #[allow(unused_mut)]
+                let mut samples = vec![
                     $($crate::Sample {
                         name: stringify!($field),
                         help: $doc.trim_ascii(),
@@ -71,7 +79,9 @@
                         kind: $crate::Kind::Gauge,
                         value: self.$gauge,
                     },)*)?
-                ]
+                ];
+                $($(samples.extend(self.$inner.samples());)*)?
+                samples
             }
         }
     };
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world/mod.rs
@@ -1,21 +1,23 @@
-//! The simulated world.
+//! The simulated world: its nodes, its clock, its events.
+
+mod agents;
+mod callers;
 
 use crate::backend::{BackendBehaviour, RunningRequest, SimulatedBackend};
-use crate::caller::{CallerBehaviour, CallerFlow, Progress};
+use crate::caller::{CallerBehaviour, CallerFlow};
 use crate::network::NetworkSettings;
 use crate::outcome::Outcome;
 use crate::queue::EventQueue;
-use loftdrift_agent::{Agent, AgentSettings, Output};
+use loftdrift_agent::{Agent, AgentSettings};
 use loftdrift_balancer::{Balancer, HEADROOM_BYTES, Verdict};
 use loftdrift_configuration::Configuration;
 use loftdrift_findings::Findings;
 use loftdrift_flow::{
-    Endpoint, EndpointSettings, FlowChart, FlowId, FlowState, FlowTable, SocketCommand,
-    SocketEvent, SplicedFlow, Timestamps, flow_chart,
+    Endpoint, EndpointSettings, FlowChart, FlowId, FlowTable, SocketEvent, SplicedFlow, Timestamps,
+    flow_chart,
 };
 use loftdrift_liveness::ProbeSettings;
-use loftdrift_wire::{FlowKey, GenevePacket, Transport, encode_packet, parse_inner};
-use rand::seq::IndexedRandom;
+use loftdrift_wire::{FlowKey, Transport};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::BTreeMap;
@@ -403,242 +405,4 @@
         }
         self.queue.push(self.now + BALANCER_TICK, Event::BalancerTick(address));
     }
-
-    /// When a frozen agent goes on; `None` when it is not frozen.
-    fn frozen_until(&self, agent: SocketAddrV4) -> Option<Duration> {
-        let agent = self.agents.get(&agent)?;
-        (agent.frozen_until > self.now).then_some(agent.frozen_until)
-    }
-
-    fn handle_agent_timer(&mut self, address: SocketAddrV4) {
-        if let Some(thaw) = self.frozen_until(address) {
-            self.queue.push(thaw, Event::AgentTimer(address));
-            return;
-        }
-        let Some(agent) = self.agents.get_mut(&address) else {
-            return;
-        };
-        if agent.timer.is_some_and(|timer| timer <= self.now) {
-            agent.timer = None;
-        }
-        agent.core.handle_timeout(self.now);
-        self.settle_agent(address);
-    }
-
-    /// Carries out what an agent wants done and sets its timer.
-    fn settle_agent(&mut self, address: SocketAddrV4) {
-        while let Some(agent) = self.agents.get_mut(&address) {
-            let Some(output) = agent.core.take_output() else {
-                break;
-            };
-            match output {
-                Output::Transmit { to, datagram } => self.transmit(address, to, datagram),
-                Output::Socket { flow, command } => self.handle_command(address, flow, command),
-                Output::StartSocket { .. } => {}
-                Output::WatchBackend { .. } => {
-                    agent.core.handle_watch(self.now, agent.backend.accepts());
-                }
-                Output::Ended { flow } => agent.backend.drop_connection(flow),
-            }
-        }
-        let Some(agent) = self.agents.get_mut(&address) else {
-            return;
-        };
-        let Some(next) = agent.core.next_timeout() else {
-            return;
-        };
-        if agent.timer.is_none_or(|timer| next < timer) {
-            agent.timer = Some(next);
-            self.queue.push(next, Event::AgentTimer(address));
-        }
-    }
-
-    fn handle_command(&mut self, address: SocketAddrV4, flow: FlowId, command: SocketCommand) {
-        let Some(agent) = self.agents.get_mut(&address) else {
-            return;
-        };
-        match command {
-            SocketCommand::Open => {
-                agent.backend.connect(flow);
-                agent.core.handle_socket(self.now, flow, SocketEvent::Opened);
-            }
-            SocketCommand::Write(bytes) => {
-                agent.backend.receive(flow, &bytes);
-                agent.core.handle_socket(self.now, flow, SocketEvent::Written(bytes.len()));
-                self.start_requests(address);
-            }
-            SocketCommand::ReadMore => {
-                agent.backend.give_credit(flow);
-                self.offer_chunk(address, flow);
-            }
-            SocketCommand::FinishWriting => {
-                agent.backend.finish(flow);
-                self.offer_chunk(address, flow);
-            }
-            SocketCommand::Abort => agent.backend.drop_connection(flow),
-        }
-    }
-
-    fn answer(&mut self, address: SocketAddrV4, flow: FlowId, request: &RunningRequest) {
-        if let Some(thaw) = self.frozen_until(address) {
-            let request = request.clone();
-            self.queue.push(thaw, Event::Answer { agent: address, flow, request });
-            return;
-        }
-        let Some(agent) = self.agents.get_mut(&address) else {
-            return;
-        };
-        agent.backend.answer(flow, request);
-        self.start_requests(address);
-        self.offer_chunk(address, flow);
-        self.settle_agent(address);
-    }
-
-    /// Starts waiting requests for which the back end has slots.
-    fn start_requests(&mut self, address: SocketAddrV4) {
-        let Some(agent) = self.agents.get_mut(&address) else {
-            return;
-        };
-        let work = agent.backend.work();
-        while let Some((flow, request)) = agent.backend.start_next() {
-            *self.outcome.runs.entry(request.id).or_default() += 1;
-            self.outcome.misdelivered += u64::from(request.foreign);
-            let event = Event::Answer { agent: address, flow, request };
-            self.queue.push(self.now + work, event);
-        }
-    }
-
-    fn offer_chunk(&mut self, address: SocketAddrV4, flow: FlowId) {
-        let Some(agent) = self.agents.get_mut(&address) else {
-            return;
-        };
-        if let Some(chunk) = agent.backend.take_chunk(flow) {
-            agent.core.handle_socket(self.now, flow, SocketEvent::Received(chunk));
-        } else if agent.backend.is_over(flow) {
-            agent.backend.drop_connection(flow);
-            agent.core.handle_socket(self.now, flow, SocketEvent::Finished);
-        }
-    }
-
-    fn deliver_to_caller(&mut self, datagram: &[u8]) {
-        let Ok(packet) = GenevePacket::parse(datagram) else {
-            return;
-        };
-        let Ok(inner) = parse_inner(packet.inner) else {
-            return;
-        };
-        let Some(flow) = self.callers.find(&inner.flow.reversed()) else {
-            return;
-        };
-        if let Some(open) = self.callers.get_mut(flow) {
-            open.body.splice.on_packet(self.now, packet.inner);
-        }
-        self.settle_caller(flow);
-    }
-
-    fn handle_caller_timer(&mut self) {
-        if self.caller_timer.is_some_and(|timer| timer <= self.now) {
-            self.caller_timer = None;
-        }
-        while let Some(flow) = self.callers.pop_due(self.now) {
-            if let Some(open) = self.callers.get_mut(flow) {
-                open.body.splice.pump(self.now);
-            }
-            self.settle_caller(flow);
-        }
-        self.schedule_callers();
-    }
-
-    fn send_request(&mut self, flow: FlowId) {
-        let Some(open) = self.callers.get_mut(flow) else {
-            return;
-        };
-        let id = self.next_request;
-        self.next_request += 1;
-        let request = open.body.caller.next_request(id, &mut self.outcome);
-        open.body.splice.on_socket(self.now, SocketEvent::Received(request));
-        self.settle_caller(flow);
-    }
-
-    /// Carries out what a caller's flow wants done and sets its timer.
-    fn settle_caller(&mut self, flow: FlowId) {
-        while let Some(open) = self.callers.get_mut(flow) {
-            let Some(command) = open.body.splice.take_command() else {
-                break;
-            };
-            self.handle_caller_command(flow, command);
-        }
-        let Some(open) = self.callers.get_mut(flow) else {
-            return;
-        };
-        let mut packets = Vec::new();
-        while let Some(packet) = open.body.splice.take_packet() {
-            packets.push(packet);
-        }
-        let gone = open.body.splice.state() == FlowState::Gone;
-        let finished = open.body.caller.finished;
-        let deadline = open.body.splice.next_timeout(self.now);
-        for packet in packets {
-            self.spray(&packet);
-        }
-        if gone && !finished {
-            self.outcome.flows_broken += 1;
-            self.broken_at.push(self.now);
-        }
-        if gone || finished {
-            self.ended.entry(flow).or_insert(self.now);
-        }
-        if gone {
-            self.callers.remove(flow);
-        } else {
-            self.callers.wake_by(flow, deadline);
-        }
-        self.schedule_callers();
-    }
-
-    fn handle_caller_command(&mut self, flow: FlowId, command: SocketCommand) {
-        let Some(open) = self.callers.get_mut(flow) else {
-            return;
-        };
-        let OpenFlow { splice, caller } = &mut open.body;
-        match command {
-            SocketCommand::Open => {
-                splice.on_socket(self.now, SocketEvent::Opened);
-                self.queue.push(self.now, Event::NextRequest(flow));
-            }
-            SocketCommand::Write(bytes) => {
-                splice.on_socket(self.now, SocketEvent::Written(bytes.len()));
-                match caller.receive(&bytes, &mut self.outcome) {
-                    Progress::Waiting => {}
-                    Progress::NextRequest => {
-                        let at = self.now + caller.pause();
-                        self.queue.push(at, Event::NextRequest(flow));
-                    }
-                    Progress::Finished => {
-                        caller.finished = true;
-                        self.outcome.flows_finished += 1;
-                        splice.on_socket(self.now, SocketEvent::Finished);
-                    }
-                }
-            }
-            SocketCommand::ReadMore | SocketCommand::FinishWriting | SocketCommand::Abort => {}
-        }
-    }
-
-    fn schedule_callers(&mut self) {
-        let Some(next) = self.callers.next_wake_up() else {
-            return;
-        };
-        if self.caller_timer.is_none_or(|timer| next < timer) {
-            self.caller_timer = Some(next);
-            self.queue.push(next, Event::CallerTimer);
-        }
-    }
-
-    fn spray(&mut self, packet: &[u8]) {
-        let Some(balancer) = self.in_use.choose(&mut self.random).copied() else {
-            return;
-        };
-        self.transmit(FABRIC, balancer, encode_packet(0, None, packet));
-    }
 }
