A back end detached before it is empty keeps its flows

Cause, found by reading: an agent whose back end is no longer in the configuration forgot its place and dropped every packet, so an operator who detaches a leaving back end too early stalls its flows.

Ruled out: refusing the command, which cannot know of the flows: no agent reports them to the store.

Change: an agent that had a place keeps it and treats the back end as leaving.

--- a/crates/agent/src/agent.rs
+++ b/crates/agent/src/agent.rs
@@ -9,7 +9,7 @@
 use crate::udp::{self, UdpFlow};
 use crate::unknown::UnknownFlows;
 use bytes::Bytes;
-use loftdrift_configuration::{Configuration, Version};
+use loftdrift_configuration::{BackendState, Configuration, Version};
 use loftdrift_findings::Findings;
 use loftdrift_flow::{
     Endpoint, EndpointSettings, FlowChart, FlowId, FlowState, FlowTable, SocketCommand,
@@ -74,10 +74,12 @@
             return false;
         }
         self.version = configuration.version;
-        let found = configuration.find_backend(&self.settings.backend);
-        self.place = found.map(|(service, backend)| Place::new(service, backend));
-        if self.place.is_some() {
+        if let Some((service, backend)) = configuration.find_backend(&self.settings.backend) {
+            self.place = Some(Place::new(service, backend));
             self.admission.health.start(now);
+        } else if let Some(place) = &mut self.place {
+            // Detached before its last flow has ended: it serves those to their end.
+            place.backend.state = BackendState::Leaving;
         }
         self.counters.configurations_adopted += 1;
         self.counters.configuration_incarnation = self.version.incarnation;
--- a/crates/lab/tests/planned_changes.rs
+++ b/crates/lab/tests/planned_changes.rs
@@ -207,3 +207,20 @@
         assert_clean(world.outcome(), seed);
     }
 }
+
+#[test]
+fn a_back_end_that_is_detached_too_early_keeps_its_flows() {
+    for timestamps in [true, false] {
+        let mut world = world(WorldSettings::default(), 2, 3);
+        let list = configurations(&[create(3), drain(1), "detach backend tiles-1".to_owned()]);
+        world.configure_all(&list[0]);
+        let long = callers(30, seconds(0.5), timestamps);
+        open_flows(&mut world, 30, seconds(0.0), seconds(2.0), &long);
+        for (index, configuration) in list.into_iter().enumerate().skip(1) {
+            let at = seconds(2.0 + index as f64);
+            world.at(at, move |world| world.configure_all(&configuration));
+        }
+        world.run_until(seconds(90.0));
+        assert_clean(world.outcome(), 1);
+    }
+}
