Cut a back end off in the process tests

Cause: balancers, agents and the key-value service were cut off under load, back ends only frozen and killed.

Change: a TCP link that can be cut stands between an agent and its back end; bytes and new connections wait for a second.

Ruled out: refusing connections while cut, which the kill of a back end covers.

Conclusion: every part of the path is killed, frozen and cut off in the tests.

--- a/crates/app/tests/processes.rs
+++ b/crates/app/tests/processes.rs
@@ -5,7 +5,7 @@
 use nix::sys::signal::Signal;
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
-use support::link::Link;
+use support::link::{Link, TcpLink};
 use support::{Cluster, Seen, finish_callers, http, pause, wait_for};
 
 fn assert_unbroken(seen: &Seen) {
@@ -81,6 +81,23 @@
     assert_unbroken(&finish_callers(callers));
 }
 
+#[test]
+fn a_back_end_is_cut_off_and_its_flows_live_on() {
+    let mut cluster = Cluster::start(2, 2);
+    let agent = cluster.start_backend();
+    let link = TcpLink::to(cluster.backends[2].addresses[0]);
+    cluster.attach_at(3, link.address, agent);
+    let callers = cluster.start_callers(6, 200);
+    pause(1_500);
+    link.set_cut(true);
+    pause(1_000);
+    link.set_cut(false);
+    let seen = finish_callers(callers);
+    assert_unbroken(&seen);
+    let opened = Cluster::metric(&cluster.agents[2], "loftdrift_agent_flows_opened_total");
+    assert!(opened > Some(0), "no flow crossed the link: {seen:?}");
+}
+
 #[test]
 fn an_agent_and_a_back_end_are_frozen_and_their_flows_live_on() {
     let cluster = Cluster::start(2, 3);
--- a/crates/app/tests/support/link.rs
+++ b/crates/app/tests/support/link.rs
@@ -1,10 +1,12 @@
-//! A UDP link to a process that can be cut and mended.
+//! UDP and TCP links to a process that can be cut and mended.
 
 use std::collections::HashMap;
-use std::net::{SocketAddr, UdpSocket};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
+use std::time::Duration;
 
 const MAX_DATAGRAM_BYTES: usize = 65_535;
 
@@ -62,3 +64,53 @@
         }
     }
 }
+
+/// Relays TCP connections to a process; while it is cut, bytes and new connections wait.
+pub struct TcpLink {
+    pub address: SocketAddr,
+    cut: Arc<AtomicBool>,
+}
+
+impl TcpLink {
+    pub fn to(target: SocketAddr) -> TcpLink {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let cut = Arc::new(AtomicBool::new(false));
+        let is_cut = Arc::clone(&cut);
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                wait_while(&is_cut);
+                let Ok(far) = TcpStream::connect(target) else { continue };
+                for (from, to) in [(&near, &far), (&far, &near)] {
+                    let from = from.try_clone().expect("a socket");
+                    let to = to.try_clone().expect("a socket");
+                    let cut = Arc::clone(&is_cut);
+                    thread::spawn(move || carry(from, to, &cut));
+                }
+            }
+        });
+        TcpLink { address, cut }
+    }
+
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
+}
+
+fn wait_while(cut: &AtomicBool) {
+    while cut.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn carry(mut from: TcpStream, mut to: TcpStream, cut: &AtomicBool) {
+    let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    while let Ok(length @ 1..) = from.read(&mut buffer) {
+        wait_while(cut);
+        if to.write_all(&buffer[..length]).is_err() {
+            return;
+        }
+    }
+    // The peer may have gone already.
+    let _ = to.shutdown(std::net::Shutdown::Write);
+}
--- a/crates/app/tests/support/mod.rs
+++ b/crates/app/tests/support/mod.rs
@@ -159,7 +159,11 @@
 
     /// Attaches the back end of that number, reached through `agent`.
     pub fn attach(&self, number: usize, agent: SocketAddr) {
-        let server = self.backends[number - 1].addresses[0];
+        self.attach_at(number, self.backends[number - 1].addresses[0], agent);
+    }
+
+    /// Attaches the back end of that number, reached at `server` and through `agent`.
+    pub fn attach_at(&self, number: usize, server: SocketAddr, agent: SocketAddr) {
         self.ctl(&format!(
             "attach backend tiles-{number} to tiles at {server} agent {agent} state active"
         ));
