Keep idle flows alive; give up callers that vanished

Cause, found by reading: the time-out against silent peers, 120 s, counts from the last packet, so a flow that is merely idle was cut after two minutes. A test with 900 s between requests broke 4 of 4 flows. Without the time-out the flow of a caller that vanished would hold its place at the back end for ever.

Ruled out: no time-out (leaks connections); a longer one (cuts later).

Change: an idle peer is asked for a sign of life every 35 s; three unanswered ones end the flow.

Conclusion: flows live as long as both ends do.

--- a/crates/flow/src/endpoint.rs
+++ b/crates/flow/src/endpoint.rs
@@ -13,8 +13,10 @@
 
 /// Largest IPv4 packet that an endpoint sends, in bytes.
 const MTU_BYTES: usize = 1_500;
-/// A peer that acknowledges nothing for so long is given up.
+/// A peer from which nothing comes for so long is given up.
 const SILENCE_TIMEOUT: smoltcp::time::Duration = smoltcp::time::Duration::from_secs(120);
+/// An idle peer is asked for a sign of life so often: two may be lost before it is given up.
+const KEEP_ALIVE_INTERVAL: smoltcp::time::Duration = smoltcp::time::Duration::from_secs(35);
 const PREFIX_BITS: u8 = 32;
 
 thread_local! {
@@ -168,6 +170,7 @@
         socket.set_nagle_enabled(false);
         socket.set_ack_delay(None);
         socket.set_timeout(Some(SILENCE_TIMEOUT));
+        socket.set_keep_alive(Some(KEEP_ALIVE_INTERVAL));
         if settings.timestamps != Timestamps::Off {
             socket.set_tsval_generator(Some(|| TIMESTAMP_VALUE.with(Cell::get)));
         }
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -310,6 +310,11 @@
         flow
     }
 
+    /// Every caller vanishes without a word; their flows no longer count.
+    pub fn drop_callers(&mut self) {
+        self.callers = FlowTable::default();
+    }
+
     /// When flows broke.
     pub fn broken_at(&self) -> &[Duration] {
         &self.broken_at
--- a/crates/lab/tests/planned_changes.rs
+++ b/crates/lab/tests/planned_changes.rs
@@ -224,3 +224,27 @@
         assert_clean(world.outcome(), 1);
     }
 }
+
+#[test]
+fn an_idle_flow_lives_on() {
+    let mut world = world(WorldSettings::default(), 2, 2);
+    world.configure_all(&configurations(&[create(2)])[0]);
+    open_flows(&mut world, 4, seconds(0.0), seconds(1.0), &callers(3, seconds(900.0), true));
+    world.run_until(seconds(2_000.0));
+    assert_clean(world.outcome(), 1);
+}
+
+/// A caller that vanishes without a word must not hold its place at the back end for ever.
+#[test]
+fn the_flow_of_a_caller_that_vanished_is_given_up() {
+    let mut world = world(WorldSettings::default(), 1, 1);
+    world.configure_all(&configurations(&[create(1)])[0]);
+    open_flows(&mut world, 4, seconds(0.0), seconds(1.0), &callers(3, seconds(900.0), true));
+    world.run_until(seconds(5.0));
+    let flows =
+        |world: &loftdrift_lab::World| world.agent(1).map_or(0, loftdrift_agent::Agent::flow_count);
+    assert_eq!(flows(&world), 4);
+    world.drop_callers();
+    world.run_until(seconds(600.0));
+    assert_eq!(flows(&world), 0);
+}
