A simulated dead back end refuses connections, as a real one does

Ruled out: the keep-alive itself (both ends answered every 35 s), a lost reset (none was sent).

Change: the lab's back end refuses when it is dead; the agent resets the flow at once, as it does with real back ends.

Conclusion: the keep-alive stands; the lab had been kinder than the world.

--- a/crates/lab/src/world/agents.rs
+++ b/crates/lab/src/world/agents.rs
@@ -68,8 +68,11 @@
         };
         match command {
             SocketCommand::Open => {
-                agent.backend.connect(flow);
-                agent.core.handle_socket(self.now, flow, SocketEvent::Opened);
+                let event = match agent.backend.connect(flow) {
+                    true => SocketEvent::Opened,
+                    false => SocketEvent::Failed,
+                };
+                agent.core.handle_socket(self.now, flow, event);
             }
             SocketCommand::Write(bytes) => {
                 agent.backend.receive(flow, &bytes);
