Adopt a configuration that was published before the first look once only

Cause: under a loaded machine the test of a store that lost its data counted one configuration passed over where none may be. A shell looks at the published configuration when it starts without marking it as seen; when the follower had published before that, the change notice came as well and the same version was offered twice. It is passed over, so nothing reverts, but the counter told of a configuration that was not newer.

Ruled out: a lower revision taken from the new store: the follower publishes only higher ones, and the version in force was the old one.

Change: both shells mark what they look at as seen. The test's assertion stays.

Conclusion: the counter now tells only of versions that were not newer.

--- a/crates/app/src/agent_process.rs
+++ b/crates/app/src/agent_process.rs
@@ -115,7 +115,7 @@
         let mut publish_tick = tokio::time::interval(PUBLISH_INTERVAL);
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
         let mut give_up_at = None;
-        self.adopt(&configuration);
+        self.adopt(&mut configuration);
         while self.lifecycle.state() != ProcessState::Stopped {
             let timeout = self.core.next_timeout().map(|deadline| self.started + deadline);
             tokio::select! {
@@ -132,7 +132,7 @@
                     self.core.handle_watch(self.started.elapsed(), accepts);
                 }
                 () = sleep_until(timeout) => self.core.handle_timeout(self.started.elapsed()),
-                Ok(()) = configuration.changed() => self.adopt(&configuration),
+                Ok(()) = configuration.changed() => self.adopt(&mut configuration),
                 _ = publish_tick.tick() => metrics::publish(&counters, &self.core.counters),
                 Some(()) = stop.recv() => {
                     self.lifecycle.step(ProcessEvent::StopRequested);
@@ -152,8 +152,9 @@
         metrics::publish(&counters, &self.core.counters);
     }
 
-    fn adopt(&mut self, configuration: &watch::Receiver<Option<Arc<Configuration>>>) {
-        let newest = configuration.borrow().clone();
+    fn adopt(&mut self, configuration: &mut watch::Receiver<Option<Arc<Configuration>>>) {
+        // Marks it as seen, so that one published before the first call is not adopted twice.
+        let newest = configuration.borrow_and_update().clone();
         let Some(newest) = newest else { return };
         let now = self.started.elapsed();
         if self.core.adopt(now, &newest) && self.core.is_placed() {
--- a/crates/app/src/balancer_process.rs
+++ b/crates/app/src/balancer_process.rs
@@ -78,7 +78,7 @@
         let mut probe_tick = tokio::time::interval(PROBE_TICK);
         let mut publish_tick = tokio::time::interval(PUBLISH_INTERVAL);
         let mut drained_at = None;
-        self.adopt(&configuration);
+        self.adopt(&mut configuration);
         while self.lifecycle.state() != ProcessState::Stopped {
             tokio::select! {
                 readable = self.socket.readable() => {
@@ -86,7 +86,7 @@
                         self.receive().await;
                     }
                 }
-                Ok(()) = configuration.changed() => self.adopt(&configuration),
+                Ok(()) = configuration.changed() => self.adopt(&mut configuration),
                 _ = probe_tick.tick() => self.probe().await,
                 _ = publish_tick.tick() => metrics::publish(&counters, &self.core.counters),
                 Some(()) = stop.recv() => {
@@ -102,8 +102,9 @@
         metrics::publish(&counters, &self.core.counters);
     }
 
-    fn adopt(&mut self, configuration: &watch::Receiver<Option<Arc<Configuration>>>) {
-        let newest = configuration.borrow().clone();
+    fn adopt(&mut self, configuration: &mut watch::Receiver<Option<Arc<Configuration>>>) {
+        // Marks it as seen, so that one published before the first call is not adopted twice.
+        let newest = configuration.borrow_and_update().clone();
         let Some(newest) = newest else { return };
         if self.core.adopt(self.started.elapsed(), &newest) {
             let version = newest.version;
