Checks that could not fail, and one settings block for the benches

Cause: the test of the second signal passed also when the agent ignored the signal, since its flows end after 30 s by themselves; the stand-in's shedding had no test; two benches held the same agent settings.

Change: the second-signal test demands that callers are still at work when the agent has ended; three requests on a back end with one slot and no queue show that what was refused did not run; agent_settings() serves both benches.

Ruled out: a time bound in the second-signal test: assertions on time make the verdict depend on the machine.

Of three requests at least one is refused and exactly the answered ones ran.

--- a/crates/app/tests/processes.rs
+++ b/crates/app/tests/processes.rs
@@ -6,7 +6,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::time::Duration;
 use support::link::{Link, TcpLink};
-use support::{Cluster, Seen, finish_callers, http, pause, wait_for};
+use support::{Cluster, Process, Seen, finish_callers, http, pause, wait_for};
 
 fn assert_unbroken(seen: &Seen) {
     assert!(seen.succeeded, "{seen:?}");
@@ -235,13 +235,53 @@
 #[test]
 fn a_second_signal_stops_an_agent_at_once() {
     let mut cluster = Cluster::start(1, 1);
-    let callers = cluster.start_callers(30, 1_000_000);
+    let mut callers = KillOnDrop(cluster.start_callers(30, 1_000_000));
     wait_for("flows", || Cluster::metric(&cluster.agents[0], "loftdrift_agent_flows") > Some(0));
     cluster.agents[0].signal(Signal::SIGTERM);
     pause(300);
     cluster.agents[0].signal(Signal::SIGTERM);
     assert!(cluster.agents[0].wait().success());
-    drop(KillOnDrop(callers));
+    // The callers' flows were still there: the agent did not just wait for their end.
+    assert!(callers.0.try_wait().expect("a state").is_none());
+}
+
+#[test]
+fn a_back_end_without_room_refuses_and_does_not_run_what_it_refused() {
+    let arguments = [
+        "backend",
+        "--listen",
+        "127.0.0.1:0",
+        "--service",
+        "s",
+        "--name",
+        "s-1",
+        "--slots",
+        "1",
+        "--queue",
+        "0",
+        "--work-seconds",
+        "1",
+    ];
+    let backend = Process::start(env!("CARGO_BIN_EXE_loftdrift-standin"), &arguments, 1);
+    let address = backend.addresses[0];
+    let results: Vec<bool> = std::thread::scope(|scope| {
+        let request = |id| move || http::request_as(id, address, "POST", "/submit", "").is_ok();
+        let threads = ["a", "b", "c"].map(|id| scope.spawn(request(id)));
+        threads.into_iter().map(|thread| thread.join().expect("a thread")).collect()
+    });
+    let executions = http::request(address, "GET", "/standin/executions", "");
+    let executions: serde_json::Value =
+        serde_json::from_slice(&executions.expect("an answer")).expect("JSON");
+    let ran: Vec<&str> = executions
+        .as_array()
+        .expect("a list")
+        .iter()
+        .filter_map(|execution| execution["request"].as_str())
+        .collect();
+    assert!(results.contains(&false), "nothing was refused");
+    for (id, answered) in ["a", "b", "c"].iter().zip(results) {
+        assert_eq!(ran.contains(id), answered, "{id}: {executions}");
+    }
 }
 
 #[test]
--- a/crates/app/tests/support/http.rs
+++ b/crates/app/tests/support/http.rs
@@ -8,12 +8,23 @@
 
 /// The body of the answer, when it is whole and its status is 200.
 pub fn request(server: SocketAddr, method: &str, path: &str, body: &str) -> Result<Vec<u8>, Error> {
+    request_as("", server, method, path, body)
+}
+
+/// Like [`request`], under an identity that the back end records.
+pub fn request_as(
+    id: &str,
+    server: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &str,
+) -> Result<Vec<u8>, Error> {
     let mut stream = TcpStream::connect_timeout(&server, TIMEOUT)?;
     stream.set_read_timeout(Some(TIMEOUT))?;
     let length = body.len();
     write!(
         stream,
-        "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\
+        "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\nx-request-id: {id}\r\n\
          content-length: {length}\r\n\r\n{body}"
     )?;
     let mut answer = Vec::new();
--- a/crates/bench/benches/agent.rs
+++ b/crates/bench/benches/agent.rs
@@ -1,7 +1,9 @@
 //! The agent's cost per packet with few and with many flows.
 
-use loftdrift_agent::{Agent, AgentSettings, Output};
-use loftdrift_bench::{caller_address, configuration, median, nanoseconds_each, service_address};
+use loftdrift_agent::{Agent, Output};
+use loftdrift_bench::{
+    agent_settings, caller_address, configuration, median, nanoseconds_each, service_address,
+};
 use loftdrift_flow::{Endpoint, EndpointSettings, FlowId, SocketCommand, SocketEvent, Timestamps};
 use loftdrift_wire::{
     BackendId, Candidate, CandidateList, FlowKey, GenevePacket, SteeringMode, SteeringOption,
@@ -46,17 +48,7 @@
     fn new(flows: u64) -> Self {
         let configuration = configuration(1, 1);
         let address = configuration.services["s0"].backends["b0"].agent;
-        let mut agent = Agent::new(AgentSettings {
-            backend: "b0".to_owned(),
-            fabric: SocketAddrV4::new([10, 0, 0, 1].into(), 1),
-            flow_buffer_bytes: 16 * 1024,
-            cookies: true,
-            unknown_grace: Duration::from_secs(20),
-            udp_idle: Duration::from_secs(30),
-            ramp: Duration::from_secs(10),
-            seed: 1,
-        })
-        .expect("a chart");
+        let mut agent = Agent::new(agent_settings()).expect("a chart");
         agent.adopt(Duration::ZERO, &configuration);
         agent.handle_watch(Duration::ZERO, true);
         let mut bench = Bench {
--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -1,9 +1,10 @@
 //! Bytes and times that grow with the configuration and with open flows: the slopes behind
 //! `docs/CAPACITY.md`.
 
-use loftdrift_agent::{Agent, AgentSettings};
+use loftdrift_agent::Agent;
 use loftdrift_bench::{
-    BACKENDS, SERVICES, caller_address, configuration, median, service_address, time,
+    BACKENDS, SERVICES, agent_settings, caller_address, configuration, median, service_address,
+    time,
 };
 use loftdrift_configuration::{Configuration, Documents, StoreWrite};
 use loftdrift_flow::{Endpoint, EndpointSettings, Timestamps};
@@ -12,7 +13,6 @@
 use loftdrift_wire::{FlowKey, Transport};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
-use std::net::SocketAddrV4;
 use std::time::Duration;
 
 #[global_allocator]
@@ -92,17 +92,7 @@
 
 fn agent_state() {
     let (agent, bytes) = held_by(|| {
-        let mut agent = Agent::new(AgentSettings {
-            backend: "b0".to_owned(),
-            fabric: SocketAddrV4::new([10, 0, 0, 1].into(), 1),
-            flow_buffer_bytes: 16 * 1024,
-            cookies: true,
-            unknown_grace: Duration::from_secs(20),
-            udp_idle: Duration::from_secs(30),
-            ramp: Duration::from_secs(10),
-            seed: 1,
-        })
-        .expect("a chart");
+        let mut agent = Agent::new(agent_settings()).expect("a chart");
         agent.adopt(Duration::ZERO, &configuration(SERVICES, BACKENDS));
         agent
     });
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -4,6 +4,7 @@
 //! drifts does not decide the result.
 
 use etherparse::PacketBuilder;
+use loftdrift_agent::AgentSettings;
 use loftdrift_configuration::{Configuration, apply, parse_script};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::{Duration, Instant};
@@ -51,6 +52,20 @@
     apply(&Configuration::default(), &statements).expect("a change that fits")
 }
 
+/// Settings of the agent beside the back end `b0`.
+pub fn agent_settings() -> AgentSettings {
+    AgentSettings {
+        backend: "b0".to_owned(),
+        fabric: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), GENEVE_PORT),
+        flow_buffer_bytes: 16 * 1024,
+        cookies: true,
+        unknown_grace: Duration::from_secs(20),
+        udp_idle: Duration::from_secs(30),
+        ramp: Duration::from_secs(10),
+        seed: 1,
+    }
+}
+
 /// A TCP segment of a flow; `echo` is its TSecr.
 pub fn segment(flow: u64, service: SocketAddrV4, echo: u32, payload: &[u8]) -> Vec<u8> {
     use etherparse::TcpOptionElement::{Noop, Timestamp};
