--- a/crates/app/src/bin/loftdrift.rs
+++ b/crates/app/src/bin/loftdrift.rs
@@ -7,7 +7,7 @@
 use loftdrift::ctl::{self, Call, Format};
 use loftdrift::demo::{self, DemoSettings};
 use loftdrift::{check, process, signals};
-use loftdrift_platform::StoreClient;
+use loftdrift_store::StoreClient;
 use loftdrift_settings::{Role, Settings};
 use pico_args::Arguments;
 use std::net::SocketAddr;
--- a/crates/app/src/ctl.rs
+++ b/crates/app/src/ctl.rs
@@ -8,7 +8,7 @@
     Statement, StatementKind, StoreReply, StoreRequest, apply, parse_script, stamp,
 };
 use loftdrift_findings::{Collector, Findings};
-use loftdrift_platform::StoreClient;
+use loftdrift_store::StoreClient;
 use rand::Rng;
 use serde_json::json;
 use std::process::ExitCode;
--- a/crates/app/src/demo/world.rs
+++ b/crates/app/src/demo/world.rs
@@ -13,7 +13,7 @@
 use loftdrift_configuration::{CommitOutcome, parse_script};
 use loftdrift_counters::PublishedSet;
 use loftdrift_http::HttpClient;
-use loftdrift_platform::{
+use loftdrift_store::{
     Machine, MachineListClient, MachineRole, MachineState, StoreClient, follow,
 };
 use loftdrift_standin::backend::{self, BackendSettings, Execution};
--- a/crates/app/src/process.rs
+++ b/crates/app/src/process.rs
@@ -8,7 +8,7 @@
 use loftdrift_agent::AgentSettings;
 use loftdrift_configuration::Configuration;
 use loftdrift_counters::PublishedSet;
-use loftdrift_platform::{StoreClient, follow};
+use loftdrift_store::{StoreClient, follow};
 use loftdrift_settings::{AgentProcess, BalancerProcess, Role};
 use std::net::SocketAddrV4;
 use std::sync::Arc;
--- /dev/null
+++ b/crates/carried/src/configuration.rs
@@ -0,0 +1,139 @@
+//! The configuration of carried flows: which service answers at which address.
+
+use bincode::{Decode, Encode};
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+
+/// A service's share of a route's new flows.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Part {
+    /// The service's name.
+    pub service: String,
+    /// Its weight beside the route's other parts.
+    pub weight: u32,
+}
+
+/// Where the new flows of one address go.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Route {
+    /// The address that callers dial.
+    pub address: SocketAddrV4,
+    /// The services that share its new flows; one for most routes.
+    pub parts: Vec<Part>,
+    /// Within how many milliseconds an answer is worth all that it can be; 0 when not told.
+    pub aim_ms: u32,
+    /// How urgent its requests are; 0 is the most urgent.
+    pub priority: u8,
+}
+
+/// What holds for one service.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct ServiceSettings {
+    /// Its name.
+    pub name: String,
+    /// Path of its back ends' health page.
+    pub health_path: String,
+    /// Most flows at one back end; 0 when not told.
+    pub max_connections: u32,
+}
+
+/// A whole configuration. Of two, the one with the higher version is in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct CarriedConfiguration {
+    /// The store's revision that wrote it; 0 stands for none.
+    pub version: u64,
+    /// The routes, one an address.
+    pub routes: Vec<Route>,
+    /// The services.
+    pub services: Vec<ServiceSettings>,
+    /// A flow may be forgotten when it has rested for so many milliseconds.
+    pub idle_timeout_ms: u32,
+}
+
+impl CarriedConfiguration {
+    /// What holds for a service.
+    pub fn service(&self, name: &str) -> Option<&ServiceSettings> {
+        self.services.iter().find(|service| service.name == name)
+    }
+}
+
+/// Routes by address, with what each address stood for before.
+#[derive(Debug, Default)]
+pub(crate) struct RoutingTable {
+    routes: HashMap<SocketAddrV4, TableEntry>,
+}
+
+/// Most services that an address remembers to have stood for.
+const MOST_FORMER_SERVICES: usize = 4;
+
+#[derive(Debug)]
+struct TableEntry {
+    route: Route,
+    /// Services that once took new flows of the address and may still hold some, newest first.
+    former: Vec<String>,
+    /// What each part is owed: smooth weighted round robin.
+    credits: Vec<i64>,
+}
+
+impl RoutingTable {
+    /// The table of a newer configuration; what addresses stood for before is kept.
+    pub(crate) fn replace(&mut self, configuration: &CarriedConfiguration) {
+        let mut previous = std::mem::take(&mut self.routes);
+        for route in &configuration.routes {
+            let before = previous.remove(&route.address);
+            self.routes.insert(route.address, TableEntry::new(route.clone(), before));
+        }
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
+
+    pub(crate) fn route(&self, address: &SocketAddrV4) -> Option<&Route> {
+        self.routes.get(address).map(|entry| &entry.route)
+    }
+
+    /// The services that may hold flows of an address: the route's parts, then former ones.
+    pub(crate) fn holders(&self, address: &SocketAddrV4) -> impl Iterator<Item = &str> {
+        let entry = self.routes.get(address);
+        let parts = entry.into_iter().flat_map(|entry| &entry.route.parts);
+        let former = entry.into_iter().flat_map(|entry| &entry.former);
+        parts.map(|part| part.service.as_str()).chain(former.map(String::as_str))
+    }
+
+    /// The service that the next new flow of an address goes to.
+    pub(crate) fn next_service(&mut self, address: &SocketAddrV4) -> Option<String> {
+        self.routes.get_mut(address)?.next_service()
+    }
+}
+
+impl TableEntry {
+    fn new(route: Route, before: Option<TableEntry>) -> Self {
+        let mut former = Vec::new();
+        let mut credits = vec![0; route.parts.len()];
+        if let Some(before) = before {
+            if before.route.parts == route.parts {
+                credits = before.credits;
+            }
+            let earlier = before.route.parts.into_iter().map(|part| part.service);
+            for service in earlier.chain(before.former) {
+                let is_part = route.parts.iter().any(|part| part.service == service);
+                if !is_part && !former.contains(&service) && former.len() < MOST_FORMER_SERVICES {
+                    former.push(service);
+                }
+            }
+        }
+        TableEntry { route, former, credits }
+    }
+
+    fn next_service(&mut self) -> Option<String> {
+        let total: i64 = self.route.parts.iter().map(|part| i64::from(part.weight)).sum();
+        for (credit, part) in self.credits.iter_mut().zip(&self.route.parts) {
+            *credit += i64::from(part.weight);
+        }
+        let owed = self.credits.iter().enumerate().filter(|(at, _)| self.route.parts[*at].weight > 0);
+        let (best, _) = owed.max_by_key(|(at, credit)| (**credit, std::cmp::Reverse(*at)))?;
+        self.credits[best] -= total;
+        Some(self.route.parts[best].service.clone())
+    }
+}
--- /dev/null
+++ b/crates/carried/src/counters.rs
@@ -0,0 +1,113 @@
+//! What the cores of carried flows count.
+
+use loftdrift_counters::counter_set;
+
+counter_set! {
+    /// Counters of a balancer of carried flows.
+    pub struct CarriedBalancerCounters {
+        /// Packets of callers received.
+        packets_received,
+        /// Packets dropped because they do not decode.
+        packets_malformed,
+        /// Packets dropped because no route names their address.
+        packets_without_route,
+        /// Packets sent to the agent where their flow lives.
+        packets_forwarded,
+        /// Packets sent to every agent that may hold their flow.
+        packets_located,
+        /// Packets that an agent returned because their flow does not live there.
+        packets_not_held,
+        /// Flows asked for.
+        openings_started,
+        /// Flows opened at a back end.
+        openings_placed,
+        /// Flows refused because no back end can answer in time.
+        openings_refused_busy,
+        /// Flows refused because no back end takes new flows.
+        openings_refused_unavailable,
+        /// Flows refused because no route names their address.
+        openings_refused_no_route,
+        /// Flows given up because no agent has answered.
+        openings_given_up,
+        /// Offers made to agents.
+        offers_made,
+        /// Offers that an agent declined.
+        offers_declined,
+        /// Offers that no agent answered in time.
+        offers_unanswered,
+        /// Agents that became suspect.
+        suspicions,
+        /// Messages of other nodes that do not decode.
+        messages_malformed,
+        /// Configurations put in force.
+        configurations_adopted,
+        /// Configurations refused because they are not newer.
+        configurations_passed_over,
+    }
+    gauges {
+        /// Version of the configuration in force.
+        configuration_version,
+        /// Flows remembered.
+        flows,
+        /// Agents known.
+        agents,
+        /// Agents that are suspect.
+        agents_suspect,
+        /// Nodes known.
+        peers,
+    }
+}
+
+counter_set! {
+    /// Counters of an agent of carried flows.
+    pub struct CarriedAgentCounters {
+        /// Offers of new flows received.
+        offers_received,
+        /// New flows passed to the back end.
+        offers_taken,
+        /// Offers declined because the back end has enough to do.
+        declined_busy,
+        /// Offers declined because the back end sent the opening packet back.
+        declined_returned,
+        /// Offers declined because the back end takes no new flows.
+        declined_not_accepting,
+        /// Offers declined because they are for another service.
+        declined_other_service,
+        /// Packets passed to the back end.
+        packets_delivered,
+        /// Packets of the back end passed to callers.
+        packets_answered,
+        /// Packets that the back end sent back.
+        packets_returned,
+        /// Packets whose flow does not live here.
+        packets_not_held,
+        /// Packets dropped because they do not decode.
+        packets_malformed,
+        /// Packets of flows that this agent has forgotten, left to the back end to judge.
+        packets_tried,
+        /// Messages of other nodes that do not decode.
+        messages_malformed,
+        /// Heartbeats of the back end.
+        backend_reports,
+        /// Heartbeats of the back end that were older than what is known.
+        backend_reports_outdated,
+        /// Times that the back end fell silent.
+        backend_silences,
+        /// Configurations put in force.
+        configurations_adopted,
+        /// Configurations refused because they are not newer.
+        configurations_passed_over,
+    }
+    gauges {
+        /// Version of the configuration in force.
+        configuration_version,
+        /// Flows remembered.
+        flows,
+        /// Requests that wait for an answer.
+        waiting,
+        /// Nodes known.
+        peers,
+        /// Mean time of a request at the back end, in microseconds.
+        work_microseconds,
+    }
+}
--- /dev/null
+++ b/crates/carried/src/lib.rs
@@ -0,0 +1,34 @@
+//! Carried flows: flows that end at the back end itself, not at the agent.
+//!
+//! The system carries their packets and cannot change what they say. [`CarriedBalancer`] opens a
+//! flow by offering its first packet to agents until one has placed it, and remembers where flows
+//! live; [`CarriedAgent`] owns the truth about the one back end beside it. Both are cores without
+//! I/O, clock or global random number: they take `now` and inputs and give outputs.
+//!
+//! What a packet looks like is told by a [`SegmentFormat`]; the cores see [`Segment`]s only.
+
+mod agent;
+mod backend;
+mod balancer;
+mod configuration;
+mod counters;
+mod flow_cache;
+mod load;
+mod locating;
+mod membership;
+mod message;
+mod opening;
+mod pool;
+mod segment;
+
+pub use agent::{AgentOutput, CarriedAgent, CarriedAgentSettings};
+pub use backend::{BackendReport, ReportOutcome};
+pub use balancer::{BalancerOutput, CarriedBalancer, CarriedBalancerSettings};
+pub use configuration::{CarriedConfiguration, Part, Route, ServiceSettings};
+pub use counters::{CarriedAgentCounters, CarriedBalancerCounters};
+pub use membership::{Membership, Node, Peer};
+pub use message::{
+    Admission, BackendCondition, DeclineReason, Heartbeat, LoadReport, MAX_MESSAGE_BYTES, Message,
+    NodeRole, Snapshot,
+};
+pub use segment::{Segment, SegmentError, SegmentFormat, flow_name};
--- /dev/null
+++ b/crates/carried/src/message.rs
@@ -0,0 +1,198 @@
+//! What nodes say to each other, in `bincode`, a message a datagram.
+
+use crate::configuration::CarriedConfiguration;
+use bincode::{Decode, Encode};
+use std::net::SocketAddrV4;
+
+/// Largest message: a caller's packet with what stands before it.
+pub const MAX_MESSAGE_BYTES: usize = 2_048;
+
+/// What a node does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Encode, Decode)]
+pub enum NodeRole {
+    /// Takes callers' packets and sends them on to agents.
+    Balancer,
+    /// Stands beside one back end.
+    Agent,
+}
+
+/// How much an agent may take beyond its free slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Admission {
+    /// Only when a slot is free.
+    FreeSlot,
+    /// When the request can still be answered within so many milliseconds.
+    Within(u32),
+}
+
+/// Whether the back end beside an agent takes new flows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub enum BackendCondition {
+    /// Nothing is known of it yet.
+    #[default]
+    Unknown,
+    /// It takes new flows.
+    Accepting,
+    /// It answers nothing just now.
+    Silent,
+    /// It leaves, has left, or its agent stops.
+    Leaving,
+}
+
+/// An agent's load, as only it knows it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct LoadReport {
+    /// Name of the back end's service.
+    pub service: String,
+    /// Whether new flows are taken.
+    pub condition: BackendCondition,
+    /// Requests that the back end works on at once.
+    pub capacity: u16,
+    /// Requests that wait for an answer, those in work included.
+    pub waiting: u16,
+    /// Mean time from a request to its answer when slots were free, in microseconds.
+    pub work_us: u32,
+    /// The back end is still slow from its start.
+    pub is_cold: bool,
+}
+
+/// Why an agent does not take a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum DeclineReason {
+    /// The back end has as much to do as the offer's admission allows.
+    Busy,
+    /// The back end sent the opening packet back.
+    Returned,
+    /// The back end leaves, is silent, or is not known yet.
+    NotAccepting,
+    /// The back end is of another service.
+    OtherService,
+}
+
+impl DeclineReason {
+    /// The reason's name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            DeclineReason::Busy => "busy",
+            DeclineReason::Returned => "returned_by_backend",
+            DeclineReason::NotAccepting => "not_accepting",
+            DeclineReason::OtherService => "other_service",
+        }
+    }
+}
+
+/// What nodes tell each other without being asked.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct Heartbeat {
+    /// What the sender does.
+    pub role: NodeRole,
+    /// The sender's zone.
+    pub zone: String,
+    /// The sender's region.
+    pub region: String,
+    /// Rises with each start of the sender.
+    pub incarnation: u64,
+    /// Version of the configuration in force at the sender.
+    pub configuration: u64,
+    /// An agent's load.
+    pub report: Option<LoadReport>,
+    /// The sender does not know the receiver well and wants a heartbeat in return.
+    pub wants_reply: bool,
+}
+
+/// A message between nodes.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Message {
+    /// Balancer to agent: take this flow, whose opening packet is `datagram`.
+    Offer {
+        /// The balancer's number for the offer.
+        number: u64,
+        /// The service that the flow is for.
+        service: String,
+        /// How much the agent may take.
+        admission: Admission,
+        /// The opening packet.
+        datagram: Vec<u8>,
+    },
+    /// Agent to balancer: the back end has answered the opening packet.
+    Placed {
+        /// The offer's number.
+        number: u64,
+        /// The agent's load.
+        report: LoadReport,
+    },
+    /// Agent to balancer: not taken, and nothing of it has run.
+    Declined {
+        /// The offer's number.
+        number: u64,
+        /// Why.
+        reason: DeclineReason,
+        /// The agent's load.
+        report: LoadReport,
+    },
+    /// Balancer to agent: a packet of a flow that lives there.
+    Forward {
+        /// The packet.
+        datagram: Vec<u8>,
+    },
+    /// Balancer to agent: deliver the packet if its flow lives there, otherwise drop it.
+    Locate {
+        /// The packet.
+        datagram: Vec<u8>,
+    },
+    /// Agent to balancer: the flow of a located packet lives here.
+    Held {
+        /// The flow's caller.
+        caller: SocketAddrV4,
+        /// The address that the caller dialled.
+        service: SocketAddrV4,
+    },
+    /// Agent to balancer: the flow of a forwarded packet does not live here.
+    NotHeld {
+        /// The packet, as its sender wrote it.
+        datagram: Vec<u8>,
+    },
+    /// Any node to any other.
+    Heartbeat(Heartbeat),
+}
+
+impl Message {
+    /// The datagram that carries the message.
+    pub fn encode(&self) -> Vec<u8> {
+        // Plain data in a growing buffer always encodes.
+        bincode::encode_to_vec(self, bincode::config::standard()).unwrap_or_default()
+    }
+
+    /// Reads a datagram; `None` when it is no message, or one with bytes left over.
+    pub fn decode(datagram: &[u8]) -> Option<Self> {
+        let limited = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+        let (message, used) = bincode::decode_from_slice(datagram, limited).ok()?;
+        (used == datagram.len()).then_some(message)
+    }
+}
+
+/// Largest snapshot that is read, in bytes.
+const MAX_SNAPSHOT_BYTES: usize = 4 * 1024 * 1024;
+
+/// What a node gives to whoever asks: all that a node which starts with nothing needs.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
+pub struct Snapshot {
+    /// The newest configuration known.
+    pub configuration: Option<CarriedConfiguration>,
+    /// Nodes known, with what they do.
+    pub members: Vec<(SocketAddrV4, NodeRole)>,
+}
+
+impl Snapshot {
+    /// The snapshot's bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        bincode::encode_to_vec(self, bincode::config::standard()).unwrap_or_default()
+    }
+
+    /// Reads a snapshot's bytes.
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        let limited = bincode::config::standard().with_limit::<MAX_SNAPSHOT_BYTES>();
+        let (snapshot, used) = bincode::decode_from_slice(bytes, limited).ok()?;
+        (used == bytes.len()).then_some(snapshot)
+    }
+}
--- /dev/null
+++ b/crates/carried/src/segment.rs
@@ -0,0 +1,74 @@
+//! One packet of a carried flow, as far as the cores need to know it.
+
+use loftdrift_wire::{FlowKey, Transport};
+use std::net::SocketAddrV4;
+use thiserror::Error;
+
+/// A packet's identity and meaning.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Segment {
+    /// The end that sent it.
+    pub source: SocketAddrV4,
+    /// The end that it is for.
+    pub destination: SocketAddrV4,
+    /// Its sequence number.
+    pub sequence: u32,
+    /// The sequence number that it acknowledges; in an opening packet, which copy it is.
+    pub acknowledgement: u32,
+    /// SYN is set.
+    pub opens: bool,
+    /// ACK is set.
+    pub acknowledges: bool,
+    /// FIN is set.
+    pub finishes: bool,
+    /// RST is set.
+    pub resets: bool,
+    /// The back end did not take the packet and sends it back.
+    pub returned: bool,
+    /// Bytes of data behind the head.
+    pub payload_bytes: u16,
+}
+
+impl Segment {
+    /// The flow of a packet that a caller sent.
+    pub fn flow(&self) -> FlowKey {
+        FlowKey { caller: self.source, service: self.destination, transport: Transport::Tcp }
+    }
+
+    /// The flow of a packet that a back end sent.
+    pub fn flow_of_answer(&self) -> FlowKey {
+        self.flow().reversed()
+    }
+
+    /// Whether the packet asks for a new flow.
+    pub fn is_opening(&self) -> bool {
+        self.opens && !self.acknowledges
+    }
+}
+
+/// Why a datagram is no packet of a carried flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum SegmentError {
+    /// Shorter than a head, or than its head says.
+    #[error("datagram shorter than the packet in it")]
+    Truncated,
+    /// Longer than its head says, or than any packet may be.
+    #[error("datagram longer than the packet in it")]
+    Oversized,
+}
+
+/// How packets of carried flows are written. An implementation translates and decides nothing.
+pub trait SegmentFormat: Send + Sync {
+    /// Reads a datagram.
+    fn parse(&self, datagram: &[u8]) -> Result<Segment, SegmentError>;
+    /// A reset that answers a caller's packet.
+    fn reset(&self, answered: &Segment) -> Vec<u8>;
+    /// Takes the mark of a packet that a back end sent back off it, so that it is as its sender
+    /// wrote it.
+    fn clear_returned(&self, datagram: &mut [u8]);
+}
+
+/// A flow's name in logs, `caller>service`: what every packet of the flow carries.
+pub fn flow_name(flow: &FlowKey) -> String {
+    format!("{}>{}", flow.caller, flow.service)
+}
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -84,9 +84,19 @@
         method: Method,
         path: &str,
         body: &Q,
+    ) -> Result<A, HttpError> {
+        let body = serde_json::to_vec(body).map_err(|error| self.malformed(error))?;
+        self.send_bytes(method, path, Bytes::from(body)).await
+    }
+
+    async fn send_bytes<A: DeserializeOwned>(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
     ) -> Result<A, HttpError> {
         let whole = async {
-            let response = self.send(method, path, body).await?;
+            let response = self.send_body(method, target, body).await?;
             let bytes = response.into_body().collect().await;
             Ok(bytes.map_err(|error| self.connection_error(error))?.to_bytes())
         };
@@ -96,6 +106,19 @@
         serde_json::from_slice(&bytes).map_err(|error| self.malformed(error))
     }
 
+    /// Reads the whole JSON answer to a request without a body.
+    pub async fn get_json<A: DeserializeOwned>(&self, target: &str) -> Result<A, HttpError> {
+        self.send_bytes(Method::GET, target, Bytes::new()).await
+    }
+
+    /// Sends a request without a body; only the answer's status matters.
+    pub async fn send_empty(&self, method: Method, target: &str) -> Result<(), HttpError> {
+        let sent = self.send_body(method, target, Bytes::new());
+        let answer = tokio::time::timeout(self.timeout, sent).await;
+        answer.map_err(|_| self.timeout_error())??;
+        Ok(())
+    }
+
     /// Sends a JSON request whose answer is an endless stream of JSON lines.
     pub async fn open_stream<Q: Serialize>(
         &self,
@@ -115,12 +138,21 @@
         body: &Q,
     ) -> Result<Response<Incoming>, HttpError> {
         let body = serde_json::to_vec(body).map_err(|error| self.malformed(error))?;
+        self.send_body(method, path, Bytes::from(body)).await
+    }
+
+    async fn send_body(
+        &self,
+        method: Method,
+        target: &str,
+        body: Bytes,
+    ) -> Result<Response<Incoming>, HttpError> {
         self.count(body.len());
         let request = Request::builder()
             .method(method)
-            .uri(format!("http://{}{path}", self.server))
+            .uri(format!("http://{}{target}", self.server))
             .header(hyper::header::CONTENT_TYPE, "application/json")
-            .body(Full::new(Bytes::from(body)))
+            .body(Full::new(body))
             .map_err(|error| self.connection_error(error))?;
         let response = self.client.request(request).await;
         let response = response.map_err(|error| self.connection_error(error))?;
--- /dev/null
+++ b/crates/node/src/agent_core.rs
@@ -0,0 +1,92 @@
+//! The agent's core behind the shell.
+
+use crate::command::NodeStatus;
+use crate::core::{Action, Core};
+use loftdrift_carried::{
+    AgentOutput, BackendReport, CarriedAgent, CarriedConfiguration, NodeRole, Snapshot,
+};
+use loftdrift_counters::{CounterSet, Sample};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// An agent with the addresses that its packets go to.
+pub(crate) struct AgentCore {
+    pub(crate) agent: CarriedAgent,
+    pub(crate) backend: SocketAddrV4,
+    pub(crate) caller_port: u16,
+}
+
+impl Core for AgentCore {
+    fn handle_local(&mut self, now: Duration, datagram: &[u8]) {
+        self.agent.handle_backend(now, datagram.to_vec());
+    }
+
+    fn handle_peer(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]) {
+        self.agent.handle_peer(now, from, datagram);
+    }
+
+    fn handle_timeout(&mut self, now: Duration) {
+        self.agent.handle_timeout(now);
+    }
+
+    fn next_timeout(&self) -> Option<Duration> {
+        self.agent.next_timeout()
+    }
+
+    fn take_action(&mut self) -> Option<Action> {
+        Some(match self.agent.take_output()? {
+            AgentOutput::ToBackend(datagram) => Action::SendLocal { to: self.backend, datagram },
+            AgentOutput::ToCaller { host, datagram } => {
+                Action::SendLocal { to: SocketAddrV4::new(host, self.caller_port), datagram }
+            }
+            AgentOutput::ToPeer { to, message } => Action::SendPeer { to, message },
+            AgentOutput::FetchSnapshot { from } => Action::FetchSnapshot { from },
+        })
+    }
+
+    fn adopt(&mut self, _now: Duration, configuration: CarriedConfiguration) {
+        self.agent.adopt(configuration);
+    }
+
+    fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
+        self.agent.learn_members(now, members);
+    }
+
+    fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
+        self.agent.take_snapshot(now, snapshot);
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        self.agent.snapshot()
+    }
+
+    fn samples(&self) -> Vec<Sample> {
+        self.agent.counters.samples()
+    }
+
+    fn status(&self, _now: Duration) -> NodeStatus {
+        let asks = !self.agent.knows_backend();
+        NodeStatus {
+            is_ready: true,
+            is_drained: self.agent.is_drained(),
+            configuration: self.agent.configuration_version(),
+            health_path: self.agent.health_path().filter(|_| asks).map(str::to_owned),
+        }
+    }
+
+    fn drain(&mut self, now: Duration) {
+        self.agent.start_draining(now);
+    }
+
+    fn take_report(&mut self, now: Duration, report: &BackendReport) {
+        self.agent.take_report(now, report);
+    }
+
+    fn take_departure(&mut self, now: Duration, id: &str) {
+        self.agent.take_departure(now, id);
+    }
+
+    fn take_health(&mut self, now: Duration, is_healthy: bool) {
+        self.agent.take_health(now, is_healthy);
+    }
+}
--- /dev/null
+++ b/crates/node/src/balancer_core.rs
@@ -0,0 +1,82 @@
+//! The balancer's core behind the shell.
+
+use crate::command::NodeStatus;
+use crate::core::{Action, Core};
+use loftdrift_carried::{
+    BalancerOutput, CarriedBalancer, CarriedConfiguration, NodeRole, Snapshot,
+};
+use loftdrift_counters::{CounterSet, Sample};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// Without packets of callers for so long, a stop cuts nothing.
+const QUIET: Duration = Duration::from_millis(400);
+
+/// A balancer with the port at which callers take packets.
+pub(crate) struct BalancerCore {
+    pub(crate) balancer: CarriedBalancer,
+    pub(crate) caller_port: u16,
+    pub(crate) last_packet: Duration,
+}
+
+impl Core for BalancerCore {
+    fn handle_local(&mut self, now: Duration, datagram: &[u8]) {
+        self.last_packet = now;
+        self.balancer.handle_caller(now, datagram);
+    }
+
+    fn handle_peer(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]) {
+        self.balancer.handle_peer(now, from, datagram);
+    }
+
+    fn handle_timeout(&mut self, now: Duration) {
+        self.balancer.handle_timeout(now);
+    }
+
+    fn next_timeout(&self) -> Option<Duration> {
+        self.balancer.next_timeout()
+    }
+
+    fn take_action(&mut self) -> Option<Action> {
+        Some(match self.balancer.take_output()? {
+            BalancerOutput::ToCaller { host, datagram } => {
+                Action::SendLocal { to: SocketAddrV4::new(host, self.caller_port), datagram }
+            }
+            BalancerOutput::ToPeer { to, message } => Action::SendPeer { to, message },
+            BalancerOutput::FetchSnapshot { from } => Action::FetchSnapshot { from },
+        })
+    }
+
+    fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) {
+        self.balancer.adopt(now, configuration);
+    }
+
+    fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
+        self.balancer.learn_members(now, members);
+    }
+
+    fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
+        self.balancer.take_snapshot(now, snapshot);
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        self.balancer.snapshot()
+    }
+
+    fn samples(&self) -> Vec<Sample> {
+        self.balancer.counters.samples()
+    }
+
+    fn status(&self, now: Duration) -> NodeStatus {
+        NodeStatus {
+            is_ready: self.balancer.is_ready(now),
+            is_drained: now.saturating_sub(self.last_packet) > QUIET,
+            configuration: self.balancer.configuration_version(),
+            health_path: None,
+        }
+    }
+
+    fn drain(&mut self, _now: Duration) {
+        self.balancer.start_draining();
+    }
+}
--- /dev/null
+++ b/crates/node/src/command.rs
@@ -0,0 +1,42 @@
+//! What tasks say to the one that owns the core, and what that one publishes.
+
+use loftdrift_carried::{BackendReport, CarriedConfiguration, NodeRole, Snapshot};
+use loftdrift_counters::Sample;
+use std::net::SocketAddrV4;
+use tokio::sync::oneshot;
+
+/// A message to the task that owns the core.
+#[derive(Debug)]
+pub enum Command {
+    /// Put this configuration in force if it is newer.
+    Adopt(CarriedConfiguration),
+    /// These nodes exist.
+    Learn(Vec<(SocketAddrV4, NodeRole)>),
+    /// Another node's snapshot.
+    TakeSnapshot(Snapshot),
+    /// Give a snapshot.
+    GiveSnapshot(oneshot::Sender<Snapshot>),
+    /// Give the counters.
+    GiveCounters(oneshot::Sender<Vec<Sample>>),
+    /// The back end's heartbeat; answered once it is in force.
+    Report(BackendReport, oneshot::Sender<()>),
+    /// The back end leaves; answered once it is in force.
+    Departure(String, oneshot::Sender<()>),
+    /// The back end's answer about its health.
+    Health(bool),
+    /// Take nothing new.
+    Drain,
+}
+
+/// What other tasks need to know of the core.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NodeStatus {
+    /// Callers' packets should come here.
+    pub is_ready: bool,
+    /// Nothing that a planned stop would cut is left.
+    pub is_drained: bool,
+    /// Version of the configuration in force.
+    pub configuration: u64,
+    /// Path of the health page of the back end, while its health should be asked for.
+    pub health_path: Option<String>,
+}
--- /dev/null
+++ b/crates/node/src/core.rs
@@ -0,0 +1,51 @@
+//! What the shell needs of a core, whatever its role.
+
+use crate::command::NodeStatus;
+use loftdrift_carried::{
+    BackendReport, CarriedConfiguration, Message, NodeRole, Snapshot,
+};
+use loftdrift_counters::Sample;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// What the shell does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Action {
+    /// Send a packet from the local socket.
+    SendLocal {
+        to: SocketAddrV4,
+        datagram: Vec<u8>,
+    },
+    /// Send a message to a node.
+    SendPeer {
+        to: SocketAddrV4,
+        message: Message,
+    },
+    /// Fetch a snapshot.
+    FetchSnapshot {
+        from: SocketAddrV4,
+    },
+}
+
+/// A core behind the shell. The local socket is the one to callers or to the back end.
+pub(crate) trait Core: Send + 'static {
+    fn handle_local(&mut self, now: Duration, datagram: &[u8]);
+    fn handle_peer(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]);
+    fn handle_timeout(&mut self, now: Duration);
+    fn next_timeout(&self) -> Option<Duration>;
+    fn take_action(&mut self) -> Option<Action>;
+    fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration);
+    fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]);
+    fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot);
+    fn snapshot(&self) -> Snapshot;
+    fn samples(&self) -> Vec<Sample>;
+    fn status(&self, now: Duration) -> NodeStatus;
+    fn drain(&mut self, now: Duration);
+
+    /// A back end's heartbeat; no core but an agent's is sent any.
+    fn take_report(&mut self, _now: Duration, _report: &BackendReport) {}
+    /// A back end's departure.
+    fn take_departure(&mut self, _now: Duration, _id: &str) {}
+    /// A back end's health.
+    fn take_health(&mut self, _now: Duration, _is_healthy: bool) {}
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,28 @@
+//! Thin shells around the cores of carried flows: sockets, timers, signals, the shared store.
+//!
+//! One task owns the core with its two UDP sockets; the others speak with it by [`Command`]s and
+//! read its [`NodeStatus`]. What outside systems speak is told by three traits that an adapter
+//! implements: [`SegmentFormat`](loftdrift_carried::SegmentFormat), [`Interface`] and
+//! [`SharedStore`].
+
+mod agent_core;
+mod balancer_core;
+mod command;
+mod configuration_follower;
+mod core;
+mod health;
+mod interface;
+mod pace;
+mod registration;
+mod run;
+mod settings;
+mod shared_store;
+mod shell;
+mod snapshots;
+mod stopping;
+
+pub use command::{Command, NodeStatus};
+pub use interface::{Interface, Request, RequestKind};
+pub use run::run;
+pub use settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
+pub use shared_store::{ConfigurationChange, Lease, Member, SharedStore, StoreFailure};
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,257 @@
+//! Wires a node: sockets, core, and the tasks around it.
+
+use crate::agent_core::AgentCore;
+use crate::balancer_core::BalancerCore;
+use crate::command::{Command, NodeStatus};
+use crate::core::Core;
+use crate::interface::{Interface, Request, RequestKind};
+use crate::settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
+use crate::shared_store::{Member, SharedStore};
+use crate::shell::Shell;
+use crate::{configuration_follower, health, registration, snapshots, stopping};
+use anyhow::{Context, Result};
+use http_body_util::{BodyExt, Limited};
+use hyper::StatusCode;
+use hyper::body::Incoming;
+use loftdrift_carried::{
+    CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings, NodeRole,
+    SegmentFormat,
+};
+use loftdrift_counters::{PublishedSet, render};
+use loftdrift_http::{Answer, text_answer};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::JoinSet;
+use tokio::time::Instant;
+
+const COMMAND_QUEUE: usize = 64;
+const FETCH_QUEUE: usize = 1;
+/// Largest body of a request, in bytes.
+const MAX_BODY_BYTES: usize = 16 * 1024;
+/// A node whose command queue is not served for so long refuses the request.
+const COMMAND_TIMEOUT: Duration = Duration::from_millis(800);
+const METRICS_PATH: &str = "/metrics";
+/// Asked of the kernel, which may give less.
+const SOCKET_BUFFER_BYTES: usize = 1024 * 1024;
+
+/// Runs a node until it is asked to stop.
+pub async fn run<S: SharedStore, I: Interface>(
+    settings: NodeSettings,
+    format: Arc<dyn SegmentFormat>,
+    interface: I,
+    store: S,
+) -> Result<()> {
+    match settings.place.clone() {
+        Place::Balancer(place) => run_balancer(settings, place, format, interface, store).await,
+        Place::Agent(place) => run_agent(settings, place, format, interface, store).await,
+    }
+}
+
+async fn run_balancer<S: SharedStore, I: Interface>(
+    settings: NodeSettings,
+    place: BalancerPlace,
+    format: Arc<dyn SegmentFormat>,
+    interface: I,
+    store: S,
+) -> Result<()> {
+    let core = BalancerCore {
+        balancer: CarriedBalancer::new(
+            CarriedBalancerSettings { node: settings.node.clone(), seed: rand::random() },
+            format,
+        ),
+        caller_port: place.ingress.port(),
+        last_packet: Duration::ZERO,
+    };
+    let mut node = Wiring::open(&settings, core, place.ingress).await?;
+    node.tasks.spawn(configuration_follower::follow(store.clone(), node.commands.clone()));
+    node.run(settings, interface, store, None).await
+}
+
+async fn run_agent<S: SharedStore, I: Interface>(
+    settings: NodeSettings,
+    place: AgentPlace,
+    format: Arc<dyn SegmentFormat>,
+    interface: I,
+    store: S,
+) -> Result<()> {
+    let core = AgentCore {
+        agent: CarriedAgent::new(
+            CarriedAgentSettings {
+                node: settings.node.clone(),
+                service: place.service.clone(),
+                longest_flow: settings.longest_flow,
+                is_first_start: settings.is_first_start,
+            },
+            format,
+        ),
+        backend: place.backend,
+        caller_port: place.caller_port,
+    };
+    let mut node = Wiring::open(&settings, core, place.outbound).await?;
+    let asking = health::ask(place.backend, node.status.clone(), node.commands.clone());
+    node.tasks.spawn(asking);
+    node.run(settings, interface, store, Some(place.control)).await
+}
+
+/// A node whose core runs, with what its other tasks need.
+struct Wiring {
+    commands: mpsc::Sender<Command>,
+    status: watch::Receiver<NodeStatus>,
+    tasks: JoinSet<()>,
+}
+
+impl Wiring {
+    async fn open(settings: &NodeSettings, core: impl Core, local: SocketAddrV4) -> Result<Self> {
+        let (commands, command_queue) = mpsc::channel(COMMAND_QUEUE);
+        let (status_sender, status) = watch::channel(NodeStatus::default());
+        let (fetches, fetch_queue) = mpsc::channel(FETCH_QUEUE);
+        let listener = bind_tcp("snapshots", settings.node.address).await?;
+        let shell = Shell {
+            core,
+            started: Instant::now(),
+            local: bind_udp("packets", local).await?,
+            peers: bind_udp("messages", settings.node.address).await?,
+            commands: command_queue,
+            status: status_sender,
+            fetches,
+        };
+        let mut tasks = JoinSet::new();
+        tasks.spawn(shell.run());
+        tasks.spawn(snapshots::give(listener, commands.clone()));
+        tasks.spawn(snapshots::fetch_named(fetch_queue, commands.clone()));
+        tasks.spawn(snapshots::fetch_from_seeds(settings.seeds.clone(), commands.clone()));
+        Ok(Wiring { commands, status, tasks })
+    }
+
+    async fn run<S: SharedStore, I: Interface>(
+        mut self,
+        settings: NodeSettings,
+        interface: I,
+        store: S,
+        control: Option<SocketAddrV4>,
+    ) -> Result<()> {
+        let member = Member {
+            name: settings.name.clone(),
+            address: settings.node.address,
+            role: settings.node.role,
+        };
+        self.tasks.spawn(registration::keep(store, member, self.commands.clone()));
+        for address in [settings.readiness, control].into_iter().flatten() {
+            let listener = bind_tcp("requests", address).await?;
+            self.tasks.spawn(serve_requests(
+                listener,
+                interface.clone(),
+                self.commands.clone(),
+                self.status.clone(),
+            ));
+        }
+        let is_balancer = settings.node.role == NodeRole::Balancer;
+        if let Some(address) = settings.metrics {
+            let role = if is_balancer { "carried_balancer" } else { "carried_agent" };
+            let listener = bind_tcp("metrics", address).await?;
+            self.tasks.spawn(serve_metrics(listener, role, self.commands.clone()));
+        }
+        let outcome =
+            stopping::stopped(settings.stop_grace, is_balancer, self.commands, self.status).await?;
+        log::info!(outcome; "stopped");
+        Ok(())
+    }
+}
+
+async fn serve_requests<I: Interface>(
+    listener: TcpListener,
+    interface: I,
+    commands: mpsc::Sender<Command>,
+    status: watch::Receiver<NodeStatus>,
+) {
+    loftdrift_http::serve(listener, move |request| {
+        let (interface, commands) = (interface.clone(), commands.clone());
+        let is_ready = status.borrow().is_ready;
+        async move { Some(answer_request(request, interface, commands, is_ready).await) }
+    })
+    .await;
+}
+
+async fn answer_request<I: Interface>(
+    request: hyper::Request<Incoming>,
+    interface: I,
+    commands: mpsc::Sender<Command>,
+    is_ready: bool,
+) -> Answer {
+    let (head, body) = request.into_parts();
+    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+        return text_answer(StatusCode::PAYLOAD_TOO_LARGE, "");
+    };
+    let body = body.to_bytes();
+    let method = head.method.as_str();
+    match interface.read(Request { method, path: head.uri.path(), body: &body }) {
+        RequestKind::Readiness if is_ready => text_answer(StatusCode::OK, ""),
+        RequestKind::Readiness => text_answer(StatusCode::SERVICE_UNAVAILABLE, ""),
+        RequestKind::Report(report) => tell(&commands, |done| Command::Report(report, done)).await,
+        RequestKind::Departure { id } => tell(&commands, |done| Command::Departure(id, done)).await,
+        RequestKind::Malformed(reason) => {
+            log::warn!(reason = reason.as_str(), path = head.uri.path(); "request_malformed");
+            text_answer(StatusCode::BAD_REQUEST, reason)
+        }
+        RequestKind::Unknown => text_answer(StatusCode::NOT_FOUND, ""),
+    }
+}
+
+/// Has the core take something and answers once it is in force.
+async fn tell(
+    commands: &mpsc::Sender<Command>,
+    command: impl FnOnce(oneshot::Sender<()>) -> Command,
+) -> Answer {
+    let (done, taken) = oneshot::channel();
+    let told = async {
+        commands.send(command(done)).await.ok()?;
+        taken.await.ok()
+    };
+    match tokio::time::timeout(COMMAND_TIMEOUT, told).await {
+        Ok(Some(())) => {
+            let mut answer = text_answer(StatusCode::OK, "{}");
+            let json = hyper::header::HeaderValue::from_static("application/json");
+            answer.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+            answer
+        }
+        _ => text_answer(StatusCode::SERVICE_UNAVAILABLE, ""),
+    }
+}
+
+async fn serve_metrics(
+    listener: TcpListener,
+    role: &'static str,
+    commands: mpsc::Sender<Command>,
+) {
+    loftdrift_http::serve(listener, move |request| {
+        let commands = commands.clone();
+        let is_here = request.uri().path() == METRICS_PATH;
+        async move {
+            if !is_here {
+                return Some(text_answer(StatusCode::NOT_FOUND, ""));
+            }
+            let (sender, samples) = oneshot::channel();
+            commands.send(Command::GiveCounters(sender)).await.ok()?;
+            let samples = samples.await.ok()?;
+            Some(text_answer(StatusCode::OK, render(&[PublishedSet { role, samples }])))
+        }
+    })
+    .await;
+}
+
+async fn bind_udp(what: &str, address: SocketAddrV4) -> Result<UdpSocket> {
+    let socket = UdpSocket::bind(address)
+        .await
+        .with_context(|| format!("cannot take {what} on UDP {address}"))?;
+    let _ = socket2::SockRef::from(&socket).set_recv_buffer_size(SOCKET_BUFFER_BYTES);
+    Ok(socket)
+}
+
+async fn bind_tcp(what: &str, address: SocketAddrV4) -> Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .with_context(|| format!("cannot take {what} on TCP {address}"))
+}
--- /dev/null
+++ b/crates/node/src/settings.rs
@@ -0,0 +1,176 @@
+//! How a node is set up.
+
+use loftdrift_carried::{Node, NodeRole};
+use loftdrift_findings::{Collector, Findings};
+use loftdrift_settings::{Overrides, Reader};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use toml_edit::ImDocument;
+
+const ROLE_BALANCER: &str = "carried-balancer";
+const ROLE_AGENT: &str = "carried-agent";
+const DEFAULT_STOP_GRACE_SECONDS: f64 = 6.0;
+const DEFAULT_LONGEST_FLOW_SECONDS: f64 = 60.0;
+const DEFAULT_SHORTEST_LEASE_SECONDS: f64 = 1.0;
+
+/// Settings of a node.
+#[derive(Clone, Debug)]
+pub struct NodeSettings {
+    /// The node's name, unique among all nodes.
+    pub name: String,
+    /// The node itself; its address takes messages over UDP and gives snapshots over TCP.
+    pub node: Node,
+    /// What it does, with the sockets for it.
+    pub place: Place,
+    /// Where it is asked whether callers' packets should come here.
+    pub readiness: Option<SocketAddrV4>,
+    /// Where its counters are read.
+    pub metrics: Option<SocketAddrV4>,
+    /// The shared store.
+    pub store: SocketAddrV4,
+    /// Shortest lease that the store gives.
+    pub shortest_lease: Duration,
+    /// Nodes to ask for a snapshot at the start.
+    pub seeds: Vec<SocketAddrV4>,
+    /// How long a planned stop may take.
+    pub stop_grace: Duration,
+    /// Age that no flow exceeds.
+    pub longest_flow: Duration,
+    /// No process of the system has run before.
+    pub is_first_start: bool,
+}
+
+/// What a node does.
+#[derive(Clone, Debug)]
+pub enum Place {
+    /// Takes callers' packets.
+    Balancer(BalancerPlace),
+    /// Stands beside a back end.
+    Agent(AgentPlace),
+}
+
+/// A balancer's own settings.
+#[derive(Clone, Debug)]
+pub struct BalancerPlace {
+    /// Takes callers' packets over UDP.
+    pub ingress: SocketAddrV4,
+}
+
+/// An agent's own settings.
+#[derive(Clone, Debug)]
+pub struct AgentPlace {
+    /// Takes the back end's packets over UDP.
+    pub outbound: SocketAddrV4,
+    /// Takes the back end's heartbeats over HTTP.
+    pub control: SocketAddrV4,
+    /// The back end: packets over UDP, its health page over TCP.
+    pub backend: SocketAddrV4,
+    /// The back end's service.
+    pub service: String,
+    /// Port at which callers take packets.
+    pub caller_port: u16,
+}
+
+impl NodeSettings {
+    /// Reads and checks a settings file's text; every finding is reported with its place.
+    pub fn read(
+        file: &str,
+        text: &str,
+        overrides: &Overrides,
+        incarnation: u64,
+    ) -> Result<NodeSettings, Findings> {
+        let mut findings = Collector::new(file, text);
+        let document = match ImDocument::parse(text) {
+            Ok(document) => document,
+            Err(error) => {
+                let offset = error.span().map_or(0, |span| span.start);
+                findings.add(offset, error.message(), "TOML");
+                return findings.finish(None).and_then(|none| none.ok_or_else(|| empty(file)));
+            }
+        };
+        let mut reader = Reader::new(&mut findings, document.as_table(), overrides);
+        let settings = read_node(&mut reader, incarnation);
+        reader.finish();
+        findings.finish(settings)?.ok_or_else(|| empty(file))
+    }
+}
+
+/// Findings of a file whose settings are not whole though nothing was found; never shown.
+fn empty(file: &str) -> Findings {
+    Findings { file: file.to_owned(), list: Vec::new() }
+}
+
+fn read_node(reader: &mut Reader<'_, '_>, incarnation: u64) -> Option<NodeSettings> {
+    let role = read_role(reader);
+    let name = reader.text("name");
+    let zone = reader.text("zone");
+    let region = reader.text("region");
+    let messages = reader.listener("messages");
+    let readiness = reader.optional_listener("readiness");
+    let metrics = reader.optional_listener("metrics");
+    let store = reader.address("store");
+    let shortest_lease = reader.seconds("shortest_lease_s", DEFAULT_SHORTEST_LEASE_SECONDS);
+    let seeds = reader.addresses("seeds");
+    let stop_grace = reader.seconds("stop_grace_s", DEFAULT_STOP_GRACE_SECONDS);
+    let longest_flow = reader.seconds("longest_flow_s", DEFAULT_LONGEST_FLOW_SECONDS);
+    let is_first_start = reader.switch("first_start", false);
+    let place = match role? {
+        NodeRole::Balancer => read_balancer(reader).map(Place::Balancer),
+        NodeRole::Agent => read_agent(reader).map(Place::Agent),
+    };
+    let node = Node {
+        address: messages?,
+        role: role?,
+        zone: zone?,
+        region: region?,
+        incarnation,
+    };
+    let messages_port = node.address.port();
+    Some(NodeSettings {
+        name: name?,
+        node,
+        place: place?,
+        readiness,
+        metrics,
+        store: store?,
+        shortest_lease: shortest_lease?,
+        // Seeds are named by any of their addresses; the ports are alike on all machines.
+        seeds: seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), messages_port)).collect(),
+        stop_grace: stop_grace?,
+        longest_flow: longest_flow?,
+        is_first_start: is_first_start?,
+    })
+}
+
+fn read_role(reader: &mut Reader<'_, '_>) -> Option<NodeRole> {
+    let role = reader.text("role")?;
+    match role.as_str() {
+        ROLE_BALANCER => Some(NodeRole::Balancer),
+        ROLE_AGENT => Some(NodeRole::Agent),
+        _ => {
+            let expected = format!("{ROLE_BALANCER} or {ROLE_AGENT}");
+            reader.finding(0, format!("unknown role `{role}`"), &expected);
+            None
+        }
+    }
+}
+
+fn read_balancer(reader: &mut Reader<'_, '_>) -> Option<BalancerPlace> {
+    let ingress = reader.listener("ingress");
+    Some(BalancerPlace { ingress: ingress? })
+}
+
+fn read_agent(reader: &mut Reader<'_, '_>) -> Option<AgentPlace> {
+    let outbound = reader.listener("outbound");
+    let control = reader.listener("control");
+    let backend = reader.address("backend");
+    let service = reader.text("service");
+    let caller = reader.address("caller_port_of");
+    Some(AgentPlace {
+        outbound: outbound?,
+        control: control?,
+        backend: backend?,
+        service: service?,
+        caller_port: caller?.port(),
+    })
+}
--- /dev/null
+++ b/crates/node/src/shared_store.rs
@@ -0,0 +1,96 @@
+//! The store that all nodes share: it holds the operators' configuration and the list of nodes.
+//!
+//! Nothing on a data path waits for it. A call that got no answer may have taken effect; every call
+//! here may be repeated.
+
+use loftdrift_carried::{CarriedConfiguration, NodeRole};
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use thiserror::Error;
+
+/// Why the store gave no usable answer.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum StoreFailure {
+    /// No answer; the call may have taken effect.
+    #[error("no answer: {0}")]
+    NoAnswer(String),
+    /// Too many calls; nothing was done.
+    #[error("throttled")]
+    Throttled,
+    /// Not now; nothing was done.
+    #[error("refused for now")]
+    Unavailable,
+    /// What was asked for is gone: a lease that is over, a history that is forgotten.
+    #[error("gone")]
+    Gone,
+    /// An answer that cannot be read.
+    #[error("unreadable: {0}")]
+    Unreadable(String),
+}
+
+/// A node's entry in the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// The node's name: writing it again replaces the entry.
+    pub name: String,
+    /// Where other nodes reach it.
+    pub address: SocketAddrV4,
+    /// What it does.
+    pub role: NodeRole,
+}
+
+/// A lease: the entry written with it goes with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Its number.
+    pub id: u64,
+    /// How long it lasts after each renewal.
+    pub lasts: Duration,
+}
+
+/// What a wait for a newer configuration brought.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ConfigurationChange {
+    /// The newest configuration; `None` when there was no change.
+    pub configuration: Option<CarriedConfiguration>,
+    /// The store's revision to go on from.
+    pub revision: u64,
+}
+
+/// A client of the store. An implementation translates and decides nothing.
+pub trait SharedStore: Clone + Send + Sync + 'static {
+    /// Reads the configuration.
+    fn read_configuration(
+        &self,
+    ) -> impl Future<Output = Result<ConfigurationChange, StoreFailure>> + Send;
+
+    /// Waits up to `patience` for a change of the configuration after a revision.
+    fn wait_configuration(
+        &self,
+        after: u64,
+        patience: Duration,
+    ) -> impl Future<Output = Result<ConfigurationChange, StoreFailure>> + Send;
+
+    /// Takes a lease.
+    fn take_lease(
+        &self,
+        lasts: Duration,
+    ) -> impl Future<Output = Result<Lease, StoreFailure>> + Send;
+
+    /// Renews a lease.
+    fn renew_lease(&self, lease: Lease) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+
+    /// Ends a lease.
+    fn end_lease(&self, lease: Lease) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+
+    /// Writes a node's entry under a lease.
+    fn write_member(
+        &self,
+        member: &Member,
+        lease: Lease,
+    ) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+
+    /// Reads all entries.
+    fn read_members(&self) -> impl Future<Output = Result<Vec<Member>, StoreFailure>> + Send;
+}
--- /dev/null
+++ b/crates/node/src/shell.rs
@@ -0,0 +1,128 @@
+//! The task that owns a core and its two UDP sockets.
+
+use crate::command::{Command, NodeStatus};
+use crate::core::{Action, Core};
+use std::net::{SocketAddr, SocketAddrV4};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+/// Larger than any datagram that a core takes.
+const BUFFER_BYTES: usize = 4 * 1024;
+/// Datagrams taken from one socket before the other one has its turn.
+const DATAGRAMS_A_TURN: usize = 32;
+/// Longest time between two looks at the core's status.
+const STATUS_INTERVAL: Duration = Duration::from_millis(100);
+
+/// The shell of one core.
+pub(crate) struct Shell<C> {
+    pub(crate) core: C,
+    pub(crate) started: Instant,
+    /// To callers, or to the back end.
+    pub(crate) local: UdpSocket,
+    /// To other nodes.
+    pub(crate) peers: UdpSocket,
+    pub(crate) commands: mpsc::Receiver<Command>,
+    pub(crate) status: watch::Sender<NodeStatus>,
+    pub(crate) fetches: mpsc::Sender<SocketAddrV4>,
+}
+
+impl<C: Core> Shell<C> {
+    /// Runs until the task is dropped or nobody can send commands.
+    pub(crate) async fn run(mut self) {
+        let mut buffer = vec![0; BUFFER_BYTES];
+        loop {
+            let wake_at = self.wake_at();
+            tokio::select! {
+                ready = self.local.readable() => if ready.is_ok() { self.take_local(&mut buffer) },
+                ready = self.peers.readable() => if ready.is_ok() { self.take_peers(&mut buffer) },
+                () = tokio::time::sleep_until(wake_at) => {}
+                command = self.commands.recv() => match command {
+                    Some(command) => self.take_command(command),
+                    None => return,
+                },
+            }
+            let now = self.now();
+            if self.core.next_timeout().is_some_and(|next| next <= now) {
+                self.core.handle_timeout(now);
+            }
+            self.act();
+            self.publish();
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    fn wake_at(&self) -> Instant {
+        let latest = self.now() + STATUS_INTERVAL;
+        self.started + self.core.next_timeout().map_or(latest, |next| next.min(latest))
+    }
+
+    fn take_local(&mut self, buffer: &mut [u8]) {
+        for _ in 0..DATAGRAMS_A_TURN {
+            let Ok((length, _)) = self.local.try_recv_from(buffer) else { return };
+            self.core.handle_local(self.started.elapsed(), &buffer[..length]);
+            self.act();
+        }
+    }
+
+    fn take_peers(&mut self, buffer: &mut [u8]) {
+        for _ in 0..DATAGRAMS_A_TURN {
+            let Ok((length, SocketAddr::V4(from))) = self.peers.try_recv_from(buffer) else {
+                return;
+            };
+            self.core.handle_peer(self.started.elapsed(), from, &buffer[..length]);
+            self.act();
+        }
+    }
+
+    fn take_command(&mut self, command: Command) {
+        let now = self.now();
+        match command {
+            Command::Adopt(configuration) => self.core.adopt(now, configuration),
+            Command::Learn(members) => self.core.learn(now, &members),
+            Command::TakeSnapshot(snapshot) => self.core.take_snapshot(now, snapshot),
+            Command::Health(is_healthy) => self.core.take_health(now, is_healthy),
+            Command::Drain => self.core.drain(now),
+            // Whoever asked and did not wait needs no answer.
+            Command::GiveSnapshot(answer) => drop(answer.send(self.core.snapshot())),
+            Command::GiveCounters(answer) => drop(answer.send(self.core.samples())),
+            Command::Report(report, answer) => {
+                self.core.take_report(now, &report);
+                drop(answer.send(()));
+            }
+            Command::Departure(id, answer) => {
+                self.core.take_departure(now, &id);
+                drop(answer.send(()));
+            }
+        }
+    }
+
+    fn act(&mut self) {
+        while let Some(action) = self.core.take_action() {
+            // A datagram that the kernel does not take is lost, as on any network.
+            match action {
+                Action::SendLocal { to, datagram } => {
+                    let _ = self.local.try_send_to(&datagram, to.into());
+                }
+                Action::SendPeer { to, message } => {
+                    let _ = self.peers.try_send_to(&message.encode(), to.into());
+                }
+                // One that is not fetched now is named again by the next heartbeat.
+                Action::FetchSnapshot { from } => drop(self.fetches.try_send(from)),
+            }
+        }
+    }
+
+    fn publish(&mut self) {
+        let status = self.core.status(self.now());
+        self.status.send_if_modified(|published| {
+            let changed = *published != status;
+            *published = status;
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/node/src/snapshots.rs
@@ -0,0 +1,81 @@
+//! Snapshots between nodes: whoever connects is given one and the connection ends.
+
+use crate::command::Command;
+use loftdrift_carried::Snapshot;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
+
+/// A node that has not given its snapshot in this time is not waited for.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
+/// A node that has not taken its snapshot in this time is left.
+const GIVE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest snapshot that is read, in bytes.
+const MAX_BYTES: u64 = 4 * 1024 * 1024;
+/// Time between two fetches, so that changes in quick succession are taken together.
+const FETCH_INTERVAL: Duration = Duration::from_millis(60);
+
+/// Gives snapshots until nobody listens.
+pub(crate) async fn give(listener: TcpListener, commands: mpsc::Sender<Command>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(FETCH_INTERVAL).await;
+            continue;
+        };
+        let commands = commands.clone();
+        tokio::spawn(async move {
+            let _ = tokio::time::timeout(GIVE_TIMEOUT, give_one(stream, commands)).await;
+        });
+    }
+}
+
+async fn give_one(mut stream: TcpStream, commands: mpsc::Sender<Command>) {
+    let (sender, receiver) = oneshot::channel();
+    if commands.send(Command::GiveSnapshot(sender)).await.is_err() {
+        return;
+    }
+    let Ok(snapshot) = receiver.await else { return };
+    // The reader notices a snapshot that was cut off.
+    let _ = stream.write_all(&snapshot.encode()).await;
+    let _ = stream.shutdown().await;
+}
+
+/// Fetches snapshots from nodes that are named, one after the other.
+pub(crate) async fn fetch_named(
+    mut sources: mpsc::Receiver<SocketAddrV4>,
+    commands: mpsc::Sender<Command>,
+) {
+    while let Some(source) = sources.recv().await {
+        fetch_into(source, &commands).await;
+        tokio::time::sleep(FETCH_INTERVAL).await;
+    }
+}
+
+/// Fetches a snapshot from each seed at once; those that are down or stale give none.
+pub(crate) async fn fetch_from_seeds(seeds: Vec<SocketAddrV4>, commands: mpsc::Sender<Command>) {
+    let fetches = seeds.into_iter().map(|seed| {
+        let commands = commands.clone();
+        tokio::spawn(async move { fetch_into(seed, &commands).await })
+    });
+    for fetch in fetches.collect::<Vec<_>>() {
+        let _ = fetch.await;
+    }
+}
+
+async fn fetch_into(source: SocketAddrV4, commands: &mpsc::Sender<Command>) {
+    match tokio::time::timeout(FETCH_TIMEOUT, fetch(source)).await {
+        Ok(Some(snapshot)) => {
+            let _ = commands.send(Command::TakeSnapshot(snapshot)).await;
+        }
+        Ok(None) | Err(_) => log::debug!(from:% = source; "snapshot_not_fetched"),
+    }
+}
+
+async fn fetch(source: SocketAddrV4) -> Option<Snapshot> {
+    let stream = TcpStream::connect(source).await.ok()?;
+    let mut bytes = Vec::new();
+    stream.take(MAX_BYTES).read_to_end(&mut bytes).await.ok()?;
+    Snapshot::decode(&bytes)
+}
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -12,7 +12,7 @@
     flow_chart, segment_checksum_is_right,
 };
 use loftdrift_liveness::{ProbeSettings, Prober};
-use loftdrift_platform::{MachineListClient, MachineRole, MachineState};
+use loftdrift_store::{MachineListClient, MachineRole, MachineState};
 use loftdrift_splice::{CommandSender, FlowSocketEvent, SocketSource};
 use loftdrift_wire::{
     Echo, EchoKind, FlowKey, GenevePacket, Transport, encode_packet, parse_inner,
--- a/crates/standin/src/key_value.rs
+++ b/crates/standin/src/key_value.rs
@@ -1,6 +1,6 @@
 //! The key-value store's state, without I/O: etcd's semantics as far as loftdrift uses them.
 
-use loftdrift_platform::etcd::{
+use loftdrift_store::etcd::{
     Base64Text, Compare, DELETE_EVENT, KeyValueMessage, LeaseGrantRequest, LeaseResponse, Number,
     PlainResponse, PutRequest, RangeRequest, RangeResponse, RequestOperation, ResponseHeader,
     TxnRequest, TxnResponse, WatchCreateRequest, WatchEvent, WatchResponse,
--- a/crates/standin/tests/key_value.rs
+++ b/crates/standin/tests/key_value.rs
@@ -1,6 +1,6 @@
 //! The key-value stand-in keeps etcd's semantics where loftdrift rests on them.
 
-use loftdrift_platform::etcd::{
+use loftdrift_store::etcd::{
     Base64Text, Compare, DELETE_EVENT, LeaseGrantRequest, Number, PutRequest, RangeRequest,
     RequestOperation, TxnRequest, WatchCreateRequest, prefix_end,
 };
