Tell a flow from another one between the same addresses by what it acknowledges

Ruled out: the trial of flows that an agent may have forgotten (the first start was beside a first heartbeat, no trial was made); a wrong entry of the balancer.

Change: an agent remembers the end of the back end's data and holds a flow only for packets that acknowledge near it; resets in answer to a trial stay inside. SIGHUP checks the file again and says what became of it.

--- a/crates/app/src/bin/loftdrift-node.rs
+++ b/crates/app/src/bin/loftdrift-node.rs
@@ -5,6 +5,9 @@
 use loftdrift_node::NodeSettings;
 use loftdrift_platform::{HeadFormat, PlatformInterface, PlatformStore};
 use loftdrift_settings::Overrides;
+use std::convert::Infallible;
+use std::ffi::OsStr;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
 use std::time::{SystemTime, UNIX_EPOCH};
@@ -29,12 +32,14 @@
         return Ok(ExitCode::SUCCESS);
     }
     let only_check = arguments.contains("--check");
-    let path: String = arguments.free_from_str().context("no settings file given; see --help")?;
+    let path: PathBuf =
+        arguments.free_from_os_str(to_path).context("no settings file given; see --help")?;
     refuse_rest(arguments)?;
-    let text = std::fs::read_to_string(&path).with_context(|| format!("cannot read {path}"))?;
-    let settings = NodeSettings::read(&path, &text, &Overrides::default(), incarnation())?;
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(&path).with_context(|| format!("cannot read {name}"))?;
+    let settings = NodeSettings::read(&name, &text, &Overrides::default(), incarnation())?;
     if only_check {
-        println!("{path}: no findings");
+        println!("{name}: no findings");
         return Ok(ExitCode::SUCCESS);
     }
     env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
@@ -42,13 +47,17 @@
         .init();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let store = PlatformStore::new(settings.store, settings.shortest_lease);
-    let node = loftdrift_node::run(settings, Arc::new(HeadFormat), PlatformInterface, store);
+    let node = loftdrift_node::run(path, settings, Arc::new(HeadFormat), PlatformInterface, store);
     runtime.block_on(node)?;
     // Tasks that still wait for others are not waited for.
     runtime.shutdown_background();
     Ok(ExitCode::SUCCESS)
 }
 
+fn to_path(text: &OsStr) -> Result<PathBuf, Infallible> {
+    Ok(PathBuf::from(text))
+}
+
 /// Tells one start of a node from another; no order is derived from it.
 fn incarnation() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/app/src/bin/loftdrift.rs
+++ b/crates/app/src/bin/loftdrift.rs
@@ -7,8 +7,8 @@
 use loftdrift::ctl::{self, Call, Format};
 use loftdrift::demo::{self, DemoSettings};
 use loftdrift::{check, process, signals};
-use loftdrift_store::StoreClient;
 use loftdrift_settings::{Role, Settings};
+use loftdrift_store::StoreClient;
 use pico_args::Arguments;
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/crates/app/src/demo/world.rs
+++ b/crates/app/src/demo/world.rs
@@ -13,13 +13,11 @@
 use loftdrift_configuration::{CommitOutcome, parse_script};
 use loftdrift_counters::PublishedSet;
 use loftdrift_http::HttpClient;
-use loftdrift_store::{
-    Machine, MachineListClient, MachineRole, MachineState, StoreClient, follow,
-};
 use loftdrift_standin::backend::{self, BackendSettings, Execution};
 use loftdrift_standin::callers::{self, CallerEvent, CallerSettings};
 use loftdrift_standin::fabric::{self, FabricSettings, Listener, ListenerSocket};
 use loftdrift_standin::platform::{self, Faults};
+use loftdrift_store::{Machine, MachineListClient, MachineRole, MachineState, StoreClient, follow};
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
--- a/crates/bench/benches/state.rs
+++ b/crates/bench/benches/state.rs
@@ -8,8 +8,8 @@
 };
 use loftdrift_configuration::{Configuration, Documents, StoreWrite};
 use loftdrift_flow::{Endpoint, EndpointSettings, Timestamps};
-use loftdrift_store::etcd::{Base64Text, KeyValueMessage, WatchEvent, WatchLine, WatchResponse};
 use loftdrift_steering::SteeringMap;
+use loftdrift_store::etcd::{Base64Text, KeyValueMessage, WatchEvent, WatchLine, WatchResponse};
 use loftdrift_wire::{FlowKey, Transport};
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
--- a/crates/carried/src/agent.rs
+++ b/crates/carried/src/agent.rs
@@ -114,8 +114,29 @@
     since: Duration,
     /// End of the caller's data so far, in its sequence numbers.
     caller_end: Option<u32>,
+    /// End of the back end's data so far, in the numbers that the caller acknowledges.
+    backend_end: Option<u32>,
 }
 
+impl CarriedFlow {
+    fn new(now: Duration, balancer: SocketAddrV4, phase: Phase) -> Self {
+        CarriedFlow { balancer, phase, since: now, caller_end: None, backend_end: None }
+    }
+
+    /// Whether a caller's packet can be of this flow and not of another one between the same
+    /// addresses: it acknowledges what this flow's back end has sent.
+    fn acknowledges_here(&self, segment: &Segment) -> bool {
+        let Some(end) = self.backend_end.filter(|_| segment.acknowledges) else {
+            return true;
+        };
+        let distance = segment.acknowledgement.wrapping_sub(end) as i32;
+        distance.unsigned_abs() <= LARGEST_WINDOW
+    }
+}
+
+/// Further apart, in bytes, are no two packets of one flow that are under way.
+const LARGEST_WINDOW: u32 = 1 << 18;
+
 /// An agent.
 pub struct CarriedAgent {
     settings: CarriedAgentSettings,
@@ -357,13 +378,7 @@
             return self.decline(now, from, number, &flow, reason);
         }
         self.counters.offers_taken += 1;
-        let body = CarriedFlow {
-            balancer: from,
-            phase: Phase::Resting,
-            since: now,
-            caller_end: None,
-        };
-        let id = self.flows.insert(flow, body);
+        let id = self.flows.insert(flow, CarriedFlow::new(now, from, Phase::Resting));
         self.set_phase(now, id, Phase::Offered { number });
         self.outputs.push_back(AgentOutput::ToBackend(datagram));
     }
@@ -423,6 +438,9 @@
             None => return self.pass_back(from, datagram, forwarded),
         };
         let Some(entry) = self.flows.get_mut(id) else { return };
+        if !entry.body.acknowledges_here(&segment) {
+            return self.pass_back(from, datagram, forwarded);
+        }
         entry.body.balancer = from;
         let is_trial = entry.body.phase == Phase::Tried;
         self.counters.packets_delivered += 1;
@@ -457,8 +475,7 @@
 
     fn start_trial(&mut self, now: Duration, flow: FlowKey, balancer: SocketAddrV4) -> FlowId {
         self.counters.packets_tried += 1;
-        let body = CarriedFlow { balancer, phase: Phase::Tried, since: now, caller_end: None };
-        let id = self.flows.insert(flow, body);
+        let id = self.flows.insert(flow, CarriedFlow::new(now, balancer, Phase::Tried));
         self.set_phase(now, id, Phase::Tried);
         id
     }
@@ -480,7 +497,7 @@
             }
             return;
         }
-        let end = segment.sequence.wrapping_add(u32::from(segment.payload_bytes));
+        let end = segment.end();
         let is_new = body.caller_end.is_none_or(|known| end.wrapping_sub(known) as i32 > 0);
         if !is_new {
             return;
@@ -504,10 +521,14 @@
             self.format.clear_returned(&mut datagram);
             return self.handle_returned(now, &segment, datagram);
         }
-        self.counters.packets_answered += 1;
         self.unanswered = 0;
         self.silent_until = None;
         let flow = segment.flow_of_answer();
+        if segment.resets && self.is_trial(&flow) {
+            // The back end speaks of an earlier flow between the same addresses.
+            return self.end_trial(flow);
+        }
+        self.counters.packets_answered += 1;
         match self.flows.find(&flow) {
             Some(id) => self.follow_backend(now, id, &segment),
             None => self.remember(now, flow),
@@ -516,17 +537,29 @@
         self.outputs.push_back(AgentOutput::ToCaller { host, datagram });
     }
 
+    fn is_trial(&self, flow: &FlowKey) -> bool {
+        let id = self.flows.find(flow);
+        let known = id.and_then(|id| self.flows.get(id));
+        known.is_some_and(|flow| flow.body.phase == Phase::Tried)
+    }
+
+    fn end_trial(&mut self, flow: FlowKey) {
+        if let Some(id) = self.flows.find(&flow) {
+            self.remove(id);
+        }
+        self.remember_foreign(flow);
+    }
+
     /// A flow that the back end speaks of and this agent has forgotten.
     fn remember(&mut self, now: Duration, flow: FlowKey) {
         let me = self.settings.node.address;
-        let body =
-            CarriedFlow { balancer: me, phase: Phase::Resting, since: now, caller_end: None };
-        let id = self.flows.insert(flow, body);
+        let id = self.flows.insert(flow, CarriedFlow::new(now, me, Phase::Resting));
         self.set_phase(now, id, Phase::Resting);
     }
 
     fn follow_backend(&mut self, now: Duration, id: FlowId, segment: &Segment) {
-        let Some(flow) = self.flows.get(id) else { return };
+        let Some(flow) = self.flows.get_mut(id) else { return };
+        flow.body.backend_end = Some(segment.end());
         let (balancer, phase, since) = (flow.body.balancer, flow.body.phase, flow.body.since);
         let key = flow.key;
         match phase {
--- a/crates/carried/src/balancer.rs
+++ b/crates/carried/src/balancer.rs
@@ -13,7 +13,9 @@
 use crate::flow_cache::FlowCache;
 use crate::locating::Locator;
 use crate::membership::{Membership, Node};
-use crate::message::{Admission, DeclineReason, Heartbeat, LoadReport, Message, NodeRole, Snapshot};
+use crate::message::{
+    Admission, DeclineReason, Heartbeat, LoadReport, Message, NodeRole, Snapshot,
+};
 use crate::opening::{Answer, Asked, Opening, Openings};
 use crate::pool::{Distance, Pool};
 use crate::segment::{Segment, SegmentFormat, flow_name};
@@ -345,7 +347,13 @@
         self.counters.offers_made += 1;
     }
 
-    fn refuse(&mut self, now: Duration, segment: &Segment, refusal: Refusal, opening: Option<&Opening>) {
+    fn refuse(
+        &mut self,
+        now: Duration,
+        segment: &Segment,
+        refusal: Refusal,
+        opening: Option<&Opening>,
+    ) {
         match refusal {
             Refusal::NoRoute => self.counters.openings_refused_no_route += 1,
             Refusal::Busy => self.counters.openings_refused_busy += 1,
@@ -406,7 +414,9 @@
     /// Takes a datagram of another node.
     pub fn handle_peer(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]) {
         match Message::decode(datagram) {
-            Some(Message::Placed { number, report }) => self.handle_placed(now, from, number, report),
+            Some(Message::Placed { number, report }) => {
+                self.handle_placed(now, from, number, report)
+            }
             Some(Message::Declined { number, reason, report }) => {
                 self.handle_declined(now, from, number, reason, report);
             }
@@ -421,7 +431,13 @@
         }
     }
 
-    fn handle_placed(&mut self, now: Duration, from: SocketAddrV4, number: u64, report: LoadReport) {
+    fn handle_placed(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        number: u64,
+        report: LoadReport,
+    ) {
         self.pool.take_report(now, from, None, report);
         let Some(opening) = self.openings.finish(number) else { return };
         self.counters.openings_placed += 1;
--- a/crates/carried/src/configuration.rs
+++ b/crates/carried/src/configuration.rs
@@ -131,7 +131,8 @@
         for (credit, part) in self.credits.iter_mut().zip(&self.route.parts) {
             *credit += i64::from(part.weight);
         }
-        let owed = self.credits.iter().enumerate().filter(|(at, _)| self.route.parts[*at].weight > 0);
+        let owed =
+            self.credits.iter().enumerate().filter(|(at, _)| self.route.parts[*at].weight > 0);
         let (best, _) = owed.max_by_key(|(at, credit)| (**credit, std::cmp::Reverse(*at)))?;
         self.credits[best] -= total;
         Some(self.route.parts[best].service.clone())
--- a/crates/carried/src/flow_cache.rs
+++ b/crates/carried/src/flow_cache.rs
@@ -33,7 +33,13 @@
         self.entries.len()
     }
 
-    pub(crate) fn insert(&mut self, now: Duration, idle: Duration, flow: FlowKey, agent: SocketAddrV4) {
+    pub(crate) fn insert(
+        &mut self,
+        now: Duration,
+        idle: Duration,
+        flow: FlowKey,
+        agent: SocketAddrV4,
+    ) {
         if self.entries.len() < MOST_FLOWS {
             self.entries.insert(flow, Entry { agent, forget_at: now + idle });
         }
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -64,9 +64,8 @@
 
     /// Offers made in the round under way.
     pub(crate) fn asked_in_round(&self) -> usize {
-        let in_round = |asked: &&Asked| {
-            (asked.admission != Admission::FreeSlot) == self.wants_queue
-        };
+        let in_round =
+            |asked: &&Asked| (asked.admission != Admission::FreeSlot) == self.wants_queue;
         self.asked.iter().filter(in_round).count()
     }
 
--- a/crates/carried/src/segment.rs
+++ b/crates/carried/src/segment.rs
@@ -40,6 +40,11 @@
         self.flow().reversed()
     }
 
+    /// The sequence number behind its data.
+    pub fn end(&self) -> u32 {
+        self.sequence.wrapping_add(u32::from(self.payload_bytes))
+    }
+
     /// Whether the packet asks for a new flow.
     pub fn is_opening(&self) -> bool {
         self.opens && !self.acknowledges
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,9 +1,7 @@
 //! What the shell needs of a core, whatever its role.
 
 use crate::command::NodeStatus;
-use loftdrift_carried::{
-    BackendReport, CarriedConfiguration, Message, NodeRole, Snapshot,
-};
+use loftdrift_carried::{BackendReport, CarriedConfiguration, Message, NodeRole, Snapshot};
 use loftdrift_counters::Sample;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -12,19 +10,11 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Action {
     /// Send a packet from the local socket.
-    SendLocal {
-        to: SocketAddrV4,
-        datagram: Vec<u8>,
-    },
+    SendLocal { to: SocketAddrV4, datagram: Vec<u8> },
     /// Send a message to a node.
-    SendPeer {
-        to: SocketAddrV4,
-        message: Message,
-    },
+    SendPeer { to: SocketAddrV4, message: Message },
     /// Fetch a snapshot.
-    FetchSnapshot {
-        from: SocketAddrV4,
-    },
+    FetchSnapshot { from: SocketAddrV4 },
 }
 
 /// A core behind the shell. The local socket is the one to callers or to the back end.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod interface;
 mod pace;
 mod registration;
+mod reloading;
 mod run;
 mod settings;
 mod shared_store;
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -18,11 +18,7 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
 /// Keeps the entry until nobody listens.
-pub(crate) async fn keep(
-    store: impl SharedStore,
-    member: Member,
-    commands: mpsc::Sender<Command>,
-) {
+pub(crate) async fn keep(store: impl SharedStore, member: Member, commands: mpsc::Sender<Command>) {
     let mut pace = Pace::new(FIRST_PAUSE, LONGEST_PAUSE);
     while !commands.is_closed() {
         match enter(&store, &member, &commands).await {
--- /dev/null
+++ b/crates/node/src/reloading.rs
@@ -0,0 +1,42 @@
+//! SIGHUP: the settings file has changed. What changed is told and takes effect at the next start;
+//! everything that must change in a running node comes with the configuration.
+
+use crate::settings::NodeSettings;
+use anyhow::{Context, Result};
+use loftdrift_settings::Overrides;
+use std::path::PathBuf;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Listens for SIGHUP from now on.
+pub(crate) fn requests() -> Result<Signal> {
+    signal(SignalKind::hangup()).context("cannot listen for SIGHUP")
+}
+
+/// Checks the settings file at each request and tells what became of it.
+pub(crate) async fn follow(mut requests: Signal, file: PathBuf, in_force: NodeSettings) {
+    while requests.recv().await.is_some() {
+        check(&file, &in_force);
+    }
+}
+
+fn check(file: &PathBuf, in_force: &NodeSettings) {
+    let name = file.display().to_string();
+    let text = match std::fs::read_to_string(file) {
+        Ok(text) => text,
+        Err(error) => {
+            log::warn!(file = name.as_str(), error:% = error; "settings_unreadable");
+            return;
+        }
+    };
+    let incarnation = in_force.node.incarnation;
+    match NodeSettings::read(&name, &text, &Overrides::default(), incarnation) {
+        Ok(settings) => {
+            let is_same = settings == *in_force;
+            log::info!(file = name.as_str(), is_same; "settings_read_again");
+        }
+        Err(findings) => {
+            let findings = findings.to_string();
+            log::warn!(file = name.as_str(), findings = findings.as_str(); "settings_refused");
+        }
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -8,7 +8,7 @@
 use crate::settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
 use crate::shared_store::{Member, SharedStore};
 use crate::shell::Shell;
-use crate::{configuration_follower, health, registration, snapshots, stopping};
+use crate::{configuration_follower, health, registration, reloading, snapshots, stopping};
 use anyhow::{Context, Result};
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
@@ -20,6 +20,7 @@
 use loftdrift_counters::{PublishedSet, render};
 use loftdrift_http::{Answer, text_answer};
 use std::net::SocketAddrV4;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
@@ -39,17 +40,29 @@
 
 /// Runs a node until it is asked to stop.
 pub async fn run<S: SharedStore, I: Interface>(
+    file: PathBuf,
     settings: NodeSettings,
     format: Arc<dyn SegmentFormat>,
     interface: I,
     store: S,
 ) -> Result<()> {
+    let reloads = reloading::requests()?;
+    let _reloading = AbortOnDrop(tokio::spawn(reloading::follow(reloads, file, settings.clone())));
     match settings.place.clone() {
         Place::Balancer(place) => run_balancer(settings, place, format, interface, store).await,
         Place::Agent(place) => run_agent(settings, place, format, interface, store).await,
     }
 }
 
+/// Ends a task that nobody waits for.
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
 async fn run_balancer<S: SharedStore, I: Interface>(
     settings: NodeSettings,
     place: BalancerPlace,
@@ -221,11 +234,7 @@
     }
 }
 
-async fn serve_metrics(
-    listener: TcpListener,
-    role: &'static str,
-    commands: mpsc::Sender<Command>,
-) {
+async fn serve_metrics(listener: TcpListener, role: &'static str, commands: mpsc::Sender<Command>) {
     loftdrift_http::serve(listener, move |request| {
         let commands = commands.clone();
         let is_here = request.uri().path() == METRICS_PATH;
@@ -251,7 +260,5 @@
 }
 
 async fn bind_tcp(what: &str, address: SocketAddrV4) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .with_context(|| format!("cannot take {what} on TCP {address}"))
+    TcpListener::bind(address).await.with_context(|| format!("cannot take {what} on TCP {address}"))
 }
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -14,7 +14,7 @@
 const DEFAULT_SHORTEST_LEASE_SECONDS: f64 = 1.0;
 
 /// Settings of a node.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct NodeSettings {
     /// The node's name, unique among all nodes.
     pub name: String,
@@ -41,7 +41,7 @@
 }
 
 /// What a node does.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Place {
     /// Takes callers' packets.
     Balancer(BalancerPlace),
@@ -50,14 +50,14 @@
 }
 
 /// A balancer's own settings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BalancerPlace {
     /// Takes callers' packets over UDP.
     pub ingress: SocketAddrV4,
 }
 
 /// An agent's own settings.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct AgentPlace {
     /// Takes the back end's packets over UDP.
     pub outbound: SocketAddrV4,
@@ -118,13 +118,7 @@
         NodeRole::Balancer => read_balancer(reader).map(Place::Balancer),
         NodeRole::Agent => read_agent(reader).map(Place::Agent),
     };
-    let node = Node {
-        address: messages?,
-        role: role?,
-        zone: zone?,
-        region: region?,
-        incarnation,
-    };
+    let node = Node { address: messages?, role: role?, zone: zone?, region: region?, incarnation };
     let messages_port = node.address.port();
     Some(NodeSettings {
         name: name?,
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -92,11 +92,11 @@
             Command::GiveCounters(answer) => drop(answer.send(self.core.samples())),
             Command::Report(report, answer) => {
                 self.core.take_report(now, &report);
-                drop(answer.send(()));
+                let _ = answer.send(());
             }
             Command::Departure(id, answer) => {
                 self.core.take_departure(now, &id);
-                drop(answer.send(()));
+                let _ = answer.send(());
             }
         }
     }
--- a/crates/standin/src/fabric.rs
+++ b/crates/standin/src/fabric.rs
@@ -12,8 +12,8 @@
     flow_chart, segment_checksum_is_right,
 };
 use loftdrift_liveness::{ProbeSettings, Prober};
-use loftdrift_store::{MachineListClient, MachineRole, MachineState};
 use loftdrift_splice::{CommandSender, FlowSocketEvent, SocketSource};
+use loftdrift_store::{MachineListClient, MachineRole, MachineState};
 use loftdrift_wire::{
     Echo, EchoKind, FlowKey, GenevePacket, Transport, encode_packet, parse_inner,
 };
--- a/crates/standin/tests/key_value.rs
+++ b/crates/standin/tests/key_value.rs
@@ -1,10 +1,10 @@
 //! The key-value stand-in keeps etcd's semantics where loftdrift rests on them.
 
+use loftdrift_standin::key_value::KeyValueStore;
 use loftdrift_store::etcd::{
     Base64Text, Compare, DELETE_EVENT, LeaseGrantRequest, Number, PutRequest, RangeRequest,
     RequestOperation, TxnRequest, WatchCreateRequest, prefix_end,
 };
-use loftdrift_standin::key_value::KeyValueStore;
 use std::time::Duration;
 
 fn text(text: &str) -> Base64Text {
