Bound what a node's news and timers cost by the number of nodes

Cause: read against 460 balancers before 3,400 agents: every datagram looked through all peers for the next heartbeat, every new flow through all agents, every change sent a heartbeat to all peers at once, and gauges were counted at every timer.

Change: peers by due time, agents by service, news to 32 peers at once (to others each time), gauges when they are asked for. The wait for a change of the configuration lasts 10 s instead of 5 (peers tell in between), and half of the aim instead of 0.7 may be spent in an agent's queue.

--- a/crates/carried/src/agent.rs
+++ b/crates/carried/src/agent.rs
@@ -155,8 +155,7 @@
     silent_until: Option<Duration>,
     stopping: bool,
     outputs: VecDeque<AgentOutput>,
-    /// What was counted so far.
-    pub counters: CarriedAgentCounters,
+    counters: CarriedAgentCounters,
 }
 
 impl CarriedAgent {
@@ -662,11 +661,18 @@
         for (peer, wants_reply) in self.membership.take_due(now) {
             self.send_heartbeat(now, peer, wants_reply);
         }
-        self.counters.flows = self.flows.busy() as u64;
-        self.counters.waiting = u64::from(self.waiting);
-        self.counters.peers = self.membership.peers().count() as u64;
-        self.counters.configuration_version = self.configuration.version;
-        self.counters.work_microseconds = (self.work.reported_seconds(now) * 1e6) as u64;
+    }
+
+    /// What was counted so far, with the gauges of now.
+    pub fn counters(&self, now: Duration) -> CarriedAgentCounters {
+        CarriedAgentCounters {
+            flows: self.flows.busy() as u64,
+            waiting: u64::from(self.waiting),
+            peers: self.membership.len() as u64,
+            configuration_version: self.configuration.version,
+            work_microseconds: (self.work.reported_seconds(now) * 1e6) as u64,
+            ..self.counters
+        }
     }
 
     fn wake(&mut self, now: Duration, id: FlowId) {
--- a/crates/carried/src/balancer.rs
+++ b/crates/carried/src/balancer.rs
@@ -41,7 +41,7 @@
 const SEARCH_SHARE: f64 = 0.2;
 /// Share of the aim within which an agent may still queue a request; the rest is for the ways and
 /// for requests that take longer than the mean.
-const QUEUE_SHARE: f64 = 0.7;
+const QUEUE_SHARE: f64 = 0.5;
 /// The aim of routes that tell none.
 const DEFAULT_AIM: Duration = Duration::from_millis(500);
 /// Rest after which a flow is forgotten, until a configuration tells.
@@ -113,8 +113,7 @@
     random: ChaCha8Rng,
     draining: bool,
     outputs: VecDeque<BalancerOutput>,
-    /// What was counted so far.
-    pub counters: CarriedBalancerCounters,
+    counters: CarriedBalancerCounters,
 }
 
 impl CarriedBalancer {
@@ -527,7 +526,7 @@
             self.send_heartbeat(peer, wants_reply);
         }
         self.flows.sweep(now);
-        self.refresh_gauges(now);
+        self.forget_agents();
     }
 
     fn wake_opening(&mut self, now: Duration, number: u64) {
@@ -546,17 +545,23 @@
         self.advance(now, number);
     }
 
-    fn refresh_gauges(&mut self, now: Duration) {
-        let interval = self.membership.interval();
-        let membership = &self.membership;
-        let is_known = |agent: &SocketAddrV4| membership.peers().any(|(peer, _)| peer == agent);
-        if self.pool.len() > membership.peers().count() {
-            self.pool.forget(is_known);
+    /// Forgets agents that the membership has forgotten.
+    fn forget_agents(&mut self) {
+        if self.pool.len() > self.membership.len() {
+            let membership = &self.membership;
+            self.pool.forget(|agent| membership.knows(agent));
+        }
+    }
+
+    /// What was counted so far, with the gauges of now.
+    pub fn counters(&self, now: Duration) -> CarriedBalancerCounters {
+        CarriedBalancerCounters {
+            configuration_version: self.configuration.version,
+            flows: self.flows.len() as u64,
+            agents: self.pool.len() as u64,
+            agents_suspect: self.pool.suspects(now, self.membership.interval()) as u64,
+            peers: self.membership.len() as u64,
+            ..self.counters
         }
-        self.counters.configuration_version = self.configuration.version;
-        self.counters.flows = self.flows.len() as u64;
-        self.counters.agents = self.pool.len() as u64;
-        self.counters.agents_suspect = self.pool.suspects(now, interval) as u64;
-        self.counters.peers = self.membership.peers().count() as u64;
     }
 }
--- a/crates/carried/src/locating.rs
+++ b/crates/carried/src/locating.rs
@@ -23,13 +23,13 @@
         address: &SocketAddrV4,
         except: Option<SocketAddrV4>,
     ) -> Vec<SocketAddrV4> {
-        let services: Vec<&str> = routes.holders(address).collect();
-        let takes_all = pool.len() <= MOST_ASKED;
-        let known = pool.iter().filter(|(agent, view)| {
-            let of_service = services.contains(&view.report.service.as_str());
-            (takes_all || of_service) && Some(**agent) != except
-        });
-        let mut asked: Vec<SocketAddrV4> = known.map(|(agent, _)| *agent).collect();
+        let mut asked: Vec<SocketAddrV4> = if pool.len() <= MOST_ASKED {
+            pool.iter().map(|(agent, _)| *agent).collect()
+        } else {
+            let agents = routes.holders(address).flat_map(|service| pool.of_service(service));
+            agents.map(|(agent, _)| *agent).collect()
+        };
+        asked.retain(|agent| Some(*agent) != except);
         if asked.len() > MOST_ASKED {
             self.turn = (self.turn + MOST_ASKED) % asked.len();
             asked.rotate_left(self.turn);
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -6,8 +6,9 @@
 //! a second. In large systems it is the data path that tells which agents answer.
 
 use crate::message::{Heartbeat, NodeRole};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
+use std::ops::Bound;
 use std::time::Duration;
 
 /// Shortest time between two heartbeats to one peer.
@@ -25,6 +26,8 @@
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// Most peers that are remembered.
 const MOST_PEERS: usize = 8_192;
+/// News goes to so many peers at once; the others hear it from those, or within an interval.
+const NEWS_FAN_OUT: usize = 32;
 
 /// A node, as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -68,12 +71,16 @@
 pub struct Membership {
     me: Node,
     peers: BTreeMap<SocketAddrV4, Peer>,
+    /// When each peer is due, the earliest first.
+    due: BTreeSet<(Duration, SocketAddrV4)>,
+    /// The peer that heard the last news last.
+    news_reached: Option<SocketAddrV4>,
 }
 
 impl Membership {
     /// A node that knows nobody.
     pub fn new(me: Node) -> Self {
-        Membership { me, peers: BTreeMap::new() }
+        Membership { me, peers: BTreeMap::new(), due: BTreeSet::new(), news_reached: None }
     }
 
     /// The node itself.
@@ -98,6 +105,7 @@
             next_heartbeat: now,
         };
         self.peers.insert(address, peer);
+        self.due.insert((now, address));
         true
     }
 
@@ -122,10 +130,9 @@
         peer.incarnation = heartbeat.incarnation;
         peer.configuration = heartbeat.configuration;
         peer.heard_at = Some(now);
-        peer.next_heartbeat = peer.next_heartbeat.min(now + interval);
-        if heartbeat.wants_reply {
-            peer.next_heartbeat = now;
-        }
+        let latest = if heartbeat.wants_reply { now } else { now + interval };
+        let next = peer.next_heartbeat.min(latest);
+        self.reschedule(from, next);
         Heard { is_new }
     }
 
@@ -136,36 +143,64 @@
         bounded.max(SHORTEST_INTERVAL)
     }
 
+    fn reschedule(&mut self, address: SocketAddrV4, next: Duration) {
+        let Some(peer) = self.peers.get_mut(&address) else { return };
+        self.due.remove(&(peer.next_heartbeat, address));
+        peer.next_heartbeat = next;
+        self.due.insert((next, address));
+    }
+
     /// The peers to send a heartbeat to now, each with whether a reply is wanted.
     pub(crate) fn take_due(&mut self, now: Duration) -> Vec<(SocketAddrV4, bool)> {
-        self.peers.retain(|_, peer| {
-            let last = peer.heard_at.unwrap_or(peer.known_since);
-            now.saturating_sub(last) < FORGET_AFTER
-        });
         let interval = self.interval();
-        let mut due = Vec::new();
-        for (address, peer) in &mut self.peers {
-            if peer.next_heartbeat > now {
+        let mut taken = Vec::new();
+        while let Some((at, address)) = self.due.first().copied() {
+            if at > now {
+                break;
+            }
+            let Some(peer) = self.peers.get(&address) else {
+                self.due.remove(&(at, address));
+                continue;
+            };
+            let silence = now.saturating_sub(peer.heard_at.unwrap_or(peer.known_since));
+            if silence >= FORGET_AFTER {
+                self.due.remove(&(at, address));
+                self.peers.remove(&address);
                 continue;
             }
-            let last = peer.heard_at.unwrap_or(peer.known_since);
-            let is_quiet = now.saturating_sub(last) > interval * QUIET_INTERVALS;
-            peer.next_heartbeat = now + interval * if is_quiet { QUIET_FACTOR } else { 1 };
-            due.push((*address, peer.heard_at.is_none()));
+            taken.push((address, peer.heard_at.is_none()));
+            let is_quiet = silence > interval * QUIET_INTERVALS;
+            self.reschedule(address, now + interval * if is_quiet { QUIET_FACTOR } else { 1 });
         }
-        due
+        taken
     }
 
-    /// Has a heartbeat sent to every peer at once.
+    /// Has a heartbeat with news sent to a bounded number of peers at once, to others each time.
     pub fn hurry(&mut self, now: Duration) {
-        for peer in self.peers.values_mut() {
-            peer.next_heartbeat = now;
+        let from = self.news_reached.map_or(Bound::Unbounded, Bound::Excluded);
+        let behind = self.peers.range((from, Bound::Unbounded));
+        let round = behind.chain(self.peers.iter()).map(|(address, _)| *address);
+        let most = NEWS_FAN_OUT.min(self.peers.len());
+        let chosen: Vec<SocketAddrV4> = round.take(most).collect();
+        self.news_reached = chosen.last().copied();
+        for address in chosen {
+            self.reschedule(address, now);
         }
     }
 
     /// When [`Membership::take_due`] has something next.
     pub(crate) fn next_due(&self) -> Option<Duration> {
-        self.peers.values().map(|peer| peer.next_heartbeat).min()
+        self.due.first().map(|(at, _)| *at)
+    }
+
+    /// Whether a node is known.
+    pub(crate) fn knows(&self, address: &SocketAddrV4) -> bool {
+        self.peers.contains_key(address)
+    }
+
+    /// How many nodes are known.
+    pub(crate) fn len(&self) -> usize {
+        self.peers.len()
     }
 
     /// The nodes known, with their addresses.
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -4,7 +4,7 @@
 //! to them. A wrong choice costs a decline, never a wrong placement: the agent decides.
 
 use crate::message::{BackendCondition, LoadReport};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -83,6 +83,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     agents: BTreeMap<SocketAddrV4, AgentView>,
+    by_service: HashMap<String, BTreeSet<SocketAddrV4>>,
 }
 
 impl Pool {
@@ -101,6 +102,12 @@
             placed_since: 0,
             unanswered: 0,
         });
+        if view.report.service != report.service {
+            if let Some(agents) = self.by_service.get_mut(&view.report.service) {
+                agents.remove(&agent);
+            }
+            self.by_service.entry(report.service.clone()).or_default().insert(agent);
+        }
         view.report = report;
         view.distance = distance.unwrap_or(view.distance);
         view.heard_at = now;
@@ -124,6 +131,9 @@
 
     pub(crate) fn forget(&mut self, keep: impl Fn(&SocketAddrV4) -> bool) {
         self.agents.retain(|agent, _| keep(agent));
+        for agents in self.by_service.values_mut() {
+            agents.retain(&keep);
+        }
     }
 
     pub(crate) fn view(&self, agent: &SocketAddrV4) -> Option<&AgentView> {
@@ -139,18 +149,19 @@
         self.agents.iter()
     }
 
-    /// Agents of a service that take new flows and are not suspect.
-    fn accepting<'a>(
-        &'a self,
-        now: Duration,
-        interval: Duration,
-        service: &'a str,
-    ) -> impl Iterator<Item = (&'a SocketAddrV4, &'a AgentView)> {
-        self.agents.iter().filter(move |(_, view)| {
-            view.report.service == service
-                && view.report.condition == BackendCondition::Accepting
-                && !view.is_suspect(now, interval)
-        })
+    /// Agents of a service.
+    pub(crate) fn of_service(
+        &self,
+        service: &str,
+    ) -> impl Iterator<Item = (&SocketAddrV4, &AgentView)> {
+        let agents = self.by_service.get(service).into_iter().flatten();
+        agents.filter_map(|agent| self.agents.get_key_value(agent))
+    }
+
+    /// Agents of a service that last said that they take new flows.
+    fn accepting(&self, service: &str) -> impl Iterator<Item = (&SocketAddrV4, &AgentView)> {
+        self.of_service(service)
+            .filter(|(_, view)| view.report.condition == BackendCondition::Accepting)
     }
 
     /// The best agent to offer a new flow of `service` to, among those not in `asked`. `noise`
@@ -164,8 +175,8 @@
         mut noise: impl FnMut() -> f64,
     ) -> Option<SocketAddrV4> {
         let mut best: Option<(f64, SocketAddrV4)> = None;
-        for (agent, view) in self.accepting(now, interval, service) {
-            if asked(agent) {
+        for (agent, view) in self.accepting(service) {
+            if asked(agent) || view.is_suspect(now, interval) {
                 continue;
             }
             let cost = view.cost() * (1.0 + NOISE_SHARE * noise());
@@ -184,12 +195,9 @@
         service: &str,
         asked: impl Fn(&SocketAddrV4) -> bool,
     ) -> Option<SocketAddrV4> {
-        let suspects = self.agents.iter().filter(|(agent, view)| {
-            view.report.service == service
-                && view.report.condition == BackendCondition::Accepting
-                && view.is_suspect(now, interval)
-                && !asked(agent)
-        });
+        let suspects = self
+            .accepting(service)
+            .filter(|(agent, view)| view.is_suspect(now, interval) && !asked(agent));
         suspects.max_by_key(|(_, view)| view.heard_at).map(|(agent, _)| *agent)
     }
 
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -129,6 +129,6 @@
     }
     agent.handle_backend(milliseconds(1), Vec::new());
     assert_eq!(outputs(&mut agent), []);
-    assert_eq!(agent.counters.messages_malformed, 3);
-    assert_eq!(agent.counters.packets_malformed, 2);
+    assert_eq!(agent.counters(milliseconds(1)).messages_malformed, 3);
+    assert_eq!(agent.counters(milliseconds(1)).packets_malformed, 2);
 }
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -60,8 +60,8 @@
         self.agent.snapshot()
     }
 
-    fn samples(&self) -> Vec<Sample> {
-        self.agent.counters.samples()
+    fn samples(&self, now: Duration) -> Vec<Sample> {
+        self.agent.counters(now).samples()
     }
 
     fn status(&self, _now: Duration) -> NodeStatus {
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -63,8 +63,8 @@
         self.balancer.snapshot()
     }
 
-    fn samples(&self) -> Vec<Sample> {
-        self.balancer.counters.samples()
+    fn samples(&self, now: Duration) -> Vec<Sample> {
+        self.balancer.counters(now).samples()
     }
 
     fn status(&self, now: Duration) -> NodeStatus {
--- a/crates/node/src/configuration_follower.rs
+++ b/crates/node/src/configuration_follower.rs
@@ -11,7 +11,7 @@
 
 /// How long one wait for a change lasts. Short enough that one which a cut swallowed is noticed
 /// before the configuration is late.
-const WAIT: Duration = Duration::from_secs(5);
+const WAIT: Duration = Duration::from_secs(10);
 /// Changes that come in quick succession are taken together.
 const SETTLE: Duration = Duration::from_millis(120);
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -28,7 +28,7 @@
     fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]);
     fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot);
     fn snapshot(&self) -> Snapshot;
-    fn samples(&self) -> Vec<Sample>;
+    fn samples(&self, now: Duration) -> Vec<Sample>;
     fn status(&self, now: Duration) -> NodeStatus;
     fn drain(&mut self, now: Duration);
 
