Answer a copied opening packet to the balancer that sent it

A copy of an earlier opening had come through a second balancer; the agent answered it to the first one, with the second one's number, which there was the number of another opening. That balancer remembered the wrong agent, and repeated the next copy to it under that agent's own service.

Ruled out: the index of agents by service; a stale configuration (the balancer was at the version of the change 50 ms before); late heartbeats.

Change: an agent answers the balancer of the last copy; offers are numbered from a random start; only agents that were asked can place; a repeated packet goes back only while its address stands for that agent's service. Tests of both cores; the agent's fails without the change.

--- a/crates/carried/src/agent.rs
+++ b/crates/carried/src/agent.rs
@@ -362,9 +362,10 @@
         };
         let flow = segment.flow();
         if let Some(id) = self.flows.find(&flow) {
-            match self.flows.get(id).map(|flow| flow.body.phase) {
-                // A copy: the back end answers it again.
-                Some(Phase::Offered { .. } | Phase::Answered) => {
+            match self.flows.get_mut(id).map(|flow| &mut flow.body) {
+                // A copy, perhaps through another balancer: the back end answers it again.
+                Some(body) if matches!(body.phase, Phase::Offered { .. } | Phase::Answered) => {
+                    body.balancer = from;
                     self.set_phase(now, id, Phase::Offered { number });
                     self.outputs.push_back(AgentOutput::ToBackend(datagram));
                     return;
--- a/crates/carried/src/balancer.rs
+++ b/crates/carried/src/balancer.rs
@@ -119,6 +119,7 @@
 impl CarriedBalancer {
     /// A balancer that has just started and knows nothing but its settings.
     pub fn new(settings: CarriedBalancerSettings, format: Arc<dyn SegmentFormat>) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
         CarriedBalancer {
             format,
             membership: Membership::new(settings.node),
@@ -126,9 +127,9 @@
             routes: RoutingTable::default(),
             pool: Pool::default(),
             flows: FlowCache::default(),
-            openings: Openings::default(),
+            openings: Openings::new(random.random()),
             locator: Locator::default(),
-            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            random,
             draining: false,
             outputs: VecDeque::new(),
             counters: CarriedBalancerCounters::default(),
@@ -222,10 +223,7 @@
             return;
         }
         if let Some(agent) = self.flows.agent(&flow) {
-            let interval = self.membership.interval();
-            let view = self.pool.view(&agent);
-            let is_alive = view.is_some_and(|view| !view.is_suspect(now, interval));
-            if segment.acknowledgement > 0 && is_alive {
+            if segment.acknowledgement > 0 && self.may_repeat(now, agent, &flow) {
                 return self.repeat_offer(agent, &flow, datagram);
             }
             self.flows.remove(&flow, agent);
@@ -252,6 +250,16 @@
         self.advance(now, number);
     }
 
+    /// Whether a repeated opening packet may go where the flow was placed: the agent seems to live
+    /// and the address still stands for its service.
+    fn may_repeat(&self, now: Duration, agent: SocketAddrV4, flow: &FlowKey) -> bool {
+        let Some(view) = self.pool.view(&agent) else { return false };
+        let route = self.routes.route(&flow.service);
+        let parts = route.map(|route| route.parts.as_slice()).unwrap_or_default();
+        let is_part = parts.iter().any(|part| part.service == view.report.service);
+        is_part && !view.is_suspect(now, self.membership.interval())
+    }
+
     /// A caller repeats the opening packet of a flow that has been placed: its answer was lost.
     fn repeat_offer(&mut self, agent: SocketAddrV4, flow: &FlowKey, datagram: &[u8]) {
         let Some(service) = self.pool.view(&agent).map(|view| view.report.service.clone()) else {
@@ -438,6 +446,11 @@
         report: LoadReport,
     ) {
         self.pool.take_report(now, from, None, report);
+        let opening = self.openings.get_mut(number);
+        if !opening.is_some_and(|opening| opening.was_offered_to(from)) {
+            self.counters.answers_unexpected += 1;
+            return;
+        }
         let Some(opening) = self.openings.finish(number) else { return };
         self.counters.openings_placed += 1;
         log::debug!(
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -35,6 +35,8 @@
         offers_declined,
         /// Offers that no agent answered in time.
         offers_unanswered,
+        /// Answers of agents to offers that this balancer has not made to them.
+        answers_unexpected,
         /// Agents that became suspect.
         suspicions,
         /// Messages of other nodes that do not decode.
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -81,6 +81,11 @@
         self.asked.iter().any(|asked| asked.answer == Answer::Declined(reason))
     }
 
+    /// Whether an agent was offered the flow.
+    pub(crate) fn was_offered_to(&self, agent: SocketAddrV4) -> bool {
+        self.asked.iter().any(|asked| asked.agent == agent)
+    }
+
     /// The offer that an agent still has to answer.
     pub(crate) fn answer_of(&mut self, agent: SocketAddrV4) -> Option<&mut Answer> {
         let mut made = self.asked.iter_mut().rev();
@@ -101,6 +106,12 @@
 const MOST_OPENINGS: usize = 4_096;
 
 impl Openings {
+    /// Numbers its openings from `first` on: an answer to an earlier process of the balancer must
+    /// not be taken for one to this process.
+    pub(crate) fn new(first: u64) -> Self {
+        Openings { last_number: first, ..Openings::default() }
+    }
+
     pub(crate) fn is_full(&self) -> bool {
         self.by_number.len() >= MOST_OPENINGS
     }
@@ -117,7 +128,7 @@
         service: String,
         aim: Duration,
     ) -> u64 {
-        self.last_number += 1;
+        self.last_number = self.last_number.wrapping_add(1);
         let number = self.last_number;
         let opening = Opening {
             segment,
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -132,3 +132,25 @@
     assert_eq!(agent.counters(milliseconds(1)).messages_malformed, 3);
     assert_eq!(agent.counters(milliseconds(1)).packets_malformed, 2);
 }
+
+#[test]
+fn a_copy_through_another_balancer_is_answered_to_that_one() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    let first = offer(7, 1, Admission::FreeSlot);
+    agent.handle_peer(milliseconds(1), balancer_address(), &first);
+    let second_balancer = address("10.1.0.2:7720");
+    agent.handle_peer(milliseconds(2), second_balancer, &offer(9, 1, Admission::FreeSlot));
+    outputs(&mut agent);
+    agent.handle_backend(milliseconds(3), packet(&Segment { opens: true, ..answer(1, 500) }));
+    let answers: Vec<(_, u64)> = outputs(&mut agent)
+        .into_iter()
+        .filter_map(|output| match output {
+            AgentOutput::ToPeer { to, message: Message::Placed { number, .. } } => {
+                Some((to, number))
+            }
+            _ => None,
+        })
+        .collect();
+    assert_eq!(answers, [(second_balancer, 9)]);
+}
--- /dev/null
+++ b/crates/carried/tests/balancer.rs
@@ -0,0 +1,252 @@
+//! The balancer offers, locates and refuses.
+
+mod support;
+
+use loftdrift_carried::{
+    BackendCondition, BalancerOutput, CarriedBalancer, CarriedBalancerSettings, DeclineReason,
+    Heartbeat, LoadReport, Message, NodeRole, PlainFormat, Segment,
+};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use support::*;
+
+fn load(service: &str, waiting: u16) -> LoadReport {
+    LoadReport {
+        service: service.to_owned(),
+        condition: BackendCondition::Accepting,
+        capacity: 4,
+        waiting,
+        work_us: 20_000,
+        is_cold: false,
+    }
+}
+
+fn tell(balancer: &mut CarriedBalancer, now: Duration, agent: u8, report: LoadReport) {
+    let heartbeat = Heartbeat {
+        role: NodeRole::Agent,
+        zone: "a".to_owned(),
+        region: "r".to_owned(),
+        incarnation: 1,
+        configuration: 1,
+        report: Some(report),
+        wants_reply: false,
+    };
+    balancer.handle_peer(now, agent_address(agent), &Message::Heartbeat(heartbeat).encode());
+}
+
+/// A balancer with a route to `SERVICE` and `agents` agents of it.
+fn balancer(agents: u8) -> CarriedBalancer {
+    let settings =
+        CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed: 1 };
+    let mut balancer = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+    let routes = vec![route(service_address(), SERVICE)];
+    balancer.adopt(milliseconds(0), configuration(1, routes));
+    for agent in 1..=agents {
+        tell(&mut balancer, milliseconds(0), agent, load(SERVICE, 0));
+    }
+    outputs_of(&mut balancer);
+    balancer
+}
+
+fn outputs_of(balancer: &mut CarriedBalancer) -> Vec<BalancerOutput> {
+    std::iter::from_fn(|| balancer.take_output()).collect()
+}
+
+fn offers(outputs: &[BalancerOutput]) -> Vec<(SocketAddrV4, u64)> {
+    outputs
+        .iter()
+        .filter_map(|output| match output {
+            BalancerOutput::ToPeer { to, message: Message::Offer { number, .. } } => {
+                Some((*to, *number))
+            }
+            _ => None,
+        })
+        .collect()
+}
+
+fn has_reset(outputs: &[BalancerOutput]) -> bool {
+    outputs.iter().any(|output| matches!(output, BalancerOutput::ToCaller { .. }))
+}
+
+fn located(outputs: &[BalancerOutput]) -> Vec<SocketAddrV4> {
+    outputs
+        .iter()
+        .filter_map(|output| match output {
+            BalancerOutput::ToPeer { to, message: Message::Locate { .. } } => Some(*to),
+            _ => None,
+        })
+        .collect()
+}
+
+fn decline(balancer: &mut CarriedBalancer, now: Duration, offer: (SocketAddrV4, u64)) {
+    let reason = DeclineReason::Busy;
+    let message = Message::Declined { number: offer.1, reason, report: load(SERVICE, 4) };
+    balancer.handle_peer(now, offer.0, &message.encode());
+}
+
+#[test]
+fn every_agent_is_asked_for_a_slot_then_for_a_place_in_its_queue_then_the_caller_is_told() {
+    let mut balancer = balancer(3);
+    balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
+    let mut asked = Vec::new();
+    loop {
+        let outputs = outputs_of(&mut balancer);
+        let Some(offer) = offers(&outputs).first().copied() else {
+            assert!(has_reset(&outputs), "the last answer is at once the caller's");
+            break;
+        };
+        assert!(!has_reset(&outputs));
+        asked.push(offer.0);
+        decline(&mut balancer, milliseconds(2), offer);
+    }
+    assert_eq!(asked.len(), 6);
+    for agent in 1..=3 {
+        let times = asked.iter().filter(|asked| **asked == agent_address(agent)).count();
+        assert_eq!(times, 2, "agent {agent}");
+    }
+}
+
+#[test]
+fn an_agent_that_says_nothing_is_passed_over_within_milliseconds() {
+    let mut balancer = balancer(2);
+    balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
+    let first = offers(&outputs_of(&mut balancer));
+    balancer.handle_timeout(milliseconds(40));
+    let outputs = outputs_of(&mut balancer);
+    let second = offers(&outputs);
+    assert_ne!(first[0].0, second[0].0);
+    assert!(!has_reset(&outputs), "the first may still place the flow");
+}
+
+#[test]
+fn an_answer_from_an_agent_that_was_not_asked_places_nothing() {
+    let mut balancer = balancer(2);
+    tell(&mut balancer, milliseconds(0), 9, load("sheets", 0));
+    balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
+    let offer = offers(&outputs_of(&mut balancer))[0];
+    let placed = Message::Placed { number: offer.1, report: load("sheets", 1) };
+    balancer.handle_peer(milliseconds(2), agent_address(9), &placed.encode());
+    assert_eq!(balancer.counters(milliseconds(2)).openings_placed, 0);
+    assert_eq!(balancer.counters(milliseconds(2)).answers_unexpected, 1);
+}
+
+#[test]
+fn a_repeated_opening_never_goes_to_an_agent_of_another_service() {
+    let mut balancer = balancer(1);
+    tell(&mut balancer, milliseconds(0), 9, load("sheets", 0));
+    // A wrong memory: the flow is believed to live at an agent of another service.
+    let held = Message::Held { caller: caller(1), service: service_address() };
+    balancer.handle_peer(milliseconds(1), agent_address(9), &held.encode());
+    let copy = Segment { acknowledgement: 1, ..opening(1) };
+    balancer.handle_caller(milliseconds(2), &packet(&copy));
+    let asked: Vec<_> = offers(&outputs_of(&mut balancer)).iter().map(|offer| offer.0).collect();
+    assert_eq!(asked, [agent_address(1)]);
+}
+
+#[test]
+fn numbers_of_offers_differ_from_start_to_start() {
+    let first_number = |seed: u64| {
+        let settings =
+            CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed };
+        let mut balancer = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+        balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+        tell(&mut balancer, milliseconds(0), 1, load(SERVICE, 0));
+        balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
+        offers(&outputs_of(&mut balancer))[0].1
+    };
+    assert_ne!(first_number(1), first_number(2));
+}
+
+#[test]
+fn a_packet_of_an_open_flow_without_memory_asks_every_agent_and_is_never_reset() {
+    let mut balancer = balancer(3);
+    balancer.handle_caller(milliseconds(1), &packet(&data(1, 101, 501)));
+    let outputs = outputs_of(&mut balancer);
+    assert_eq!(located(&outputs).len(), 3);
+    assert!(!has_reset(&outputs));
+    let held = Message::Held { caller: caller(1), service: service_address() };
+    balancer.handle_peer(milliseconds(2), agent_address(2), &held.encode());
+    balancer.handle_caller(milliseconds(3), &packet(&data(1, 111, 501)));
+    let datagram = packet(&data(1, 111, 501));
+    let expected =
+        BalancerOutput::ToPeer { to: agent_address(2), message: Message::Forward { datagram } };
+    assert_eq!(outputs_of(&mut balancer), [expected]);
+}
+
+#[test]
+fn a_packet_that_an_agent_does_not_hold_is_located_among_the_others() {
+    let mut balancer = balancer(3);
+    let held = Message::Held { caller: caller(1), service: service_address() };
+    balancer.handle_peer(milliseconds(1), agent_address(2), &held.encode());
+    let not_held = Message::NotHeld { datagram: packet(&data(1, 101, 501)) };
+    balancer.handle_peer(milliseconds(2), agent_address(2), &not_held.encode());
+    assert_eq!(located(&outputs_of(&mut balancer)), [agent_address(1), agent_address(3)]);
+}
+
+#[test]
+fn an_older_configuration_is_never_adopted() {
+    let mut balancer = balancer(1);
+    let newer = configuration(5, vec![route(service_address(), "sheets")]);
+    assert!(balancer.adopt(milliseconds(1), newer));
+    let older = configuration(4, vec![route(service_address(), SERVICE)]);
+    assert!(!balancer.adopt(milliseconds(2), older));
+    assert_eq!(balancer.configuration_version(), 5);
+}
+
+#[test]
+fn an_address_without_route_is_reset_once_routes_are_known_and_not_before() {
+    let mut balancer = balancer(1);
+    let elsewhere = Segment { destination: address("198.18.0.9:443"), ..opening(1) };
+    balancer.handle_caller(milliseconds(1), &packet(&elsewhere));
+    assert!(has_reset(&outputs_of(&mut balancer)));
+
+    let settings =
+        CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed: 1 };
+    let mut unconfigured = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+    unconfigured.handle_caller(milliseconds(1), &packet(&elsewhere));
+    assert!(!has_reset(&outputs_of(&mut unconfigured)));
+    assert!(!unconfigured.is_ready(milliseconds(1)));
+}
+
+#[test]
+fn parts_of_a_route_get_their_weights_share() {
+    let mut balancer = balancer(1);
+    tell(&mut balancer, milliseconds(0), 9, load("sheets", 0));
+    let mut split = route(service_address(), SERVICE);
+    split.parts[0].weight = 9;
+    split.parts.push(loftdrift_carried::Part { service: "sheets".to_owned(), weight: 1 });
+    balancer.adopt(milliseconds(1), configuration(2, vec![split]));
+    let mut to_sheets = 0;
+    for port in 1..=100 {
+        outputs_of(&mut balancer);
+        balancer.handle_caller(milliseconds(2), &packet(&opening(port)));
+        let asked = offers(&outputs_of(&mut balancer));
+        to_sheets += asked.iter().filter(|offer| offer.0 == agent_address(9)).count();
+    }
+    assert_eq!(to_sheets, 10);
+}
+
+#[test]
+fn news_reaches_a_bounded_number_of_agents_at_once() {
+    let mut balancer = balancer(200);
+    balancer.handle_timeout(Duration::from_secs(1));
+    outputs_of(&mut balancer);
+    let newer = configuration(2, vec![route(service_address(), SERVICE)]);
+    balancer.adopt(milliseconds(1_001), newer);
+    balancer.handle_timeout(milliseconds(1_001));
+    assert_eq!(outputs_of(&mut balancer).len(), 32);
+}
+
+#[test]
+fn bad_input_is_counted_and_changes_nothing() {
+    let mut balancer = balancer(1);
+    for datagram in [&[][..], &[0], &[7; 40]] {
+        balancer.handle_caller(milliseconds(1), datagram);
+        balancer.handle_peer(milliseconds(1), agent_address(1), datagram);
+    }
+    assert_eq!(outputs_of(&mut balancer), []);
+    let counters = balancer.counters(milliseconds(1));
+    assert_eq!(counters.packets_malformed, 3);
+    assert_eq!(counters.messages_malformed, 3);
+}
