Do not ask agents for a free slot that have just said they have none

Change: an agent's word that it is full holds for 10 ms; a flow goes straight to the round for queues when all are full.

--- a/crates/carried/src/balancer.rs
+++ b/crates/carried/src/balancer.rs
@@ -17,7 +17,7 @@
     Admission, DeclineReason, Heartbeat, LoadReport, Message, NodeRole, Snapshot,
 };
 use crate::opening::{Answer, Asked, Opening, Openings};
-use crate::pool::{Distance, Pool};
+use crate::pool::{AgentView, Distance, Pool};
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
@@ -285,16 +285,19 @@
         }
         loop {
             let most = if opening.wants_queue { MOST_QUEUE_ASKED } else { MOST_FREE_ASKED };
-            let asked = |agent: &SocketAddrV4| opening.has_asked(agent);
+            let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
+                let may_have_room = opening.wants_queue || !view.is_known_full(now);
+                may_have_room && !opening.has_asked(agent)
+            };
             let mut next = None;
             if opening.asked_in_round() < most {
                 let noise = || random.random::<f64>();
-                next = self.pool.best(now, interval, &opening.service, asked, noise);
+                next = self.pool.best(now, interval, &opening.service, may_ask, noise);
             }
             if let Some(agent) = next {
                 return self.offer(now, number, agent);
             }
-            if opening.wants_queue || !opening.was_declined(DeclineReason::Busy) {
+            if opening.wants_queue {
                 break;
             }
             opening.wants_queue = true;
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -12,6 +12,8 @@
 const SUSPECT_AFTER: u32 = 2;
 /// An agent that was silent for so many heartbeat intervals is suspect.
 const SUSPECT_INTERVALS: u32 = 4;
+/// An agent's word that no slot is free holds for so long.
+const FULL_LASTS: Duration = Duration::from_millis(10);
 /// A back end that is cold is taken to be so much slower.
 const COLD_FACTOR: f64 = 1.6;
 /// A way to another zone is worth so much, in seconds of waiting.
@@ -60,6 +62,13 @@
         is_unheard || self.unanswered >= SUSPECT_AFTER
     }
 
+    /// Whether the agent has just said that no slot is free there.
+    pub(crate) fn is_known_full(&self, now: Duration) -> bool {
+        let capacity = u32::from(self.report.capacity);
+        let is_full = u32::from(self.report.waiting) + self.placed_since >= capacity;
+        is_full && now.saturating_sub(self.heard_at) < FULL_LASTS
+    }
+
     /// Seconds until a new request there would be answered, as far as is known.
     fn cost(&self) -> f64 {
         let capacity = f64::from(self.report.capacity.max(1));
@@ -164,19 +173,19 @@
             .filter(|(_, view)| view.report.condition == BackendCondition::Accepting)
     }
 
-    /// The best agent to offer a new flow of `service` to, among those not in `asked`. `noise`
-    /// gives numbers from 0 to 1 that break ties, so that balancers do not all choose alike.
+    /// The best agent to offer a new flow of `service` to, among those that `may_ask` names.
+    /// `noise` gives numbers from 0 to 1 that break ties, so that balancers do not all choose alike.
     pub(crate) fn best(
         &self,
         now: Duration,
         interval: Duration,
         service: &str,
-        asked: impl Fn(&SocketAddrV4) -> bool,
+        may_ask: impl Fn(&SocketAddrV4, &AgentView) -> bool,
         mut noise: impl FnMut() -> f64,
     ) -> Option<SocketAddrV4> {
         let mut best: Option<(f64, SocketAddrV4)> = None;
         for (agent, view) in self.accepting(service) {
-            if asked(agent) || view.is_suspect(now, interval) {
+            if !may_ask(agent, view) || view.is_suspect(now, interval) {
                 continue;
             }
             let cost = view.cost() * (1.0 + NOISE_SHARE * noise());
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -250,3 +250,17 @@
     assert_eq!(counters.packets_malformed, 3);
     assert_eq!(counters.messages_malformed, 3);
 }
+
+#[test]
+fn an_agent_that_has_just_said_that_it_is_full_is_only_asked_for_a_place_in_its_queue() {
+    let mut balancer = balancer(2);
+    tell(&mut balancer, milliseconds(1), 1, load(SERVICE, 4));
+    tell(&mut balancer, milliseconds(1), 2, load(SERVICE, 4));
+    balancer.handle_caller(milliseconds(2), &packet(&opening(1)));
+    let mut offers_made = 0;
+    while let Some(offer) = offers(&outputs_of(&mut balancer)).first().copied() {
+        offers_made += 1;
+        decline(&mut balancer, milliseconds(3), offer);
+    }
+    assert_eq!(offers_made, 2, "one a queue, none a slot");
+}
