Write structured log lines through a bounded queue

Cause: on-call engineers have logs and metrics only; lines were free text on the thread that carries packets, and a standard output that is not read would have held that up.

Ruled out: `env_logger` alone (it writes where it is called); a task of the runtime as writer (a full pipe blocks it, and with it every task).

Change: `crates/logging`: one line of key=value pairs a record, kept by `env_logger` and the key-values of `log`; a bounded queue and a thread that writes; rates a kind with a count of what was left out, failures on their own; `loftdrift-node trace ID LOG...` gathers a flow's or request's lines from several logs with causes near them. Balancers tell each placement, refusal, location; agents each request's identity beside its flow, declines, returns.

--- a/crates/app/src/bin/loftdrift-node.rs
+++ b/crates/app/src/bin/loftdrift-node.rs
@@ -2,6 +2,7 @@
 
 use anyhow::{Context, Result};
 use loftdrift::command_line::{exit_code, refuse_rest};
+use loftdrift_logging::Identity;
 use loftdrift_node::NodeSettings;
 use loftdrift_platform::{HeadFormat, PlatformInterface, PlatformStore};
 use loftdrift_settings::Overrides;
@@ -10,17 +11,23 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const HELP: &str = "\
 loftdrift-node: a balancer or an agent of carried flows
 
 USAGE: loftdrift-node [--check] SETTINGS
+       loftdrift-node trace ID LOG...
 
   SETTINGS   settings file; its `role` says what the process does
   --check    only check the settings, report every finding, and end
+  trace      print what several processes' logs say of one flow or request, in order of time;
+             ID is a flow's name (CALLER:PORT>SERVICE:PORT) or a request's identity
 ";
 
+/// How long the last log lines may take at the end.
+const LOG_PATIENCE: Duration = Duration::from_millis(100);
+
 fn main() -> ExitCode {
     exit_code(start())
 }
@@ -32,26 +39,61 @@
         return Ok(ExitCode::SUCCESS);
     }
     let only_check = arguments.contains("--check");
-    let path: PathBuf =
-        arguments.free_from_os_str(to_path).context("no settings file given; see --help")?;
+    let first = arguments.free_from_os_str(to_path).context("no settings file; see --help")?;
+    if first.as_os_str() == "trace" {
+        return trace(arguments);
+    }
     refuse_rest(arguments)?;
-    let name = path.display().to_string();
-    let text = std::fs::read_to_string(&path).with_context(|| format!("cannot read {name}"))?;
-    let settings = NodeSettings::read(&name, &text, &Overrides::default(), incarnation())?;
+    let settings = read_settings(&first)?;
     if only_check {
-        println!("{name}: no findings");
+        println!("{}: no findings", first.display());
         return Ok(ExitCode::SUCCESS);
     }
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
-        .target(env_logger::Target::Stdout)
-        .init();
+    run(first, settings)
+}
+
+fn read_settings(path: &PathBuf) -> Result<NodeSettings> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path).with_context(|| format!("cannot read {name}"))?;
+    Ok(NodeSettings::read(&name, &text, &Overrides::default(), incarnation())?)
+}
+
+fn run(path: PathBuf, settings: NodeSettings) -> Result<ExitCode> {
+    let identity = Identity {
+        node: settings.name.clone(),
+        role: settings.place.name().to_owned(),
+        incarnation: settings.node.incarnation,
+    };
+    let log = loftdrift_logging::install(identity, std::io::stdout());
+    let described = format!("{settings:?}");
+    log::info!(version = env!("CARGO_PKG_VERSION"), settings = described.as_str(); "started");
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let store = PlatformStore::new(settings.store, settings.shortest_lease);
     let node = loftdrift_node::run(path, settings, Arc::new(HeadFormat), PlatformInterface, store);
-    runtime.block_on(node)?;
+    let outcome = runtime.block_on(node);
+    if let Err(error) = &outcome {
+        let error = format!("{error:#}");
+        log::error!(error = error.as_str(); "stopped");
+    }
+    log.finish(LOG_PATIENCE);
     // Tasks that still wait for others are not waited for.
     runtime.shutdown_background();
-    Ok(ExitCode::SUCCESS)
+    outcome.map(|()| ExitCode::SUCCESS)
+}
+
+fn trace(mut arguments: pico_args::Arguments) -> Result<ExitCode> {
+    let id: String = arguments.free_from_str().context("no flow or request named; see --help")?;
+    let mut logs = Vec::new();
+    while let Some(path) = arguments.opt_free_from_os_str(to_path)? {
+        let bytes = std::fs::read(&path);
+        let bytes = bytes.with_context(|| format!("cannot read {}", path.display()))?;
+        logs.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    let found = loftdrift_logging::trace(&id, &logs);
+    for line in &found {
+        println!("{line}");
+    }
+    Ok(if found.is_empty() { ExitCode::FAILURE } else { ExitCode::SUCCESS })
 }
 
 fn to_path(text: &OsStr) -> Result<PathBuf, Infallible> {
--- a/crates/carried/src/agent.rs
+++ b/crates/carried/src/agent.rs
@@ -231,9 +231,15 @@
     pub fn adopt(&mut self, configuration: CarriedConfiguration) -> bool {
         if configuration.version <= self.configuration.version {
             self.counters.configurations_passed_over += 1;
+            log::debug!(
+                offered = configuration.version, in_force = self.configuration.version;
+                "configuration_passed_over"
+            );
             return false;
         }
-        log::info!(from = self.configuration.version, to = configuration.version; "configuration_adopted");
+        log::info!(
+            from = self.configuration.version, to = configuration.version; "configuration_adopted"
+        );
         self.configuration = configuration;
         self.counters.configurations_adopted += 1;
         true
@@ -416,8 +422,8 @@
             DeclineReason::OtherService => self.counters.declined_other_service += 1,
         }
         let report = self.report(now);
-        log::debug!(
-            flow = flow_name(flow).as_str(), reason = reason.name(), waiting = report.waiting,
+        log::info!(
+            flow = flow_name(flow).as_str(), reason = reason.name(), balancer:% = to, waiting = report.waiting,
             capacity = report.capacity, work_us = report.work_us; "offer_declined"
         );
         let message = Message::Declined { number, reason, report };
@@ -443,6 +449,13 @@
         }
         entry.body.balancer = from;
         let is_trial = entry.body.phase == Phase::Tried;
+        let begins_request = segment.payload_bytes > 0 && entry.body.phase == Phase::Answered;
+        if begins_request && let Some(request) = self.format.request_id(&datagram) {
+            log::info!(
+                flow = flow_name(&flow).as_str(), request, balancer:% = from,
+                waiting = self.waiting, capacity = self.backend.capacity(); "request_arrived"
+            );
+        }
         self.counters.packets_delivered += 1;
         self.outputs.push_back(AgentOutput::ToBackend(datagram));
         if !is_trial {
@@ -598,6 +611,10 @@
             }
             Phase::Tried => self.remember_foreign(flow),
             _ => {
+                log::warn!(
+                    flow = flow_name(&flow).as_str(), balancer:% = balancer;
+                    "packet_returned_by_backend"
+                );
                 self.remember_foreign(flow);
                 self.pass_back(balancer, datagram, true);
             }
@@ -685,10 +702,21 @@
         }
         match phase {
             Phase::Offered { .. } => {
+                log::warn!(
+                    flow = flow_name(&flow.key).as_str(), balancer:% = flow.body.balancer,
+                    in_a_row = self.unanswered + 1; "opening_unanswered_by_backend"
+                );
                 self.note_silence(now);
                 self.set_phase(now, id, Phase::Resting);
             }
-            Phase::Answered | Phase::Waiting { .. } => self.set_phase(now, id, Phase::Resting),
+            Phase::Waiting { .. } => {
+                log::warn!(
+                    flow = flow_name(&flow.key).as_str(), age_ms = WAITING_PATIENCE.as_millis() as u64;
+                    "request_unanswered_by_backend"
+                );
+                self.set_phase(now, id, Phase::Resting);
+            }
+            Phase::Answered => self.set_phase(now, id, Phase::Resting),
             Phase::Resting | Phase::Tried | Phase::Closing => self.remove(id),
         }
     }
--- a/crates/carried/src/balancer.rs
+++ b/crates/carried/src/balancer.rs
@@ -187,6 +187,10 @@
     pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
         if configuration.version <= self.configuration.version {
             self.counters.configurations_passed_over += 1;
+            log::debug!(
+                offered = configuration.version, in_force = self.configuration.version;
+                "configuration_passed_over"
+            );
             return false;
         }
         log::info!(
@@ -265,7 +269,7 @@
         let Some(service) = self.pool.view(&agent).map(|view| view.report.service.clone()) else {
             return;
         };
-        log::debug!(flow = flow_name(flow).as_str(), agent:% = agent; "opening_repeated");
+        log::info!(flow = flow_name(flow).as_str(), agent:% = agent; "opening_repeated");
         let message = Message::Offer {
             number: 0,
             service,
@@ -414,7 +418,10 @@
     fn locate(&mut self, flow: &FlowKey, datagram: &[u8], except: Option<SocketAddrV4>) {
         self.counters.packets_located += 1;
         let agents = self.locator.choose(&self.pool, &self.routes, &flow.service, except);
-        log::debug!(flow = flow_name(flow).as_str(), agents = agents.len(); "flow_located");
+        log::info!(
+            flow = flow_name(flow).as_str(), agents = agents.len(),
+            configuration = self.configuration.version; "flow_located"
+        );
         for to in agents {
             let message = Message::Locate { datagram: datagram.to_vec() };
             self.outputs.push_back(BalancerOutput::ToPeer { to, message });
@@ -456,9 +463,11 @@
         }
         let Some(opening) = self.openings.finish(number) else { return };
         self.counters.openings_placed += 1;
-        log::debug!(
+        log::info!(
             flow = flow_name(&opening.flow()).as_str(), agent:% = from,
-            age_us = opening.age(now).as_micros() as u64, asked = opening.asked.len(),
+            service = opening.service.as_str(), age_us = opening.age(now).as_micros() as u64,
+            copy = opening.segment.acknowledgement,
+            asked = self.describe_asked(now, &opening).as_str(),
             configuration = self.configuration.version; "opening_placed"
         );
         self.flows.insert(now, self.idle_timeout(), opening.flow(), from);
@@ -488,6 +497,7 @@
             return;
         };
         let flow = segment.flow();
+        log::info!(flow = flow_name(&flow).as_str(), agent:% = from; "flow_not_held");
         self.flows.remove(&flow, from);
         match self.flows.agent(&flow) {
             // Found meanwhile, while packets were still under way to the wrong agent.
@@ -505,6 +515,10 @@
             self.outputs.push_back(BalancerOutput::FetchSnapshot { from });
         }
         let distance = self.distance(&heartbeat);
+        let interval = self.membership.interval();
+        if let Some(view) = self.pool.view(&from).filter(|view| view.is_suspect(now, interval)) {
+            log::info!(agent:% = from, away_ms = view.age(now).as_millis() as u64; "agent_back");
+        }
         if let Some(report) = heartbeat.report {
             self.pool.take_report(now, from, Some(distance), report);
         }
--- a/crates/carried/src/segment.rs
+++ b/crates/carried/src/segment.rs
@@ -84,6 +84,11 @@
     fn parse(&self, datagram: &[u8]) -> Result<Segment, SegmentError>;
     /// A reset that answers a caller's packet.
     fn reset(&self, answered: &Segment) -> Vec<u8>;
+    /// The identity of the request whose first bytes a packet carries, where the packet tells it.
+    fn request_id<'a>(&self, datagram: &'a [u8]) -> Option<&'a str> {
+        let _ = datagram;
+        None
+    }
     /// Takes the mark of a packet that a back end sent back off it, so that it is as its sender
     /// wrote it.
     fn clear_returned(&self, datagram: &mut [u8]);
--- /dev/null
+++ b/crates/logging/src/line.rs
@@ -0,0 +1,95 @@
+//! One line: written from a log record, read back from text.
+
+use crate::Identity;
+use log::Record;
+use log::kv::{self, Key, Value, VisitSource};
+use std::fmt::Write;
+use std::time::Duration;
+
+const SECONDS_A_DAY: u64 = 86_400;
+
+/// The line of a record, its end of line included. `unix` is the time since the Unix epoch.
+pub fn format_line(
+    identity: &Identity,
+    steady: Duration,
+    unix: Duration,
+    record: &Record<'_>,
+    omitted: u64,
+) -> String {
+    let mut line = String::with_capacity(256);
+    let level = record.level().as_str().to_ascii_lowercase();
+    let time = format_time(unix);
+    let Identity { node, role, incarnation } = identity;
+    // Writing to a string cannot fail.
+    let _ = write!(
+        line,
+        "steady_ms={} time={time} level={level} node={node} role={role} incarnation={incarnation}",
+        steady.as_millis(),
+    );
+    push_pair(&mut line, "event", &record.args().to_string());
+    let _ = record.key_values().visit(&mut PairWriter(&mut line));
+    if omitted > 0 {
+        let _ = write!(line, " omitted={omitted}");
+    }
+    line.push('\n');
+    line
+}
+
+struct PairWriter<'a>(&'a mut String);
+
+impl<'kvs> VisitSource<'kvs> for PairWriter<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), kv::Error> {
+        push_pair(self.0, key.as_str(), &value.to_string());
+        Ok(())
+    }
+}
+
+/// Values with blanks, quotes or line ends stand in quotes, with these escaped.
+fn push_pair(line: &mut String, key: &str, value: &str) {
+    let is_plain = !value.is_empty() && !value.contains([' ', '"', '\n', '\r', '=']);
+    let _ = match is_plain {
+        true => write!(line, " {key}={value}"),
+        false => write!(line, " {key}={value:?}"),
+    };
+}
+
+/// A time since the Unix epoch as RFC 3339 in UTC, to the millisecond.
+fn format_time(unix: Duration) -> String {
+    let days = unix.as_secs() / SECONDS_A_DAY;
+    let second = unix.as_secs() % SECONDS_A_DAY;
+    let (year, month, day) = civil_date(days as i64);
+    let (hour, minute, second) = (second / 3_600, second / 60 % 60, second % 60);
+    let millisecond = unix.subsec_millis();
+    format!("{year:04}-{month:02}-{day:02}T{hour:02}:{minute:02}:{second:02}.{millisecond:03}Z")
+}
+
+/// The date that lies `days` after 1970-01-01 in the Gregorian calendar: counts from March of the
+/// year 0, so that a leap day is the last of its year, in eras of 400 years.
+fn civil_date(days: i64) -> (i64, i64, i64) {
+    let days = days + 719_468;
+    let era = days.div_euclid(146_097);
+    let day_of_era = days.rem_euclid(146_097);
+    let year_of_era =
+        (day_of_era - day_of_era / 1_460 + day_of_era / 36_524 - day_of_era / 146_096) / 365;
+    let day_of_year = day_of_era - (365 * year_of_era + year_of_era / 4 - year_of_era / 100);
+    let month_from_march = (5 * day_of_year + 2) / 153;
+    let day = day_of_year - (153 * month_from_march + 2) / 5 + 1;
+    let month = if month_from_march < 10 { month_from_march + 3 } else { month_from_march - 9 };
+    let year = year_of_era + era * 400 + i64::from(month <= 2);
+    (year, month, day)
+}
+
+/// A line read back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Line<'a> {
+    /// The whole text, without end of line.
+    pub text: &'a str,
+}
+
+impl<'a> Line<'a> {
+    /// The plain value of a key; `None` when the line has none.
+    pub fn value(&self, key: &str) -> Option<&'a str> {
+        let pairs = self.text.split(' ').filter_map(|word| word.split_once('='));
+        pairs.into_iter().find(|(found, _)| *found == key).map(|(_, value)| value)
+    }
+}
--- /dev/null
+++ b/crates/logging/src/queue.rs
@@ -0,0 +1,137 @@
+//! The bounded queue between those who log and the thread that writes.
+
+use std::io::{self, Write};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Stack of the writing thread, in bytes.
+const STACK_BYTES: usize = 64 * 1024;
+/// How often [`LineQueue::drain`] looks.
+const DRAIN_STEP: Duration = Duration::from_millis(5);
+
+/// Sizes of a queue.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QueueSettings {
+    /// Most lines that wait to be written.
+    pub most_lines: usize,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        QueueSettings { most_lines: 512 }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    queued: AtomicU64,
+    written: AtomicU64,
+    dropped: AtomicU64,
+}
+
+/// A queue with its writer.
+#[derive(Clone, Debug)]
+pub struct LineQueue {
+    lines: SyncSender<Vec<u8>>,
+    counts: Arc<Counts>,
+}
+
+impl LineQueue {
+    /// Starts the writing thread. Where none can be had, every line is dropped and counted.
+    pub fn start(settings: QueueSettings, output: impl Write + Send + 'static) -> Self {
+        let (lines, queue) = sync_channel(settings.most_lines);
+        let counts = Arc::new(Counts::default());
+        let writer = Writer { output, counts: counts.clone(), told: 0 };
+        let builder = thread::Builder::new().name("log".to_owned()).stack_size(STACK_BYTES);
+        // Without the thread the queue's other end is gone, which counts as full.
+        let _ = builder.spawn(move || writer.run(queue));
+        LineQueue { lines, counts }
+    }
+
+    /// What the logger writes to. Each call of `write` is one line.
+    pub fn writer(&self) -> impl Write + Send + 'static {
+        QueueWriter(self.clone())
+    }
+
+    /// Queues a line, or drops and counts it; never waits.
+    pub fn push(&self, line: &[u8]) {
+        if line.is_empty() {
+            return;
+        }
+        match self.lines.try_send(line.to_vec()) {
+            Ok(()) => self.counts.queued.fetch_add(1, Ordering::Relaxed),
+            Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
+                self.counts.dropped.fetch_add(1, Ordering::Relaxed)
+            }
+        };
+    }
+
+    /// Lines dropped so far.
+    pub fn dropped(&self) -> u64 {
+        self.counts.dropped.load(Ordering::Relaxed)
+    }
+
+    /// Waits until all lines are written, or for `patience`.
+    pub fn drain(&self, patience: Duration) {
+        let until = Instant::now() + patience;
+        while self.is_behind() && Instant::now() < until {
+            thread::sleep(DRAIN_STEP);
+        }
+    }
+
+    fn is_behind(&self) -> bool {
+        let written = self.counts.written.load(Ordering::Relaxed);
+        written < self.counts.queued.load(Ordering::Relaxed)
+    }
+}
+
+struct QueueWriter(LineQueue);
+
+impl Write for QueueWriter {
+    fn write(&mut self, line: &[u8]) -> io::Result<usize> {
+        self.0.push(line);
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+struct Writer<W> {
+    output: W,
+    counts: Arc<Counts>,
+    /// Dropped lines that a line has told of.
+    told: u64,
+}
+
+impl<W: Write> Writer<W> {
+    fn run(mut self, queue: Receiver<Vec<u8>>) {
+        while let Ok(line) = queue.recv() {
+            self.write(&line);
+            self.counts.written.fetch_add(1, Ordering::Relaxed);
+            self.tell_dropped();
+        }
+    }
+
+    /// A closed output takes no more lines; the process goes on, and they count as dropped.
+    fn write(&mut self, line: &[u8]) {
+        let written = self.output.write_all(line).and_then(|()| self.output.flush());
+        if written.is_err() {
+            self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    fn tell_dropped(&mut self) {
+        let dropped = self.counts.dropped.load(Ordering::Relaxed);
+        if dropped > self.told {
+            let line =
+                format!("level=warn event=log_lines_dropped count={}\n", dropped - self.told);
+            self.told = dropped;
+            let _ = self.output.write_all(line.as_bytes());
+        }
+    }
+}
--- /dev/null
+++ b/crates/logging/src/trace.rs
@@ -0,0 +1,59 @@
+//! Gathers what several processes' logs say of one flow or request.
+
+use crate::line::Line;
+
+/// Lines that tell why a flow fared as it did, without naming it.
+const CAUSES: [&str; 10] = [
+    "agent_suspect",
+    "agent_back",
+    "backend_changed",
+    "configuration_adopted",
+    "dependency_lost",
+    "dependency_regained",
+    "draining",
+    "log_lines_dropped",
+    "started",
+    "stopped",
+];
+/// Causes are shown from so many milliseconds before the flow's first line to as many after its
+/// last one.
+const MARGIN_MS: i64 = 3_000;
+
+/// The lines of all `logs` that belong to `id`, a flow's name or a request's, in order of the time
+/// of day, with the lines that tell of causes around them.
+pub fn trace<'a>(id: &str, logs: &'a [String]) -> Vec<&'a str> {
+    let lines: Vec<Line<'a>> =
+        logs.iter().flat_map(|log| log.lines()).map(|text| Line { text }).collect();
+    let mut flows: Vec<&str> = vec![id];
+    for line in &lines {
+        if line.value("request") == Some(id) {
+            flows.extend(line.value("flow"));
+        }
+    }
+    let names_flow = |line: &Line<'_>| line.value("flow").is_some_and(|flow| flows.contains(&flow));
+    let own: Vec<Line<'a>> = lines.iter().copied().filter(names_flow).collect();
+    let times: Vec<i64> = own.iter().filter_map(milliseconds_of_day).collect();
+    let (Some(first), Some(last)) = (times.iter().min(), times.iter().max()) else {
+        return Vec::new();
+    };
+    let is_cause = |line: &Line<'_>| {
+        let is_near = milliseconds_of_day(line)
+            .is_some_and(|at| (first - MARGIN_MS..=last + MARGIN_MS).contains(&at));
+        is_near && line.value("event").is_some_and(|event| CAUSES.contains(&event))
+    };
+    let causes = lines.iter().copied().filter(|line| is_cause(line) && !names_flow(line));
+    let mut found: Vec<Line<'a>> = own.iter().copied().chain(causes).collect();
+    found.sort_by_key(|line| (line.value("time"), line.value("node")));
+    found.iter().map(|line| line.text).collect()
+}
+
+/// The line's time of day; logs that are read together are of one day.
+fn milliseconds_of_day(line: &Line<'_>) -> Option<i64> {
+    let time = line.value("time")?.split_once('T')?.1.strip_suffix('Z')?;
+    let (clock, milliseconds) = time.split_once('.')?;
+    let mut seconds = 0;
+    for part in clock.split(':') {
+        seconds = seconds * 60 + part.parse::<i64>().ok()?;
+    }
+    Some(seconds * 1_000 + milliseconds.parse::<i64>().ok()?)
+}
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -49,6 +49,16 @@
     Agent(AgentPlace),
 }
 
+impl Place {
+    /// What the node does, in logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Place::Balancer(_) => "balancer",
+            Place::Agent(_) => "agent",
+        }
+    }
+}
+
 /// A balancer's own settings.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BalancerPlace {
