Play carried flows in the lab; never reset a caller that may have gone on

Change: a packet of the caller that goes on ends the opening; a caller is reset at most 160 ms after its last opening packet came here, else the flow is left to the copies.

--- a/crates/carried/src/balancer.rs
+++ b/crates/carried/src/balancer.rs
@@ -35,8 +35,12 @@
 const MOST_FREE_ASKED: usize = 6;
 /// Agents asked for a place in their queue, at most.
 const MOST_QUEUE_ASKED: usize = 4;
-/// A caller that an unasked-for answer has reached goes on within this time.
-const UNANSWERED_LASTS: Duration = Duration::from_millis(200);
+/// An agent that was late with its answer may have placed the flow; the caller goes on within this
+/// time if so.
+const UNANSWERED_LASTS: Duration = Duration::from_millis(130);
+/// A caller may be reset only so long after its opening packet came: it repeats the packet after
+/// 200 ms, perhaps through another balancer, where the flow may open meanwhile.
+const RESET_WITHIN: Duration = Duration::from_millis(160);
 /// Share of the aim for which a flow waits for an agent to ask.
 const SEARCH_SHARE: f64 = 0.2;
 /// Share of the aim within which an agent may still queue a request; the rest is for the ways and
@@ -223,7 +227,8 @@
 
     fn handle_opening(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
         let flow = segment.flow();
-        if self.openings.number_of(&flow).is_some() {
+        if let Some(number) = self.openings.number_of(&flow) {
+            self.openings.note_copy(now, number);
             return;
         }
         if let Some(agent) = self.flows.agent(&flow) {
@@ -334,6 +339,9 @@
             None => self.openings.wake_at(number, now + SEARCH_INTERVAL),
             Some(refusal) => {
                 let Some(opening) = self.openings.finish(number) else { return };
+                if opening.copy_age(now) > RESET_WITHIN {
+                    return self.give_up(now, &opening, refusal);
+                }
                 self.refuse(now, &opening.segment, refusal, Some(&opening));
             }
         }
@@ -385,6 +393,17 @@
         self.outputs.push_back(BalancerOutput::ToCaller { host: *segment.source.ip(), datagram });
     }
 
+    /// Leaves a flow to the copies of its opening packet.
+    fn give_up(&mut self, now: Duration, opening: &Opening, refusal: Refusal) {
+        self.counters.openings_left_to_copies += 1;
+        log::warn!(
+            flow = flow_name(&opening.flow()).as_str(), reason = refusal.name(),
+            age_ms = opening.age(now).as_millis() as u64,
+            asked = self.describe_asked(now, opening).as_str(),
+            configuration = self.configuration.version; "opening_left_to_copies"
+        );
+    }
+
     /// The agents that an opening asked, with what each said and what was known of it.
     fn describe_asked(&self, now: Duration, opening: &Opening) -> String {
         let describe = |asked: &Asked| {
@@ -404,6 +423,11 @@
 
     fn handle_established(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
         let flow = segment.flow();
+        if let Some(number) = self.openings.number_of(&flow) {
+            // The caller goes on: some agent has placed the flow, though its answer is not here.
+            self.openings.finish(number);
+            self.counters.openings_overtaken += 1;
+        }
         let idle = self.idle_timeout();
         let finishes = segment.finishes || segment.resets;
         if let Some(agent) = self.flows.touch(now, idle, &flow, finishes) {
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -21,6 +21,8 @@
         openings_started,
         /// Flows opened at a back end.
         openings_placed,
+        /// Flows whose caller went on before an agent's answer was here.
+        openings_overtaken,
         /// Flows refused because no back end can answer in time.
         openings_refused_busy,
         /// Flows refused because no back end takes new flows.
@@ -29,6 +31,8 @@
         openings_refused_no_route,
         /// Flows given up because no agent has answered.
         openings_given_up,
+        /// Flows left to copies of their opening packets, too late for a reset.
+        openings_left_to_copies,
         /// Offers made to agents.
         offers_made,
         /// Offers that an agent declined.
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -38,6 +38,8 @@
     pub(crate) service: String,
     pub(crate) aim: Duration,
     pub(crate) started: Duration,
+    /// When the last copy of the opening packet came.
+    copied_at: Duration,
     pub(crate) asked: Vec<Asked>,
     /// Nobody has a free slot: whoever can answer in time is asked.
     pub(crate) wants_queue: bool,
@@ -53,6 +55,11 @@
         now.saturating_sub(self.started)
     }
 
+    /// Time since the last copy of the opening packet.
+    pub(crate) fn copy_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.copied_at)
+    }
+
     /// Whether an agent is not to be asked (again) in the round under way.
     pub(crate) fn has_asked(&self, agent: &SocketAddrV4) -> bool {
         self.asked.iter().any(|asked| {
@@ -136,6 +143,7 @@
             service,
             aim,
             started: now,
+            copied_at: now,
             asked: Vec::new(),
             wants_queue: false,
             wake_at: now,
@@ -150,6 +158,13 @@
         self.by_number.get_mut(&number)
     }
 
+    /// A copy of the opening packet came.
+    pub(crate) fn note_copy(&mut self, now: Duration, number: u64) {
+        if let Some(opening) = self.by_number.get_mut(&number) {
+            opening.copied_at = now;
+        }
+    }
+
     pub(crate) fn finish(&mut self, number: u64) -> Option<Opening> {
         let opening = self.by_number.remove(&number)?;
         self.wake_ups.remove(&(opening.wake_at, number));
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -264,3 +264,17 @@
     }
     assert_eq!(offers_made, 2, "one a queue, none a slot");
 }
+
+#[test]
+fn a_caller_that_goes_on_is_not_reset_though_no_agents_answer_came() {
+    let mut balancer = balancer(1);
+    balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
+    outputs_of(&mut balancer);
+    balancer.handle_caller(milliseconds(8), &packet(&data(1, 101, 501)));
+    for at in [40, 100, 250, 400, 1_500] {
+        balancer.handle_timeout(milliseconds(at));
+        balancer.handle_timeout(milliseconds(at));
+    }
+    assert!(!has_reset(&outputs_of(&mut balancer)));
+    assert_eq!(balancer.counters(milliseconds(1_500)).openings_overtaken, 1);
+}
--- a/crates/lab/src/bin/loftdrift-lab.rs
+++ b/crates/lab/src/bin/loftdrift-lab.rs
@@ -3,7 +3,8 @@
 use anyhow::{Context, Result, bail};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use loftdrift_lab::{
-    Comparison, Plan, Policy, Report, Scenario, Trace, compare, explore, run, shrink, write_plots,
+    CarriedWorld, CarriedWorldSettings, Comparison, Plan, Policy, Report, Scenario, Trace, compare,
+    explore, random_day, run, shrink, write_plots,
 };
 use pico_args::Arguments;
 use std::io::IsTerminal;
@@ -28,6 +29,8 @@
   explore SCENARIO.toml [--count N] [--seconds S] [--first-seed N] [--jobs J] [--out FILE]
       random timelines of changes and faults on top of the scenario; the first failing one is shrunk
       and written as a scenario that `run` takes
+  carried [--seed N | --seeds A..B]
+      random days of carried flows: faults of every kind, the users' rules as outcomes
 
   --help, --version
 exit codes: 0 as stated, 1 an outcome was missed, 2 usage or a file that does not read
@@ -65,10 +68,34 @@
         Some("record") => record_command(arguments),
         Some("replay") => replay_command(arguments),
         Some("explore") => explore_command(arguments),
+        Some("carried") => carried_command(arguments),
         other => bail!("unknown command `{}`; see loftdrift-lab --help", other.unwrap_or_default()),
     }
 }
 
+/// Plays random days of carried flows; the first that breaks a rule ends the command.
+fn carried_command(mut arguments: Arguments) -> Result<ExitCode> {
+    let seeds = seeds(&mut arguments)?;
+    if let Some(word) = arguments.finish().first() {
+        bail!("`{}` is not understood; see --help", word.to_string_lossy());
+    }
+    let settings = CarriedWorldSettings::default();
+    let bar = progress(seeds.end.saturating_sub(seeds.start));
+    let (mut days, mut asked, mut served) = (0_u64, 0, 0);
+    for seed in seeds {
+        let faults = random_day(seed, settings.balancers, settings.backends);
+        let outcome = CarriedWorld::new(CarriedWorldSettings { seed, ..settings }, &faults).run();
+        if !outcome.keeps_the_rules() {
+            println!("seed {seed} breaks a rule: {outcome:?}\n{faults:#?}");
+            return Ok(ExitCode::from(EXIT_MISSED));
+        }
+        (days, asked, served) = (days + 1, asked + outcome.asked, served + outcome.served);
+        bar.inc(1);
+    }
+    println!("{days} days, none with a rule broken; {served} of {asked} requests served");
+    Ok(ExitCode::SUCCESS)
+}
+
 fn read_scenario(file: &str) -> Result<Scenario> {
     let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {file}"))?;
     Ok(Scenario::parse(file, &text)?)
--- /dev/null
+++ b/crates/lab/src/carried/fault.rs
@@ -0,0 +1,43 @@
+//! What can happen to a simulated system.
+
+use std::time::Duration;
+
+/// One thing that happens. Nodes and back ends are named by their numbers.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum CarriedFault {
+    /// A balancer's process is killed and starts again with nothing after a while.
+    KillBalancer(usize, Duration),
+    /// An agent's process is killed beside its living back end.
+    KillAgent(usize, Duration),
+    /// Every process of the system is killed.
+    KillAll(Duration),
+    /// A balancer stands still.
+    FreezeBalancer(usize, Duration),
+    /// An agent stands still.
+    FreezeAgent(usize, Duration),
+    /// A balancer is asked to stop, and starts again when it has.
+    StopBalancer(usize),
+    /// A node is cut off from all other nodes; callers and its back end still reach it.
+    CutBalancer(usize, Duration),
+    /// An agent is cut off.
+    CutAgent(usize, Duration),
+    /// Packets are lost with this probability.
+    Loss(f64, Duration),
+    /// The store answers nobody.
+    StoreDown(Duration),
+    /// The second address changes the service that it stands for.
+    MoveRoute,
+    /// A back end says that it leaves, serves on, and goes; a new one starts in its place later.
+    ReplaceBackend(usize),
+    /// A back end ends without a word and starts again.
+    CrashBackend(usize, Duration),
+}
+
+/// A fault with its time.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TimedFault {
+    /// When it happens.
+    pub at: Duration,
+    /// What happens.
+    pub fault: CarriedFault,
+}
--- /dev/null
+++ b/crates/lab/src/carried/outcome.rs
@@ -0,0 +1,36 @@
+//! What callers and back ends of a simulated day saw.
+
+/// Counts of one day. All but the first four must stay 0.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CarriedOutcome {
+    /// Requests asked.
+    pub asked: u64,
+    /// Requests answered whole.
+    pub served: u64,
+    /// Requests given up after their last try was refused.
+    pub refused: u64,
+    /// Requests without an answer at their deadline.
+    pub lost: u64,
+    /// Open flows that were reset though their back end lived.
+    pub broken_flows: u64,
+    /// Answers of another request.
+    pub mixed_answers: u64,
+    /// Tries that ran more than once.
+    pub doubled_runs: u64,
+    /// Tries that ran at a service that no configuration ever sent them to.
+    pub foreign_runs: u64,
+    /// Flows taken by a back end long after it was acknowledged that it leaves.
+    pub late_drains: u64,
+    /// Flows opened under a configuration that another one had replaced long before.
+    pub stale_configurations: u64,
+    /// Packets that reached a back end in a form that its caller did not write.
+    pub changed_packets: u64,
+}
+
+impl CarriedOutcome {
+    /// Whether every rule was kept.
+    pub fn keeps_the_rules(&self) -> bool {
+        let CarriedOutcome { asked, served, refused, lost, .. } = *self;
+        *self == CarriedOutcome { asked, served, refused, lost, ..CarriedOutcome::default() }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/carried/process.rs
@@ -0,0 +1,131 @@
+//! A simulated process: a core with the clock of its own start.
+
+use loftdrift_carried::{
+    AgentOutput, BalancerOutput, CarriedAgent, CarriedBalancer, Message, Snapshot,
+};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// What a core asks for, whatever its role.
+#[derive(Debug)]
+pub(super) enum ProcessOutput {
+    ToCaller(Vec<u8>),
+    ToBackend(Vec<u8>),
+    ToPeer { to: SocketAddrV4, message: Message },
+    FetchSnapshot { from: SocketAddrV4 },
+}
+
+pub(super) enum Core {
+    Balancer(Box<CarriedBalancer>),
+    Agent(Box<CarriedAgent>),
+}
+
+/// A node's place in the world, with the process that runs there now.
+pub(super) struct Process {
+    pub(super) address: SocketAddrV4,
+    pub(super) core: Option<Core>,
+    pub(super) started: Duration,
+    pub(super) frozen_until: Duration,
+    pub(super) cut_until: Duration,
+    /// Counts the starts, so that what was meant for an earlier one is told.
+    pub(super) starts: u64,
+    /// When it is woken next.
+    pub(super) wake_at: Option<Duration>,
+    /// Balancers: the router's view.
+    pub(super) is_in: bool,
+    pub(super) missed_probes: u32,
+}
+
+impl Process {
+    pub(super) fn new(address: SocketAddrV4) -> Self {
+        Process {
+            address,
+            core: None,
+            started: Duration::ZERO,
+            frozen_until: Duration::ZERO,
+            cut_until: Duration::ZERO,
+            starts: 0,
+            wake_at: None,
+            is_in: false,
+            missed_probes: 0,
+        }
+    }
+
+    /// The process's own time.
+    pub(super) fn own_time(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.started)
+    }
+
+    pub(super) fn balancer(&mut self) -> Option<&mut CarriedBalancer> {
+        match &mut self.core {
+            Some(Core::Balancer(balancer)) => Some(balancer),
+            _ => None,
+        }
+    }
+
+    pub(super) fn agent(&mut self) -> Option<&mut CarriedAgent> {
+        match &mut self.core {
+            Some(Core::Agent(agent)) => Some(agent),
+            _ => None,
+        }
+    }
+
+    pub(super) fn handle_peer(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]) {
+        let now = self.own_time(now);
+        match &mut self.core {
+            Some(Core::Balancer(balancer)) => balancer.handle_peer(now, from, datagram),
+            Some(Core::Agent(agent)) => agent.handle_peer(now, from, datagram),
+            None => {}
+        }
+    }
+
+    pub(super) fn handle_timeout(&mut self, now: Duration) {
+        let now = self.own_time(now);
+        match &mut self.core {
+            Some(Core::Balancer(balancer)) => balancer.handle_timeout(now),
+            Some(Core::Agent(agent)) => agent.handle_timeout(now),
+            None => {}
+        }
+    }
+
+    /// When the core wants to be woken, in the world's time.
+    pub(super) fn next_timeout(&self) -> Option<Duration> {
+        let next = match self.core.as_ref()? {
+            Core::Balancer(balancer) => balancer.next_timeout(),
+            Core::Agent(agent) => agent.next_timeout(),
+        };
+        next.map(|at| self.started + at)
+    }
+
+    pub(super) fn snapshot(&self) -> Option<Snapshot> {
+        Some(match self.core.as_ref()? {
+            Core::Balancer(balancer) => balancer.snapshot(),
+            Core::Agent(agent) => agent.snapshot(),
+        })
+    }
+
+    pub(super) fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
+        let now = self.own_time(now);
+        match &mut self.core {
+            Some(Core::Balancer(balancer)) => balancer.take_snapshot(now, snapshot),
+            Some(Core::Agent(agent)) => agent.take_snapshot(now, snapshot),
+            None => {}
+        }
+    }
+
+    pub(super) fn take_output(&mut self) -> Option<ProcessOutput> {
+        match self.core.as_mut()? {
+            Core::Balancer(balancer) => balancer.take_output().map(|output| match output {
+                BalancerOutput::ToCaller { datagram, .. } => ProcessOutput::ToCaller(datagram),
+                BalancerOutput::ToPeer { to, message } => ProcessOutput::ToPeer { to, message },
+                BalancerOutput::FetchSnapshot { from } => ProcessOutput::FetchSnapshot { from },
+            }),
+            Core::Agent(agent) => agent.take_output().map(|output| match output {
+                AgentOutput::ToCaller { datagram, .. } => ProcessOutput::ToCaller(datagram),
+                AgentOutput::ToBackend(datagram) => ProcessOutput::ToBackend(datagram),
+                AgentOutput::ToPeer { to, message } => ProcessOutput::ToPeer { to, message },
+                AgentOutput::FetchSnapshot { from } => ProcessOutput::FetchSnapshot { from },
+            }),
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/carried/random_days.rs
@@ -0,0 +1,48 @@
+//! Days drawn from a seed: few faults each, of every kind, at any moment.
+
+use super::fault::{CarriedFault, TimedFault};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+const MOST_FAULTS: usize = 6;
+const FIRST_FAULT_MS: u64 = 1_000;
+const LAST_FAULT_MS: u64 = 14_000;
+const SHORTEST_MS: u64 = 100;
+const LONGEST_MS: u64 = 4_000;
+const MOST_LOSS: f64 = 0.1;
+
+/// The faults of a day.
+pub fn random_day(seed: u64, balancers: usize, agents: usize) -> Vec<TimedFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let count = random.random_range(1..=MOST_FAULTS);
+    let mut day: Vec<TimedFault> = (0..count)
+        .map(|_| {
+            let at = Duration::from_millis(random.random_range(FIRST_FAULT_MS..LAST_FAULT_MS));
+            TimedFault { at, fault: random_fault(&mut random, balancers, agents) }
+        })
+        .collect();
+    day.sort_by_key(|timed| timed.at);
+    day
+}
+
+fn random_fault(random: &mut ChaCha8Rng, balancers: usize, agents: usize) -> CarriedFault {
+    let balancer = random.random_range(0..balancers);
+    let agent = random.random_range(0..agents);
+    let lasts = Duration::from_millis(random.random_range(SHORTEST_MS..LONGEST_MS));
+    match random.random_range(0..13) {
+        0 => CarriedFault::KillBalancer(balancer, lasts),
+        1 => CarriedFault::KillAgent(agent, lasts),
+        2 => CarriedFault::KillAll(lasts / 4),
+        3 => CarriedFault::FreezeBalancer(balancer, lasts),
+        4 => CarriedFault::FreezeAgent(agent, lasts),
+        5 => CarriedFault::StopBalancer(balancer),
+        6 => CarriedFault::CutBalancer(balancer, lasts),
+        7 => CarriedFault::CutAgent(agent, lasts),
+        8 => CarriedFault::Loss(random.random_range(0.0..MOST_LOSS), lasts),
+        9 => CarriedFault::StoreDown(lasts),
+        10 => CarriedFault::MoveRoute,
+        11 => CarriedFault::ReplaceBackend(agent),
+        _ => CarriedFault::CrashBackend(agent, lasts),
+    }
+}
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -11,6 +11,7 @@
 mod assigner;
 mod backend;
 mod caller;
+mod carried;
 mod compare;
 mod explore;
 mod flow_log;
@@ -28,6 +29,9 @@
 
 pub use backend::BackendBehaviour;
 pub use caller::CallerBehaviour;
+pub use carried::{
+    CarriedFault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, TimedFault, random_day,
+};
 pub use compare::{Comparison, compare};
 pub use explore::{Failure, explore, shrink};
 pub use flow_log::{FlowLog, FlowSpan, Members};
--- /dev/null
+++ b/crates/lab/tests/carried.rs
@@ -0,0 +1,129 @@
+//! Carried flows on a virtual clock: faults one at a time, in pairs that hurt each other, and random
+//! days. Every seed is fixed.
+
+use loftdrift_lab::{
+    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, TimedFault,
+    random_day,
+};
+use std::time::Duration;
+
+const RANDOM_DAYS: u64 = 150;
+
+fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+fn play(faults: &[(f64, Fault)]) -> CarriedOutcome {
+    let faults: Vec<_> =
+        faults.iter().map(|(at, fault)| TimedFault { at: seconds(*at), fault: *fault }).collect();
+    CarriedWorld::new(CarriedWorldSettings::default(), &faults).run()
+}
+
+fn assert_kept(outcome: CarriedOutcome, least_served: f64) {
+    assert!(outcome.keeps_the_rules(), "{outcome:?}");
+    let share = outcome.served as f64 / outcome.asked as f64;
+    assert!(share >= least_served, "{share}: {outcome:?}");
+}
+
+#[test]
+fn a_calm_day_serves_everything() {
+    let outcome = play(&[]);
+    assert_eq!(outcome.served, outcome.asked, "{outcome:?}");
+    assert!(outcome.asked > 2_500, "{outcome:?}");
+    assert_kept(outcome, 1.0);
+}
+
+#[test]
+fn the_same_seed_gives_the_same_day() {
+    let day = [(3.0, Fault::KillAll(seconds(0.5))), (5.0, Fault::Loss(0.05, seconds(3.0)))];
+    assert_eq!(play(&day), play(&day));
+}
+
+#[test]
+fn planned_stops_of_all_balancers_in_turn_lose_nothing() {
+    let stops: Vec<_> =
+        (0..4).map(|node| (2.0 + 2.0 * node as f64, Fault::StopBalancer(node))).collect();
+    assert_kept(play(&stops), 1.0);
+}
+
+#[test]
+fn replaced_back_ends_lose_nothing() {
+    let leave: Vec<_> =
+        (0..4).map(|agent| (2.0 + agent as f64, Fault::ReplaceBackend(agent))).collect();
+    assert_kept(play(&leave), 1.0);
+}
+
+#[test]
+fn an_agent_that_is_killed_beside_its_back_end_forgets_no_open_flow() {
+    let kills =
+        [(3.0, Fault::KillAgent(0, seconds(0.1))), (6.0, Fault::KillAgent(1, seconds(0.1)))];
+    assert_kept(play(&kills), 0.995);
+}
+
+#[test]
+fn with_the_store_away_balancers_that_start_learn_everything_from_agents() {
+    let day = [
+        (3.0, Fault::MoveRoute),
+        (4.0, Fault::StoreDown(seconds(8.0))),
+        (5.0, Fault::KillBalancer(0, seconds(0.2))),
+        (5.0, Fault::KillBalancer(1, seconds(0.2))),
+        (5.0, Fault::KillBalancer(2, seconds(0.2))),
+        (5.0, Fault::KillBalancer(3, seconds(0.2))),
+    ];
+    assert_kept(play(&day), 0.99);
+}
+
+#[test]
+fn after_all_were_killed_everything_comes_back() {
+    assert_kept(play(&[(6.0, Fault::KillAll(seconds(0.3)))]), 0.95);
+}
+
+#[test]
+fn a_route_that_moves_while_nodes_freeze_is_followed_everywhere_in_time() {
+    let day = [
+        (3.0, Fault::FreezeBalancer(0, seconds(3.0))),
+        (3.5, Fault::MoveRoute),
+        (3.6, Fault::FreezeAgent(2, seconds(2.0))),
+        (8.0, Fault::CutBalancer(1, seconds(3.0))),
+        (8.5, Fault::MoveRoute),
+    ];
+    assert_kept(play(&day), 0.9);
+}
+
+#[test]
+fn back_ends_that_leave_during_a_cut_take_nothing_late() {
+    let day = [
+        (3.0, Fault::CutAgent(0, seconds(4.0))),
+        (3.2, Fault::ReplaceBackend(0)),
+        (4.0, Fault::CutBalancer(1, seconds(3.0))),
+        (4.1, Fault::ReplaceBackend(1)),
+        (4.2, Fault::KillAgent(1, seconds(0.2))),
+    ];
+    assert_kept(play(&day), 0.9);
+}
+
+#[test]
+fn lost_packets_break_no_flow() {
+    let day = [
+        (2.0, Fault::Loss(0.1, seconds(8.0))),
+        (4.0, Fault::StopBalancer(0)),
+        (6.0, Fault::KillBalancer(1, seconds(0.5))),
+        (7.0, Fault::ReplaceBackend(3)),
+    ];
+    assert_kept(play(&day), 0.9);
+}
+
+#[test]
+fn a_crashed_back_end_costs_what_it_held_and_no_more() {
+    assert_kept(play(&[(4.0, Fault::CrashBackend(0, seconds(4.0)))]), 0.99);
+}
+
+#[test]
+fn random_days_break_no_rule() {
+    let settings = CarriedWorldSettings::default();
+    for seed in 1..=RANDOM_DAYS {
+        let faults = random_day(seed, settings.balancers, settings.backends);
+        let outcome = CarriedWorld::new(CarriedWorldSettings { seed, ..settings }, &faults).run();
+        assert!(outcome.keeps_the_rules(), "seed {seed}: {outcome:?}\n{faults:#?}");
+    }
+}
