Keep flows that opened before their back end's first heartbeat

Cause: a test with the real program found it: a back end that had crashed and come back took a flow before its first heartbeat came; at that heartbeat the agent forgot all flows, and every further packet of the open flow was dropped until its caller gave up. Its measured work stayed that of the earlier start: 60 requests of 2 s were taken by a back end of 4 slots, none was refused.

Ruled out: the order of heartbeats (sequence 1 of a new identity); the balancer (it forwarded and was told `NotHeld`).

Change: flows of a back end that has started anew are left to it to judge, as those of an agent that has forgotten them, and work is measured anew.

--- a/crates/carried/src/agent.rs
+++ b/crates/carried/src/agent.rs
@@ -267,7 +267,7 @@
             self.may_have_forgotten = false;
         }
         match outcome {
-            ReportOutcome::Started => self.forget_flows(),
+            ReportOutcome::Started => self.doubt_flows(now),
             ReportOutcome::Outdated => self.counters.backend_reports_outdated += 1,
             ReportOutcome::Updated => {}
         }
@@ -301,11 +301,13 @@
         }
     }
 
-    /// The flows of a back end that has ended are over.
-    fn forget_flows(&mut self) {
-        self.flows = FlowTable::default();
-        self.waiting = 0;
-        self.may_have_forgotten = false;
+    /// The back end has started anew. Flows of its earlier start are over, but some may have opened
+    /// since, before this heartbeat came: the back end tells which it holds.
+    fn doubt_flows(&mut self, now: Duration) {
+        self.work = WorkMeter::default();
+        for id in self.flows.ids() {
+            self.set_phase(now, id, Phase::Tried);
+        }
     }
 
     fn condition(&self, now: Duration) -> BackendCondition {
@@ -449,7 +451,8 @@
         }
         entry.body.balancer = from;
         let is_trial = entry.body.phase == Phase::Tried;
-        let begins_request = segment.payload_bytes > 0 && entry.body.phase == Phase::Answered;
+        let may_begin = matches!(entry.body.phase, Phase::Answered | Phase::Tried);
+        let begins_request = segment.payload_bytes > 0 && may_begin;
         if begins_request && let Some(request) = self.format.request_id(&datagram) {
             log::info!(
                 flow = flow_name(&flow).as_str(), request, balancer:% = from,
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -154,3 +154,21 @@
         .collect();
     assert_eq!(answers, [(second_balancer, 9)]);
 }
+
+#[test]
+fn a_flow_that_opened_before_the_first_heartbeat_of_its_back_end_is_kept() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    open(&mut agent, milliseconds(10), 1, 500);
+    outputs(&mut agent);
+    // The flow opened at the second start, whose heartbeat comes only now.
+    agent.take_report(milliseconds(20), &report("two", 1, true));
+    let forwarded = Message::Forward { datagram: packet(&data(1, 101, 501)) }.encode();
+    agent.handle_peer(milliseconds(21), balancer_address(), &forwarded);
+    assert_eq!(sent_to_backend(&outputs(&mut agent)), 1);
+    agent
+        .handle_backend(milliseconds(30), packet(&Segment { payload_bytes: 10, ..answer(1, 501) }));
+    let answered = outputs(&mut agent);
+    assert!(answered.iter().any(|output| matches!(output, AgentOutput::ToCaller { .. })));
+    assert_eq!(agent.counters(milliseconds(31)).waiting, 0);
+}
--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -86,6 +86,11 @@
         slot.flow.as_mut().filter(|_| slot.generation == id.generation())
     }
 
+    /// Every flow in the table.
+    pub fn ids(&self) -> Vec<FlowId> {
+        self.by_key.values().copied().collect()
+    }
+
     /// Adds a flow whose addresses no other one has.
     pub fn insert(&mut self, key: FlowKey, body: B) -> FlowId {
         self.insert_with(key, |_| body)
