--- /dev/null
+++ b/crates/bench/benches/carried.rs
@@ -0,0 +1,145 @@
+//! State, messages and times of a balancer of carried flows at today's sizes and at the users':
+//! the slopes behind `docs/CAPACITY.md`.
+
+use loftdrift_bench::{BACKENDS, SERVICES, caller_address, median, service_address, time};
+use loftdrift_carried::{
+    BackendCondition, CarriedBalancer, CarriedBalancerSettings, CarriedConfiguration, Heartbeat,
+    LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Route, Segment,
+};
+use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
+use std::alloc::System;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+const RUNS: usize = 5;
+const FLOWS: u64 = 20_000;
+const PEER_PORT: u16 = 7_720;
+const FIRST_AGENT: u32 = 0x0A02_0001;
+
+fn held() -> isize {
+    let stats = ALLOCATOR.stats();
+    stats.bytes_allocated as isize - stats.bytes_deallocated as isize
+}
+
+fn configuration(services: u32) -> CarriedConfiguration {
+    let route = |number: u32| Route {
+        address: service_address(number),
+        parts: vec![Part { service: format!("service-{number}"), weight: 1 }],
+        aim_ms: 250,
+        priority: 1,
+    };
+    let routes = (0..services).map(route).collect();
+    CarriedConfiguration { version: 1, routes, services: Vec::new(), idle_timeout_ms: 15_000 }
+}
+
+fn heartbeat(service: u32) -> Message {
+    Message::Heartbeat(Heartbeat {
+        role: NodeRole::Agent,
+        zone: "zone-a".to_owned(),
+        region: "region".to_owned(),
+        incarnation: u64::MAX,
+        configuration: 1_000_000,
+        report: Some(LoadReport {
+            service: format!("service-{service}"),
+            condition: BackendCondition::Accepting,
+            capacity: 7,
+            waiting: 3,
+            work_us: 55_000,
+            is_cold: false,
+        }),
+        wants_reply: false,
+    })
+}
+
+fn agent_address(number: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(FIRST_AGENT + number), PEER_PORT)
+}
+
+fn drain(balancer: &mut CarriedBalancer) -> Option<(SocketAddrV4, u64)> {
+    let mut offer = None;
+    while let Some(output) = balancer.take_output() {
+        if let Output::ToPeer { to, message: Message::Offer { number, .. } } = output {
+            offer = Some((to, number));
+        }
+    }
+    offer
+}
+
+/// Opens a flow: the packet of the caller, the offer, the agent's answer.
+fn open(balancer: &mut CarriedBalancer, now: Duration, flow: u64, service: u32) {
+    let head = Segment::between(caller_address(flow), service_address(service));
+    let opening = PlainFormat::write(&Segment { opens: true, ..head }, &[]);
+    balancer.handle_caller(now, &opening);
+    let Some((agent, number)) = drain(balancer) else { return };
+    let Message::Heartbeat(heartbeat) = heartbeat(service) else { return };
+    let report = heartbeat.report.unwrap_or_default();
+    balancer.handle_peer(now, agent, &Message::Placed { number, report }.encode());
+    drain(balancer);
+}
+
+fn measure(services: u32, agents: u32) {
+    let region = Region::new(ALLOCATOR);
+    let before = held();
+    let node = Node {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), PEER_PORT),
+        role: NodeRole::Balancer,
+        zone: "zone-a".to_owned(),
+        region: "region".to_owned(),
+        incarnation: 1,
+    };
+    let settings = CarriedBalancerSettings { node, seed: 1 };
+    let mut balancer = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+    balancer.adopt(Duration::ZERO, configuration(services));
+    let with_routes = held();
+    let now = Duration::from_millis(10);
+    for agent in 0..agents {
+        let message = heartbeat(agent % services).encode();
+        balancer.handle_peer(now, agent_address(agent), &message);
+    }
+    drain(&mut balancer);
+    let with_agents = held();
+    let mut flow = 0;
+    let opening = (0..RUNS).map(|_| {
+        let mut round = || {
+            for _ in 0..FLOWS / RUNS as u64 {
+                flow += 1;
+                open(&mut balancer, now, flow, flow as u32 % services);
+            }
+        };
+        time(&mut round)
+    });
+    let opening = median(opening.collect());
+    let with_flows = held();
+    let message = heartbeat(0).encode();
+    let hearing = (0..RUNS).map(|_| {
+        let mut round = || {
+            for agent in 0..agents {
+                balancer.handle_peer(now, agent_address(agent), &message);
+            }
+            drain(&mut balancer);
+        };
+        time(&mut round)
+    });
+    let hearing = median(hearing.collect());
+    println!(
+        "{services} routes, {agents} agents: {} B a route, {} B an agent, {} B a flow; opening a \
+         flow {:.1} us, a heartbeat {:.2} us of {} B; {} allocations in all",
+        (with_routes - before) / services as isize,
+        (with_agents - with_routes) / agents as isize,
+        (with_flows - with_agents) / FLOWS as isize,
+        opening.as_secs_f64() * 1e6 / (FLOWS / RUNS as u64) as f64,
+        hearing.as_secs_f64() * 1e6 / f64::from(agents),
+        message.len(),
+        region.change().allocations,
+    );
+}
+
+fn main() {
+    measure(17, 10);
+    measure(99, 340);
+    measure(SERVICES, BACKENDS);
+}
--- /dev/null
+++ b/crates/carried/src/agent/mod.rs
@@ -0,0 +1,326 @@
+//! The agent's core: the truth about the one back end beside it and the flows that live there.
+//!
+//! Invariants:
+//! - A new flow reaches the back end only while the back end accepts, is of the offer's service, and
+//!   has room within the offer's admission; whatever balancers believe decides nothing here.
+//! - An offer gets one final answer, `Placed` or `Declined`; a declined flow has never been at work.
+//! - A packet of a flow that does not live here goes back to the balancer as its sender wrote it.
+
+mod flow;
+mod offers;
+mod packets;
+mod phases;
+
+use self::flow::{CarriedFlow, Phase};
+use crate::backend::{Backend, BackendReport, ReportOutcome};
+use crate::configuration::CarriedConfiguration;
+use crate::counters::CarriedAgentCounters;
+use crate::load::WorkMeter;
+use crate::membership::{Membership, Node};
+use crate::message::{Admission, BackendCondition, DeclineReason, LoadReport, Message, Snapshot};
+use crate::output::Output;
+use crate::segment::{Segment, SegmentFormat, flow_name};
+use loftdrift_flow::{FlowId, FlowTable};
+use loftdrift_wire::FlowKey;
+use std::collections::{HashSet, VecDeque};
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An opening packet that the back end has not answered for so long speaks for its silence.
+const OPENING_PATIENCE: Duration = Duration::from_millis(60);
+/// So many unanswered opening packets in a row, and the back end counts as silent.
+const SILENT_AFTER: u32 = 2;
+/// A silent back end is tried again after so long.
+const SILENCE_LASTS: Duration = Duration::from_millis(800);
+/// A caller that does not go on after the back end's answer has gone elsewhere.
+const HANDSHAKE_PATIENCE: Duration = Duration::from_millis(400);
+/// A request that gets no answer for so long burdens the back end no more.
+const WAITING_PATIENCE: Duration = Duration::from_secs(6);
+/// A flow that both ends may still speak of after its end is remembered for so long.
+const CLOSING_LASTS: Duration = Duration::from_secs(3);
+/// A back end whose first heartbeat heard here is one of its first began beside this very process.
+const FRESH_SEQUENCE: u64 = 2;
+/// Flows that are known not to live here are remembered, so that they are not tried again.
+const MOST_FOREIGN: usize = 2_048;
+
+/// Settings of an agent of carried flows.
+#[derive(Clone, Debug)]
+pub struct CarriedAgentSettings {
+    /// The agent itself.
+    pub node: Node,
+    /// The service of the back end beside it.
+    pub service: String,
+    /// Age that no flow exceeds.
+    pub longest_flow: Duration,
+    /// No process of the system has run before: the agent cannot have forgotten any flow.
+    pub is_first_start: bool,
+}
+
+/// An agent.
+pub struct CarriedAgent {
+    settings: CarriedAgentSettings,
+    format: Arc<dyn SegmentFormat>,
+    membership: Membership,
+    configuration: CarriedConfiguration,
+    backend: Backend,
+    flows: FlowTable<CarriedFlow>,
+    foreign: HashSet<FlowKey>,
+    foreign_order: VecDeque<FlowKey>,
+    waiting: u32,
+    work: WorkMeter,
+    /// The back end may hold flows that an earlier process of this agent knew.
+    may_have_forgotten: bool,
+    unanswered: u32,
+    silent_until: Option<Duration>,
+    stopping: bool,
+    outputs: VecDeque<Output>,
+    counters: CarriedAgentCounters,
+}
+
+impl CarriedAgent {
+    /// An agent that has just started and knows nothing but its settings.
+    pub fn new(settings: CarriedAgentSettings, format: Arc<dyn SegmentFormat>) -> Self {
+        CarriedAgent {
+            membership: Membership::new(settings.node.clone()),
+            backend: Backend::new(settings.service.clone()),
+            may_have_forgotten: !settings.is_first_start,
+            settings,
+            format,
+            configuration: CarriedConfiguration::default(),
+            flows: FlowTable::default(),
+            foreign: HashSet::new(),
+            foreign_order: VecDeque::new(),
+            waiting: 0,
+            work: WorkMeter::default(),
+            unanswered: 0,
+            silent_until: None,
+            stopping: false,
+            outputs: VecDeque::new(),
+            counters: CarriedAgentCounters::default(),
+        }
+    }
+
+    /// The next thing to do.
+    pub fn take_output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    /// The nodes known.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Version of the configuration in force.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.version
+    }
+
+    /// Path of the health page of the back end's service, once the configuration tells.
+    pub fn health_path(&self) -> Option<&str> {
+        let service = self.configuration.service(self.backend.service())?;
+        Some(&service.health_path)
+    }
+
+    /// Whether the back end has sent a heartbeat, or has answered for its health.
+    pub fn knows_backend(&self) -> bool {
+        self.backend.condition() != BackendCondition::Unknown
+    }
+
+    /// What this node gives to whoever asks.
+    pub fn snapshot(&self) -> Snapshot {
+        snapshot_of(&self.membership, &self.configuration)
+    }
+
+    /// Takes a node's snapshot.
+    pub fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
+        self.learn_members(now, &snapshot.members);
+        if let Some(configuration) = snapshot.configuration {
+            self.adopt(configuration);
+        }
+    }
+
+    /// Learns of nodes by hearsay.
+    pub fn learn_members(&mut self, now: Duration, members: &[(SocketAddrV4, crate::NodeRole)]) {
+        for (address, role) in members {
+            self.membership.learn(now, *address, *role);
+        }
+    }
+
+    /// Puts a configuration in force when it is newer than the one in force.
+    pub fn adopt(&mut self, configuration: CarriedConfiguration) -> bool {
+        if configuration.version <= self.configuration.version {
+            self.counters.configurations_passed_over += 1;
+            log::debug!(
+                offered = configuration.version, in_force = self.configuration.version;
+                "configuration_passed_over"
+            );
+            return false;
+        }
+        log::info!(
+            from = self.configuration.version, to = configuration.version; "configuration_adopted"
+        );
+        self.configuration = configuration;
+        self.counters.configurations_adopted += 1;
+        true
+    }
+
+    /// Takes no new flows from now on and tells every balancer so.
+    pub fn start_draining(&mut self, now: Duration) {
+        self.stopping = true;
+        self.membership.hurry(now);
+        log::info!(waiting = self.waiting; "draining");
+    }
+
+    /// Whether nothing waits for an answer.
+    pub fn is_drained(&self) -> bool {
+        self.waiting == 0
+    }
+
+    /// Takes a heartbeat of the back end.
+    pub fn take_report(&mut self, now: Duration, report: &BackendReport) -> ReportOutcome {
+        self.counters.backend_reports += 1;
+        let before = self.condition(now);
+        let is_first = !self.backend.has_reported();
+        let outcome = self.backend.take_report(now, report);
+        if is_first && report.sequence <= FRESH_SEQUENCE {
+            self.may_have_forgotten = false;
+        }
+        match outcome {
+            ReportOutcome::Started => self.doubt_flows(now),
+            ReportOutcome::Outdated => self.counters.backend_reports_outdated += 1,
+            ReportOutcome::Updated => {}
+        }
+        if outcome != ReportOutcome::Outdated {
+            self.silent_until = None;
+        }
+        self.tell_change(now, before, &report.id);
+        outcome
+    }
+
+    /// Takes the back end's word that it leaves.
+    pub fn take_departure(&mut self, now: Duration, id: &str) {
+        let before = self.condition(now);
+        self.backend.take_departure(id);
+        self.tell_change(now, before, id);
+    }
+
+    /// Takes the answer to a question about the back end's health.
+    pub fn take_health(&mut self, now: Duration, is_healthy: bool) {
+        let before = self.condition(now);
+        self.backend.take_health(is_healthy);
+        self.tell_change(now, before, "asked");
+    }
+
+    fn tell_change(&mut self, now: Duration, before: BackendCondition, id: &str) {
+        let after = self.condition(now);
+        if before != after {
+            let (from, to) = (format!("{before:?}"), format!("{after:?}"));
+            log::info!(backend = id, from = from.as_str(), to = to.as_str(), waiting = self.waiting; "backend_changed");
+            self.membership.hurry(now);
+        }
+    }
+
+    /// The back end has started anew. Flows of its earlier start are over, but some may have opened
+    /// since, before this heartbeat came: the back end tells which it holds.
+    fn doubt_flows(&mut self, now: Duration) {
+        self.work = WorkMeter::default();
+        for id in self.flows.ids() {
+            let phase = self.flows.get(id).map(|flow| flow.body.phase);
+            // One that is being opened is answered by this start or by none.
+            if !matches!(phase, Some(Phase::Offered { .. })) {
+                self.set_phase(now, id, Phase::Tried);
+            }
+        }
+    }
+
+    fn condition(&self, now: Duration) -> BackendCondition {
+        if self.stopping {
+            return BackendCondition::Leaving;
+        }
+        match self.backend.condition() {
+            BackendCondition::Accepting if self.silent_until.is_some_and(|until| now < until) => {
+                BackendCondition::Silent
+            }
+            condition => condition,
+        }
+    }
+
+    fn report(&self, now: Duration) -> LoadReport {
+        LoadReport {
+            service: self.backend.service().to_owned(),
+            condition: self.condition(now),
+            capacity: self.backend.capacity(),
+            waiting: self.waiting.min(u32::from(u16::MAX)) as u16,
+            work_us: (self.work.reported_seconds(now) * 1e6) as u32,
+            is_cold: self.backend.is_cold(now),
+        }
+    }
+
+    /// Takes a datagram of another node.
+    pub fn handle_peer(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]) {
+        match Message::decode(datagram) {
+            Some(Message::Offer { number, service, admission, datagram }) => {
+                self.handle_offer(now, from, number, &service, admission, datagram);
+            }
+            Some(Message::Forward { datagram }) => self.deliver(now, from, datagram, true),
+            Some(Message::Locate { datagram }) => self.deliver(now, from, datagram, false),
+            Some(Message::Heartbeat(heartbeat)) => {
+                let heard = self.membership.on_heartbeat(now, from, &heartbeat);
+                if heartbeat.configuration > self.configuration.version {
+                    self.outputs.push_back(Output::FetchSnapshot { from });
+                }
+                if heard.is_new {
+                    self.send_heartbeat(now, from, false);
+                }
+            }
+            _ => self.counters.messages_malformed += 1,
+        }
+    }
+
+    /// When [`CarriedAgent::handle_timeout`] must be called next.
+    pub fn next_timeout(&self) -> Option<Duration> {
+        [self.flows.next_wake_up(), self.membership.next_due()].into_iter().flatten().min()
+    }
+
+    /// Does what is due at `now`.
+    pub fn handle_timeout(&mut self, now: Duration) {
+        while let Some(id) = self.flows.pop_due(now) {
+            self.wake(now, id);
+        }
+        for (peer, wants_reply) in self.membership.take_due(now) {
+            self.send_heartbeat(now, peer, wants_reply);
+        }
+    }
+
+    /// What was counted so far, with the gauges of now.
+    pub fn counters(&self, now: Duration) -> CarriedAgentCounters {
+        CarriedAgentCounters {
+            flows: self.flows.busy() as u64,
+            waiting: u64::from(self.waiting),
+            peers: self.membership.len() as u64,
+            configuration_version: self.configuration.version,
+            work_microseconds: (self.work.reported_seconds(now) * 1e6) as u64,
+            ..self.counters
+        }
+    }
+
+    fn send_heartbeat(&mut self, now: Duration, to: SocketAddrV4, wants_reply: bool) {
+        let mut heartbeat = self.membership.heartbeat(self.configuration.version, wants_reply);
+        heartbeat.report = Some(self.report(now));
+        self.outputs.push_back(Output::ToPeer { to, message: Message::Heartbeat(heartbeat) });
+    }
+}
+
+/// A node's snapshot: the configuration in force and every node known, itself included.
+pub(crate) fn snapshot_of(
+    membership: &Membership,
+    configuration: &CarriedConfiguration,
+) -> Snapshot {
+    let me = membership.me();
+    let peers = membership.peers().map(|(address, peer)| (*address, peer.role));
+    Snapshot {
+        configuration: (configuration.version > 0).then(|| configuration.clone()),
+        members: std::iter::once((me.address, me.role)).chain(peers).collect(),
+    }
+}
--- /dev/null
+++ b/crates/carried/src/agent/offers.rs
@@ -0,0 +1,88 @@
+//! New flows: taken or declined, with one answer an offer.
+
+use super::*;
+
+impl CarriedAgent {
+    pub(super) fn handle_offer(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        number: u64,
+        service: &str,
+        admission: Admission,
+        datagram: Vec<u8>,
+    ) {
+        self.counters.offers_received += 1;
+        let Ok(segment) = self.format.parse(&datagram) else {
+            self.counters.packets_malformed += 1;
+            return;
+        };
+        let flow = segment.flow();
+        if let Some(id) = self.flows.find(&flow) {
+            match self.flows.get_mut(id).map(|flow| &mut flow.body) {
+                // A copy, perhaps through another balancer: the back end answers it again.
+                Some(body) if matches!(body.phase, Phase::Offered { .. } | Phase::Answered) => {
+                    body.balancer = from;
+                    self.set_phase(now, id, Phase::Offered { number });
+                    self.outputs.push_back(Output::ToBackend(datagram));
+                    return;
+                }
+                // The caller uses its port again.
+                _ => self.remove(id),
+            }
+        }
+        if let Some(reason) = self.refusal(now, service, admission) {
+            return self.decline(now, from, number, &flow, reason);
+        }
+        self.counters.offers_taken += 1;
+        let id = self.flows.insert(flow, CarriedFlow::new(now, from, Phase::Resting));
+        self.set_phase(now, id, Phase::Offered { number });
+        self.outputs.push_back(Output::ToBackend(datagram));
+    }
+
+    pub(super) fn refusal(
+        &self,
+        now: Duration,
+        service: &str,
+        admission: Admission,
+    ) -> Option<DeclineReason> {
+        if service != self.backend.service() {
+            return Some(DeclineReason::OtherService);
+        }
+        if self.condition(now) != BackendCondition::Accepting {
+            return Some(DeclineReason::NotAccepting);
+        }
+        let capacity = u32::from(self.backend.capacity());
+        let limit = match admission {
+            Admission::FreeSlot => capacity,
+            Admission::Within(milliseconds) => {
+                let budget = Duration::from_millis(u64::from(milliseconds));
+                self.work.admission_limit(capacity, budget)
+            }
+        };
+        (self.waiting >= limit).then_some(DeclineReason::Busy)
+    }
+
+    pub(super) fn decline(
+        &mut self,
+        now: Duration,
+        to: SocketAddrV4,
+        number: u64,
+        flow: &FlowKey,
+        reason: DeclineReason,
+    ) {
+        match reason {
+            DeclineReason::Busy => self.counters.declined_busy += 1,
+            DeclineReason::Returned => self.counters.declined_returned += 1,
+            DeclineReason::NotAccepting => self.counters.declined_not_accepting += 1,
+            DeclineReason::OtherService => self.counters.declined_other_service += 1,
+        }
+        let report = self.report(now);
+        log::info!(
+            flow = flow_name(flow).as_str(), reason = reason.name(), balancer:% = to, waiting = report.waiting,
+            capacity = report.capacity, work_us = report.work_us; "offer_declined"
+        );
+        let message = Message::Declined { number, reason, report };
+        self.outputs.push_back(Output::ToPeer { to, message });
+    }
+}
--- /dev/null
+++ b/crates/carried/src/agent/phases.rs
@@ -0,0 +1,77 @@
+//! Where each flow stands, and what is due when.
+
+use super::*;
+
+impl CarriedAgent {
+    pub(super) fn set_phase(&mut self, now: Duration, id: FlowId, phase: Phase) {
+        let lasts = self.phase_lasts(phase);
+        let Some(flow) = self.flows.get_mut(id) else { return };
+        let before = std::mem::replace(&mut flow.body.phase, phase);
+        flow.body.since = now;
+        self.waiting = self.waiting + u32::from(phase.burdens()) - u32::from(before.burdens());
+        self.flows.wake_by(id, Some(now + lasts));
+    }
+
+    pub(super) fn phase_lasts(&self, phase: Phase) -> Duration {
+        match phase {
+            Phase::Offered { .. } => OPENING_PATIENCE,
+            Phase::Answered => HANDSHAKE_PATIENCE,
+            Phase::Waiting { .. } => WAITING_PATIENCE,
+            Phase::Resting | Phase::Tried => self.idle_timeout(),
+            Phase::Closing => CLOSING_LASTS,
+        }
+    }
+
+    pub(super) fn idle_timeout(&self) -> Duration {
+        match self.configuration.idle_timeout_ms {
+            0 => self.settings.longest_flow,
+            milliseconds => Duration::from_millis(u64::from(milliseconds)),
+        }
+    }
+
+    pub(super) fn remove(&mut self, id: FlowId) {
+        if let Some(flow) = self.flows.get(id) {
+            self.waiting -= u32::from(flow.body.phase.burdens());
+        }
+        self.flows.remove(id);
+    }
+
+    pub(super) fn wake(&mut self, now: Duration, id: FlowId) {
+        let Some(flow) = self.flows.get(id) else { return };
+        let phase = flow.body.phase;
+        let ends_at = flow.body.since + self.phase_lasts(phase);
+        if now < ends_at {
+            return self.flows.wake_by(id, Some(ends_at));
+        }
+        match phase {
+            Phase::Offered { .. } => {
+                log::warn!(
+                    flow = flow_name(&flow.key).as_str(), balancer:% = flow.body.balancer,
+                    in_a_row = self.unanswered + 1; "opening_unanswered_by_backend"
+                );
+                self.note_silence(now);
+                self.set_phase(now, id, Phase::Resting);
+            }
+            Phase::Waiting { .. } => {
+                log::warn!(
+                    flow = flow_name(&flow.key).as_str(), age_ms = WAITING_PATIENCE.as_millis() as u64;
+                    "request_unanswered_by_backend"
+                );
+                self.set_phase(now, id, Phase::Resting);
+            }
+            Phase::Answered => self.set_phase(now, id, Phase::Resting),
+            Phase::Resting | Phase::Tried | Phase::Closing => self.remove(id),
+        }
+    }
+
+    pub(super) fn note_silence(&mut self, now: Duration) {
+        self.unanswered += 1;
+        if self.unanswered < SILENT_AFTER {
+            return;
+        }
+        let before = self.condition(now);
+        self.silent_until = Some(now + SILENCE_LASTS);
+        self.counters.backend_silences += u64::from(before != BackendCondition::Silent);
+        self.tell_change(now, before, "silent");
+    }
+}
--- /dev/null
+++ b/crates/carried/src/balancer/established.rs
@@ -0,0 +1,60 @@
+//! Packets of open flows.
+
+use super::*;
+
+impl CarriedBalancer {
+    pub(super) fn handle_established(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
+        let flow = segment.flow();
+        if let Some(number) = self.openings.number_of(&flow) {
+            // The caller goes on: some agent has placed the flow, though its answer is not here.
+            let asked =
+                self.openings.finish(number).map(|opening| self.describe_asked(now, &opening));
+            self.counters.openings_overtaken += 1;
+            log::info!(
+                flow = flow_name(&flow).as_str(), asked = asked.unwrap_or_default().as_str(),
+                configuration = self.configuration.version; "opening_overtaken"
+            );
+        }
+        let idle = self.idle_timeout();
+        let finishes = segment.finishes || segment.resets;
+        if let Some(agent) = self.flows.touch(now, idle, &flow, finishes) {
+            self.counters.packets_forwarded += 1;
+            let message = Message::Forward { datagram: datagram.to_vec() };
+            self.outputs.push_back(Output::ToPeer { to: agent, message });
+            return;
+        }
+        self.locate(&flow, datagram, None);
+    }
+
+    pub(super) fn locate(&mut self, flow: &FlowKey, datagram: &[u8], except: Option<SocketAddrV4>) {
+        self.counters.packets_located += 1;
+        let agents = self.locator.choose(&self.pool, &self.routes, &flow.service, except);
+        log::info!(
+            flow = flow_name(flow).as_str(), agents = agents.len(),
+            configuration = self.configuration.version; "flow_located"
+        );
+        for to in agents {
+            let message = Message::Locate { datagram: datagram.to_vec() };
+            self.outputs.push_back(Output::ToPeer { to, message });
+        }
+    }
+
+    pub(super) fn handle_not_held(&mut self, from: SocketAddrV4, datagram: &[u8]) {
+        self.counters.packets_not_held += 1;
+        let Ok(segment) = self.format.parse(datagram) else {
+            self.counters.packets_malformed += 1;
+            return;
+        };
+        let flow = segment.flow();
+        log::info!(flow = flow_name(&flow).as_str(), agent:% = from; "flow_not_held");
+        self.flows.remove(&flow, from);
+        match self.flows.agent(&flow) {
+            // Found meanwhile, while packets were still under way to the wrong agent.
+            Some(agent) => {
+                let message = Message::Forward { datagram: datagram.to_vec() };
+                self.outputs.push_back(Output::ToPeer { to: agent, message });
+            }
+            None => self.locate(&flow, datagram, Some(from)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/carried/src/balancer/mod.rs
@@ -0,0 +1,297 @@
+//! The balancer's core: from a caller's packet to the agents that get it.
+//!
+//! Invariants:
+//! - A caller is reset only when nothing of its flow has run: every agent asked has declined, or has
+//!   stayed silent for longer than a caller needs to go on.
+//! - A packet of an open flow goes only to the agent that holds it, or to agents that drop it unless
+//!   they do; no choice by hash or load is made for it.
+//! - A configuration with a lower version never replaces one with a higher version.
+
+mod established;
+mod openings;
+
+use crate::agent::snapshot_of;
+use crate::configuration::{CarriedConfiguration, RoutingTable};
+use crate::counters::CarriedBalancerCounters;
+use crate::flow_cache::FlowCache;
+use crate::locating::Locator;
+use crate::membership::{Membership, Node};
+use crate::message::{
+    Admission, DeclineReason, Heartbeat, LoadReport, Message, NodeRole, Snapshot,
+};
+use crate::opening::{Answer, Asked, Opening, Openings};
+use crate::output::Output;
+use crate::pool::{AgentView, Distance, Pool};
+use crate::segment::{Segment, SegmentFormat, flow_name};
+use loftdrift_wire::FlowKey;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// An agent has so long to answer an offer before the next one is asked as well.
+const OFFER_PATIENCE: Duration = Duration::from_millis(30);
+/// Time between two looks for an agent while there is none to ask.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(10);
+/// Agents asked for a free slot, at most.
+const MOST_FREE_ASKED: usize = 6;
+/// Agents asked for a place in their queue, at most.
+const MOST_QUEUE_ASKED: usize = 4;
+/// An agent that was late with its answer may have placed the flow; the caller goes on within this
+/// time if so.
+const UNANSWERED_LASTS: Duration = Duration::from_millis(130);
+/// A caller may be reset only so long after its opening packet came: it repeats the packet after
+/// 200 ms, perhaps through another balancer, where the flow may open meanwhile.
+const RESET_WITHIN: Duration = Duration::from_millis(160);
+/// Share of the aim for which a flow waits for an agent to ask.
+const SEARCH_SHARE: f64 = 0.2;
+/// Share of the aim within which an agent may still queue a request; the rest is for the ways and
+/// for requests that take longer than the mean.
+const QUEUE_SHARE: f64 = 0.5;
+/// The aim of routes that tell none.
+const DEFAULT_AIM: Duration = Duration::from_millis(500);
+/// Rest after which a flow is forgotten, until a configuration tells.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Settings of a balancer of carried flows.
+#[derive(Clone, Debug)]
+pub struct CarriedBalancerSettings {
+    /// The balancer itself.
+    pub node: Node,
+    /// Seed of the choices left to chance.
+    pub seed: u64,
+}
+
+/// Why a new flow is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Refusal {
+    NoRoute,
+    Busy,
+    Unavailable,
+    Unanswered,
+}
+
+impl Refusal {
+    fn name(self) -> &'static str {
+        match self {
+            Refusal::NoRoute => "no_route",
+            Refusal::Busy => "busy",
+            Refusal::Unavailable => "no_backend_accepts",
+            Refusal::Unanswered => "no_agent_answered",
+        }
+    }
+}
+
+/// A balancer.
+pub struct CarriedBalancer {
+    format: Arc<dyn SegmentFormat>,
+    membership: Membership,
+    configuration: CarriedConfiguration,
+    routes: RoutingTable,
+    pool: Pool,
+    flows: FlowCache,
+    openings: Openings,
+    locator: Locator,
+    random: ChaCha8Rng,
+    draining: bool,
+    outputs: VecDeque<Output>,
+    counters: CarriedBalancerCounters,
+}
+
+impl CarriedBalancer {
+    /// A balancer that has just started and knows nothing but its settings.
+    pub fn new(settings: CarriedBalancerSettings, format: Arc<dyn SegmentFormat>) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
+        CarriedBalancer {
+            format,
+            membership: Membership::new(settings.node),
+            configuration: CarriedConfiguration::default(),
+            routes: RoutingTable::default(),
+            pool: Pool::default(),
+            flows: FlowCache::default(),
+            openings: Openings::new(random.random()),
+            locator: Locator::default(),
+            random,
+            draining: false,
+            outputs: VecDeque::new(),
+            counters: CarriedBalancerCounters::default(),
+        }
+    }
+
+    /// The next thing to do.
+    pub fn take_output(&mut self) -> Option<Output> {
+        self.outputs.pop_front()
+    }
+
+    /// The nodes known.
+    pub fn membership(&self) -> &Membership {
+        &self.membership
+    }
+
+    /// Version of the configuration in force.
+    pub fn configuration_version(&self) -> u64 {
+        self.configuration.version
+    }
+
+    /// Whether callers' packets should come here.
+    pub fn is_ready(&self, now: Duration) -> bool {
+        let interval = self.membership.interval();
+        !self.draining && !self.routes.is_empty() && self.pool.any_accepting(now, interval)
+    }
+
+    /// Asks for no more packets; those that come are still carried.
+    pub fn start_draining(&mut self) {
+        self.draining = true;
+        log::info!(flows = self.flows.len(); "draining");
+    }
+
+    /// What this node gives to whoever asks.
+    pub fn snapshot(&self) -> Snapshot {
+        snapshot_of(&self.membership, &self.configuration)
+    }
+
+    /// Takes a node's snapshot.
+    pub fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
+        self.learn_members(now, &snapshot.members);
+        if let Some(configuration) = snapshot.configuration {
+            self.adopt(now, configuration);
+        }
+    }
+
+    /// Learns of nodes by hearsay.
+    pub fn learn_members(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
+        for (address, role) in members {
+            self.membership.learn(now, *address, *role);
+        }
+    }
+
+    /// Puts a configuration in force when it is newer than the one in force.
+    pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
+        if configuration.version <= self.configuration.version {
+            self.counters.configurations_passed_over += 1;
+            log::debug!(
+                offered = configuration.version, in_force = self.configuration.version;
+                "configuration_passed_over"
+            );
+            return false;
+        }
+        log::info!(
+            from = self.configuration.version, to = configuration.version,
+            routes = configuration.routes.len(); "configuration_adopted"
+        );
+        self.routes.replace(&configuration);
+        self.configuration = configuration;
+        self.counters.configurations_adopted += 1;
+        self.membership.hurry(now);
+        true
+    }
+
+    fn idle_timeout(&self) -> Duration {
+        match self.configuration.idle_timeout_ms {
+            0 => DEFAULT_IDLE,
+            milliseconds => Duration::from_millis(u64::from(milliseconds)),
+        }
+    }
+
+    /// Takes a datagram of a caller.
+    pub fn handle_caller(&mut self, now: Duration, datagram: &[u8]) {
+        self.counters.packets_received += 1;
+        match self.format.parse(datagram) {
+            Err(_) => self.counters.packets_malformed += 1,
+            Ok(segment) if segment.is_opening() => self.handle_opening(now, &segment, datagram),
+            Ok(segment) => self.handle_established(now, &segment, datagram),
+        }
+    }
+
+    /// Takes a datagram of another node.
+    pub fn handle_peer(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]) {
+        match Message::decode(datagram) {
+            Some(Message::Placed { number, report }) => {
+                self.handle_placed(now, from, number, report)
+            }
+            Some(Message::Declined { number, reason, report }) => {
+                self.handle_declined(now, from, number, reason, report);
+            }
+            Some(Message::Held { caller, service }) => {
+                let transport = loftdrift_wire::Transport::Tcp;
+                let flow = FlowKey { caller, service, transport };
+                self.flows.insert(now, self.idle_timeout(), flow, from);
+            }
+            Some(Message::NotHeld { datagram }) => self.handle_not_held(from, &datagram),
+            Some(Message::Heartbeat(heartbeat)) => self.handle_heartbeat(now, from, heartbeat),
+            _ => self.counters.messages_malformed += 1,
+        }
+    }
+
+    fn handle_heartbeat(&mut self, now: Duration, from: SocketAddrV4, heartbeat: Heartbeat) {
+        let heard = self.membership.on_heartbeat(now, from, &heartbeat);
+        if heartbeat.configuration > self.configuration.version {
+            self.outputs.push_back(Output::FetchSnapshot { from });
+        }
+        let distance = self.distance(&heartbeat);
+        let interval = self.membership.interval();
+        if let Some(view) = self.pool.view(&from).filter(|view| view.is_suspect(now, interval)) {
+            log::info!(agent:% = from, away_ms = view.age(now).as_millis() as u64; "agent_back");
+        }
+        if let Some(report) = heartbeat.report {
+            self.pool.take_report(now, from, Some(distance), report);
+        }
+        if heard.is_new {
+            self.send_heartbeat(from, false);
+        }
+    }
+
+    fn distance(&self, heartbeat: &Heartbeat) -> Distance {
+        let me = self.membership.me();
+        match (heartbeat.zone == me.zone, heartbeat.region == me.region) {
+            (true, _) => Distance::SameZone,
+            (false, true) => Distance::OtherZone,
+            (false, false) => Distance::OtherRegion,
+        }
+    }
+
+    fn send_heartbeat(&mut self, to: SocketAddrV4, wants_reply: bool) {
+        let heartbeat = self.membership.heartbeat(self.configuration.version, wants_reply);
+        let message = Message::Heartbeat(heartbeat);
+        self.outputs.push_back(Output::ToPeer { to, message });
+    }
+
+    /// When [`CarriedBalancer::handle_timeout`] must be called next.
+    pub fn next_timeout(&self) -> Option<Duration> {
+        [self.openings.next_wake_up(), self.membership.next_due()].into_iter().flatten().min()
+    }
+
+    /// Does what is due at `now`.
+    pub fn handle_timeout(&mut self, now: Duration) {
+        while let Some(number) = self.openings.pop_due(now) {
+            self.wake_opening(now, number);
+        }
+        for (peer, wants_reply) in self.membership.take_due(now) {
+            self.send_heartbeat(peer, wants_reply);
+        }
+        self.flows.sweep(now);
+        self.forget_agents();
+    }
+
+    /// Forgets agents that the membership has forgotten.
+    fn forget_agents(&mut self) {
+        if self.pool.len() > self.membership.len() {
+            let membership = &self.membership;
+            self.pool.forget(|agent| membership.knows(agent));
+        }
+    }
+
+    /// What was counted so far, with the gauges of now.
+    pub fn counters(&self, now: Duration) -> CarriedBalancerCounters {
+        CarriedBalancerCounters {
+            configuration_version: self.configuration.version,
+            flows: self.flows.len() as u64,
+            agents: self.pool.len() as u64,
+            agents_suspect: self.pool.suspects(now, self.membership.interval()) as u64,
+            peers: self.membership.len() as u64,
+            ..self.counters
+        }
+    }
+}
--- /dev/null
+++ b/crates/carried/src/balancer/openings.rs
@@ -0,0 +1,259 @@
+//! New flows: offered to one agent after the other, placed, refused or left to their copies.
+
+use super::*;
+
+impl CarriedBalancer {
+    pub(super) fn handle_opening(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
+        let flow = segment.flow();
+        if let Some(number) = self.openings.number_of(&flow) {
+            self.openings.note_copy(now, number);
+            return;
+        }
+        if let Some(agent) = self.flows.agent(&flow) {
+            if segment.acknowledgement > 0 && self.may_repeat(now, agent, &flow) {
+                return self.repeat_offer(agent, &flow, datagram);
+            }
+            self.flows.remove(&flow, agent);
+        }
+        let Some(route) = self.routes.route(&flow.service) else {
+            self.counters.packets_without_route += 1;
+            if !self.routes.is_empty() {
+                self.refuse(now, segment, Refusal::NoRoute, None);
+            }
+            return;
+        };
+        let aim = match route.aim_ms {
+            0 => DEFAULT_AIM,
+            milliseconds => Duration::from_millis(u64::from(milliseconds)),
+        };
+        if self.openings.is_full() {
+            return self.refuse(now, segment, Refusal::Busy, None);
+        }
+        let Some(service) = self.routes.next_service(&flow.service) else {
+            return self.refuse(now, segment, Refusal::NoRoute, None);
+        };
+        self.counters.openings_started += 1;
+        let number = self.openings.start(now, *segment, datagram.to_vec(), service, aim);
+        self.advance(now, number);
+    }
+
+    /// Whether a repeated opening packet may go where the flow was placed: the agent seems to live
+    /// and the address still stands for its service.
+    pub(super) fn may_repeat(&self, now: Duration, agent: SocketAddrV4, flow: &FlowKey) -> bool {
+        let Some(view) = self.pool.view(&agent) else { return false };
+        let route = self.routes.route(&flow.service);
+        let parts = route.map(|route| route.parts.as_slice()).unwrap_or_default();
+        let is_part = parts.iter().any(|part| part.service == view.report.service);
+        is_part && !view.is_suspect(now, self.membership.interval())
+    }
+
+    /// A caller repeats the opening packet of a flow that has been placed: its answer was lost.
+    pub(super) fn repeat_offer(&mut self, agent: SocketAddrV4, flow: &FlowKey, datagram: &[u8]) {
+        let Some(service) = self.pool.view(&agent).map(|view| view.report.service.clone()) else {
+            return;
+        };
+        log::info!(flow = flow_name(flow).as_str(), agent:% = agent; "opening_repeated");
+        let message = Message::Offer {
+            number: 0,
+            service,
+            admission: Admission::Within(DEFAULT_AIM.as_millis() as u32),
+            datagram: datagram.to_vec(),
+        };
+        self.outputs.push_back(Output::ToPeer { to: agent, message });
+    }
+
+    /// Takes an opening as far as it goes without another word from an agent.
+    pub(super) fn advance(&mut self, now: Duration, number: u64) {
+        let interval = self.membership.interval();
+        let random = &mut self.random;
+        let Some(opening) = self.openings.get_mut(number) else { return };
+        if opening.is_pending() {
+            return;
+        }
+        loop {
+            let most = if opening.wants_queue { MOST_QUEUE_ASKED } else { MOST_FREE_ASKED };
+            let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
+                let may_have_room = opening.wants_queue || !view.is_known_full(now);
+                may_have_room && !opening.has_asked(agent)
+            };
+            let mut next = None;
+            if opening.asked_in_round() < most {
+                let noise = || random.random::<f64>();
+                next = self.pool.best(now, interval, &opening.service, may_ask, noise);
+            }
+            if let Some(agent) = next {
+                return self.offer(now, number, agent);
+            }
+            if opening.wants_queue {
+                break;
+            }
+            opening.wants_queue = true;
+        }
+        self.settle_unplaced(now, number);
+    }
+
+    /// Everybody who seems able to take the flow was asked, and nobody has.
+    pub(super) fn settle_unplaced(&mut self, now: Duration, number: u64) {
+        let interval = self.membership.interval();
+        let Some(opening) = self.openings.get_mut(number) else { return };
+        let age = opening.age(now);
+        let is_full = opening.was_declined(DeclineReason::Busy)
+            || opening.was_declined(DeclineReason::Returned);
+        if !is_full {
+            let asked = |agent: &SocketAddrV4| opening.has_asked(agent);
+            if let Some(agent) = self.pool.suspect(now, interval, &opening.service, asked) {
+                return self.offer(now, number, agent);
+            }
+        }
+        let has_unanswered = opening.has_unanswered();
+        let refusal = match (has_unanswered, is_full) {
+            (true, _) if age < UNANSWERED_LASTS => None,
+            (true, _) => Some(Refusal::Unanswered),
+            (false, true) => Some(Refusal::Busy),
+            (false, false) if age < opening.aim.mul_f64(SEARCH_SHARE) => None,
+            (false, false) => Some(Refusal::Unavailable),
+        };
+        match refusal {
+            None => self.openings.wake_at(number, now + SEARCH_INTERVAL),
+            Some(refusal) => {
+                let Some(opening) = self.openings.finish(number) else { return };
+                if opening.copy_age(now) > RESET_WITHIN {
+                    return self.give_up(now, &opening, refusal);
+                }
+                self.refuse(now, &opening.segment, refusal, Some(&opening));
+            }
+        }
+    }
+
+    pub(super) fn offer(&mut self, now: Duration, number: u64, agent: SocketAddrV4) {
+        let Some(opening) = self.openings.get_mut(number) else { return };
+        let admission = match opening.wants_queue {
+            false => Admission::FreeSlot,
+            true => {
+                let budget = opening.aim.mul_f64(QUEUE_SHARE).saturating_sub(opening.age(now));
+                Admission::Within(budget.as_millis() as u32)
+            }
+        };
+        opening.asked.push(Asked { agent, admission, answer: Answer::Pending });
+        let message = Message::Offer {
+            number,
+            service: opening.service.clone(),
+            admission,
+            datagram: opening.datagram.clone(),
+        };
+        self.outputs.push_back(Output::ToPeer { to: agent, message });
+        self.openings.wake_at(number, now + OFFER_PATIENCE);
+        self.pool.note_offer(&agent);
+        self.counters.offers_made += 1;
+    }
+
+    pub(super) fn refuse(
+        &mut self,
+        now: Duration,
+        segment: &Segment,
+        refusal: Refusal,
+        opening: Option<&Opening>,
+    ) {
+        match refusal {
+            Refusal::NoRoute => self.counters.openings_refused_no_route += 1,
+            Refusal::Busy => self.counters.openings_refused_busy += 1,
+            Refusal::Unavailable => self.counters.openings_refused_unavailable += 1,
+            Refusal::Unanswered => self.counters.openings_given_up += 1,
+        }
+        log::warn!(
+            flow = flow_name(&segment.flow()).as_str(), reason = refusal.name(),
+            age_ms = opening.map_or(0, |opening| opening.age(now).as_millis() as u64),
+            service = opening.map_or("", |opening| opening.service.as_str()),
+            asked = opening.map(|opening| self.describe_asked(now, opening)).unwrap_or_default().as_str(),
+            configuration = self.configuration.version; "opening_refused"
+        );
+        let datagram = self.format.reset(segment);
+        self.outputs.push_back(Output::ToCaller { host: *segment.source.ip(), datagram });
+    }
+
+    /// Leaves a flow to the copies of its opening packet.
+    pub(super) fn give_up(&mut self, now: Duration, opening: &Opening, refusal: Refusal) {
+        self.counters.openings_left_to_copies += 1;
+        log::warn!(
+            flow = flow_name(&opening.flow()).as_str(), reason = refusal.name(),
+            age_ms = opening.age(now).as_millis() as u64,
+            asked = self.describe_asked(now, opening).as_str(),
+            configuration = self.configuration.version; "opening_left_to_copies"
+        );
+    }
+
+    /// The agents that an opening asked, with what each said and what was known of it.
+    pub(super) fn describe_asked(&self, now: Duration, opening: &Opening) -> String {
+        let describe = |asked: &Asked| {
+            let answer = match asked.answer {
+                Answer::Pending => "pending",
+                Answer::Unanswered => "unanswered",
+                Answer::Declined(reason) => reason.name(),
+            };
+            let view = self.pool.view(&asked.agent);
+            let load = view.map(|view| (view.report.waiting, view.report.capacity, view.age(now)));
+            let (waiting, capacity, age) = load.unwrap_or_default();
+            let age = age.as_millis();
+            format!("{}:{answer}:{waiting}/{capacity}:{age}ms", asked.agent.ip())
+        };
+        opening.asked.iter().map(describe).collect::<Vec<_>>().join(",")
+    }
+
+    pub(super) fn handle_placed(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        number: u64,
+        report: LoadReport,
+    ) {
+        self.pool.take_report(now, from, None, report);
+        let opening = self.openings.get_mut(number);
+        if !opening.is_some_and(|opening| opening.was_offered_to(from)) {
+            self.counters.answers_unexpected += 1;
+            return;
+        }
+        let Some(opening) = self.openings.finish(number) else { return };
+        self.counters.openings_placed += 1;
+        log::info!(
+            flow = flow_name(&opening.flow()).as_str(), agent:% = from,
+            service = opening.service.as_str(), age_us = opening.age(now).as_micros() as u64,
+            copy = opening.segment.acknowledgement,
+            asked = self.describe_asked(now, &opening).as_str(),
+            configuration = self.configuration.version; "opening_placed"
+        );
+        self.flows.insert(now, self.idle_timeout(), opening.flow(), from);
+    }
+
+    pub(super) fn handle_declined(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        number: u64,
+        reason: DeclineReason,
+        report: LoadReport,
+    ) {
+        self.counters.offers_declined += 1;
+        self.pool.take_report(now, from, None, report);
+        let Some(opening) = self.openings.get_mut(number) else { return };
+        if let Some(answer) = opening.answer_of(from) {
+            *answer = Answer::Declined(reason);
+        }
+        self.advance(now, number);
+    }
+
+    pub(super) fn wake_opening(&mut self, now: Duration, number: u64) {
+        let Some(opening) = self.openings.get_mut(number) else { return };
+        for asked in &mut opening.asked {
+            if asked.answer != Answer::Pending {
+                continue;
+            }
+            asked.answer = Answer::Unanswered;
+            self.counters.offers_unanswered += 1;
+            if self.pool.note_unanswered(&asked.agent) {
+                self.counters.suspicions += 1;
+                log::warn!(agent:% = asked.agent, reason = "offers_unanswered"; "agent_suspect");
+            }
+        }
+        self.advance(now, number);
+    }
+}
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -18,13 +18,14 @@
 mod membership;
 mod message;
 mod opening;
+mod output;
 mod plain_format;
 mod pool;
 mod segment;
 
-pub use agent::{AgentOutput, CarriedAgent, CarriedAgentSettings};
+pub use agent::{CarriedAgent, CarriedAgentSettings};
 pub use backend::{BackendReport, ReportOutcome};
-pub use balancer::{BalancerOutput, CarriedBalancer, CarriedBalancerSettings};
+pub use balancer::{CarriedBalancer, CarriedBalancerSettings};
 pub use configuration::{CarriedConfiguration, Part, Route, ServiceSettings};
 pub use counters::{CarriedAgentCounters, CarriedBalancerCounters};
 pub use membership::{Membership, Node, Peer};
@@ -32,5 +33,6 @@
     Admission, BackendCondition, DeclineReason, Heartbeat, LoadReport, MAX_MESSAGE_BYTES, Message,
     NodeRole, Snapshot,
 };
+pub use output::Output;
 pub use plain_format::PlainFormat;
 pub use segment::{Segment, SegmentError, SegmentFormat, flow_name};
--- /dev/null
+++ b/crates/carried/src/output.rs
@@ -0,0 +1,30 @@
+//! What a core asks of its embedder.
+
+use crate::message::Message;
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+/// What the embedder does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Send a packet to the back end; only an agent does.
+    ToBackend(Vec<u8>),
+    /// Send a packet to a caller.
+    ToCaller {
+        /// The caller's host.
+        host: Ipv4Addr,
+        /// The packet.
+        datagram: Vec<u8>,
+    },
+    /// Send a message to a node.
+    ToPeer {
+        /// The node.
+        to: SocketAddrV4,
+        /// The message.
+        message: Message,
+    },
+    /// Fetch a snapshot from a node whose configuration is newer.
+    FetchSnapshot {
+        /// The node.
+        from: SocketAddrV4,
+    },
+}
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use loftdrift_carried::{Admission, AgentOutput, DeclineReason, Message, Segment};
+use loftdrift_carried::{Admission, DeclineReason, Message, Output, Segment};
 use support::*;
 
 #[test]
@@ -95,10 +95,7 @@
     let reset = Segment { resets: true, ..answer(1, 501) };
     agent.handle_backend(milliseconds(2), packet(&reset));
     let after = outputs(&mut agent);
-    assert!(
-        !after.iter().any(|output| matches!(output, AgentOutput::ToCaller { .. })),
-        "{after:?}"
-    );
+    assert!(!after.iter().any(|output| matches!(output, Output::ToCaller { .. })), "{after:?}");
     agent.handle_peer(milliseconds(3), balancer_address(), &located);
     assert_eq!(sent_to_backend(&outputs(&mut agent)), 0, "tried once");
 }
@@ -115,7 +112,7 @@
     let returned = packet(&Segment { returned: true, ..data(1, 101, 501) });
     agent.handle_backend(milliseconds(3), returned);
     let to = balancer_address();
-    let expected = AgentOutput::ToPeer { to, message: Message::NotHeld { datagram } };
+    let expected = Output::ToPeer { to, message: Message::NotHeld { datagram } };
     assert_eq!(outputs(&mut agent), [expected]);
 }
 
@@ -146,9 +143,7 @@
     let answers: Vec<(_, u64)> = outputs(&mut agent)
         .into_iter()
         .filter_map(|output| match output {
-            AgentOutput::ToPeer { to, message: Message::Placed { number, .. } } => {
-                Some((to, number))
-            }
+            Output::ToPeer { to, message: Message::Placed { number, .. } } => Some((to, number)),
             _ => None,
         })
         .collect();
@@ -169,6 +164,6 @@
     agent
         .handle_backend(milliseconds(30), packet(&Segment { payload_bytes: 10, ..answer(1, 501) }));
     let answered = outputs(&mut agent);
-    assert!(answered.iter().any(|output| matches!(output, AgentOutput::ToCaller { .. })));
+    assert!(answered.iter().any(|output| matches!(output, Output::ToCaller { .. })));
     assert_eq!(agent.counters(milliseconds(31)).waiting, 0);
 }
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use loftdrift_carried::{
-    BackendCondition, BalancerOutput, CarriedBalancer, CarriedBalancerSettings, DeclineReason,
-    Heartbeat, LoadReport, Message, NodeRole, PlainFormat, Segment,
+    BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason, Heartbeat,
+    LoadReport, Message, NodeRole, Output, PlainFormat, Segment,
 };
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -49,31 +49,29 @@
     balancer
 }
 
-fn outputs_of(balancer: &mut CarriedBalancer) -> Vec<BalancerOutput> {
+fn outputs_of(balancer: &mut CarriedBalancer) -> Vec<Output> {
     std::iter::from_fn(|| balancer.take_output()).collect()
 }
 
-fn offers(outputs: &[BalancerOutput]) -> Vec<(SocketAddrV4, u64)> {
+fn offers(outputs: &[Output]) -> Vec<(SocketAddrV4, u64)> {
     outputs
         .iter()
         .filter_map(|output| match output {
-            BalancerOutput::ToPeer { to, message: Message::Offer { number, .. } } => {
-                Some((*to, *number))
-            }
+            Output::ToPeer { to, message: Message::Offer { number, .. } } => Some((*to, *number)),
             _ => None,
         })
         .collect()
 }
 
-fn has_reset(outputs: &[BalancerOutput]) -> bool {
-    outputs.iter().any(|output| matches!(output, BalancerOutput::ToCaller { .. }))
+fn has_reset(outputs: &[Output]) -> bool {
+    outputs.iter().any(|output| matches!(output, Output::ToCaller { .. }))
 }
 
-fn located(outputs: &[BalancerOutput]) -> Vec<SocketAddrV4> {
+fn located(outputs: &[Output]) -> Vec<SocketAddrV4> {
     outputs
         .iter()
         .filter_map(|output| match output {
-            BalancerOutput::ToPeer { to, message: Message::Locate { .. } } => Some(*to),
+            Output::ToPeer { to, message: Message::Locate { .. } } => Some(*to),
             _ => None,
         })
         .collect()
@@ -169,8 +167,7 @@
     balancer.handle_peer(milliseconds(2), agent_address(2), &held.encode());
     balancer.handle_caller(milliseconds(3), &packet(&data(1, 111, 501)));
     let datagram = packet(&data(1, 111, 501));
-    let expected =
-        BalancerOutput::ToPeer { to: agent_address(2), message: Message::Forward { datagram } };
+    let expected = Output::ToPeer { to: agent_address(2), message: Message::Forward { datagram } };
     assert_eq!(outputs_of(&mut balancer), [expected]);
 }
 
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -2,9 +2,9 @@
 #![allow(dead_code, missing_docs)]
 
 use loftdrift_carried::{
-    Admission, AgentOutput, BackendReport, CarriedAgent, CarriedAgentSettings,
-    CarriedConfiguration, DeclineReason, Message, Node, NodeRole, Part, PlainFormat, Route,
-    Segment, ServiceSettings,
+    Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedConfiguration,
+    DeclineReason, Message, Node, NodeRole, Output, Part, PlainFormat, Route, Segment,
+    ServiceSettings,
 };
 use std::net::SocketAddrV4;
 use std::sync::Arc;
@@ -107,19 +107,19 @@
     Message::Offer { number, service: service.to_owned(), admission, datagram }.encode()
 }
 
-pub fn outputs(agent: &mut CarriedAgent) -> Vec<AgentOutput> {
+pub fn outputs(agent: &mut CarriedAgent) -> Vec<Output> {
     std::iter::from_fn(|| agent.take_output()).collect()
 }
 
-pub fn declined(outputs: &[AgentOutput]) -> Option<DeclineReason> {
+pub fn declined(outputs: &[Output]) -> Option<DeclineReason> {
     outputs.iter().find_map(|output| match output {
-        AgentOutput::ToPeer { message: Message::Declined { reason, .. }, .. } => Some(*reason),
+        Output::ToPeer { message: Message::Declined { reason, .. }, .. } => Some(*reason),
         _ => None,
     })
 }
 
-pub fn sent_to_backend(outputs: &[AgentOutput]) -> usize {
-    outputs.iter().filter(|output| matches!(output, AgentOutput::ToBackend(_))).count()
+pub fn sent_to_backend(outputs: &[Output]) -> usize {
+    outputs.iter().filter(|output| matches!(output, Output::ToBackend(_))).count()
 }
 
 /// Opens a flow at the agent: offered, answered by the back end with sequence number `sequence`.
--- a/crates/lab/src/carried/process.rs
+++ b/crates/lab/src/carried/process.rs
@@ -1,20 +1,9 @@
 //! A simulated process: a core with the clock of its own start.
 
-use loftdrift_carried::{
-    AgentOutput, BalancerOutput, CarriedAgent, CarriedBalancer, Message, Snapshot,
-};
+use loftdrift_carried::{CarriedAgent, CarriedBalancer, Output, Snapshot};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-/// What a core asks for, whatever its role.
-#[derive(Debug)]
-pub(super) enum ProcessOutput {
-    ToCaller(Vec<u8>),
-    ToBackend(Vec<u8>),
-    ToPeer { to: SocketAddrV4, message: Message },
-    FetchSnapshot { from: SocketAddrV4 },
-}
-
 pub(super) enum Core {
     Balancer(Box<CarriedBalancer>),
     Agent(Box<CarriedAgent>),
@@ -113,19 +102,10 @@
         }
     }
 
-    pub(super) fn take_output(&mut self) -> Option<ProcessOutput> {
+    pub(super) fn take_output(&mut self) -> Option<Output> {
         match self.core.as_mut()? {
-            Core::Balancer(balancer) => balancer.take_output().map(|output| match output {
-                BalancerOutput::ToCaller { datagram, .. } => ProcessOutput::ToCaller(datagram),
-                BalancerOutput::ToPeer { to, message } => ProcessOutput::ToPeer { to, message },
-                BalancerOutput::FetchSnapshot { from } => ProcessOutput::FetchSnapshot { from },
-            }),
-            Core::Agent(agent) => agent.take_output().map(|output| match output {
-                AgentOutput::ToCaller { datagram, .. } => ProcessOutput::ToCaller(datagram),
-                AgentOutput::ToBackend(datagram) => ProcessOutput::ToBackend(datagram),
-                AgentOutput::ToPeer { to, message } => ProcessOutput::ToPeer { to, message },
-                AgentOutput::FetchSnapshot { from } => ProcessOutput::FetchSnapshot { from },
-            }),
+            Core::Balancer(balancer) => balancer.take_output(),
+            Core::Agent(agent) => agent.take_output(),
         }
     }
 }
--- /dev/null
+++ b/crates/lab/src/carried/world/callers.rs
@@ -0,0 +1,122 @@
+//! Callers and the router in front of the balancers.
+
+use super::*;
+
+impl CarriedWorld {
+    pub(super) fn ask(&mut self) {
+        let pause = 1_000_000 / self.settings.requests_per_second.max(1);
+        let jitter = self.random.random_range(pause / 2..=pause * 3 / 2);
+        if self.now + QUIET_END < self.settings.lasts {
+            self.events.push(self.now + Duration::from_micros(jitter), Event::Ask);
+        } else {
+            return;
+        }
+        self.outcome.asked += 1;
+        let number = self.outcome.asked;
+        let address = self.next_address();
+        let service = service_address(usize::from(self.random.random_range(0..4) == 0));
+        self.by_address.insert(address, number);
+        self.callers.insert(number, Caller::new(self.now, number, address, service));
+        self.wake_caller(number);
+    }
+
+    /// Callers have few ports and use them again.
+    pub(super) fn next_address(&mut self) -> SocketAddrV4 {
+        self.next_port = (self.next_port + 1) % 4_096;
+        let host = Ipv4Addr::new(100, 64, 0, (self.next_port / 512) as u8);
+        SocketAddrV4::new(host, 1_024 + (self.next_port % 512) as u16)
+    }
+
+    pub(super) fn wake_caller(&mut self, number: u64) {
+        let now = self.now;
+        let Some(caller) = self.callers.get_mut(&number) else { return };
+        let step = caller.wake(now);
+        self.carry_out(number, step);
+    }
+
+    pub(super) fn carry_out(&mut self, number: u64, step: CallerStep) {
+        self.outcome.mixed_answers += u64::from(step.was_mixed);
+        if let Some(at) = step.wake_at {
+            self.events.push(at, Event::WakeCaller(number));
+        }
+        if let Some(packet) = step.packet {
+            self.sent.insert(packet.clone());
+            self.route(packet);
+        }
+    }
+
+    /// The router's choice: rendezvous over the nodes that are in, or over all when none is.
+    pub(super) fn route(&mut self, packet: Vec<u8>) {
+        let Ok(segment) = PlainFormat.parse(&packet) else { return };
+        let flow = segment.flow();
+        let balancers = 0..self.settings.balancers;
+        let any_in = balancers.clone().any(|node| self.nodes[node].is_in);
+        let eligible = balancers.filter(|node| self.nodes[*node].is_in || !any_in);
+        let weight = |node: &usize| {
+            let mut hasher = DefaultHasher::new();
+            (flow, node).hash(&mut hasher);
+            hasher.finish()
+        };
+        let Some(node) = eligible.max_by_key(weight) else { return };
+        self.events.push(self.now + WAY, Event::ToBalancer { node, packet });
+    }
+
+    pub(super) fn deliver_to_balancer(&mut self, node: usize, packet: Vec<u8>) {
+        if let Some(thaw) = self.thaw(node) {
+            return self.events.push(thaw, Event::ToBalancer { node, packet });
+        }
+        let own = self.nodes[node].own_time(self.now);
+        if let Some(balancer) = self.nodes[node].balancer() {
+            balancer.handle_caller(own, &packet);
+        }
+        self.settle(node);
+    }
+
+    pub(super) fn deliver_to_caller(&mut self, packet: &[u8], from_node: usize) {
+        let Ok(segment) = PlainFormat.parse(packet) else { return };
+        let Some(number) = self.by_address.get(&segment.destination).copied() else { return };
+        let address = self.next_address();
+        let now = self.now;
+        let Some(caller) = self.callers.get_mut(&number) else { return };
+        let flow = segment.flow_of_answer();
+        let before = caller.address;
+        if before != segment.destination {
+            return;
+        }
+        let step = caller.receive(now, packet, address);
+        if caller.address != before {
+            let service = caller.service;
+            self.by_address.insert(address, number);
+            debug_assert_eq!(service, flow.service);
+        }
+        let is_own_reset = from_node < self.settings.balancers;
+        if step.was_broken && is_own_reset && self.holder_lives(&flow) {
+            self.outcome.broken_flows += 1;
+        }
+        self.carry_out(number, step);
+    }
+
+    pub(super) fn holder_lives(&self, flow: &FlowKey) -> bool {
+        self.holders.get(flow).is_some_and(|(agent, start)| {
+            let backend = &self.backends[*agent];
+            backend.start == *start && backend.is_alive
+        })
+    }
+
+    pub(super) fn probe(&mut self) {
+        self.events.push(self.now + PROBE_INTERVAL, Event::Probe);
+        for node in 0..self.settings.balancers {
+            let is_frozen = self.thaw(node).is_some();
+            let own = self.nodes[node].own_time(self.now);
+            let process = &mut self.nodes[node];
+            let is_ready = process.balancer().is_some_and(|balancer| balancer.is_ready(own));
+            if is_ready && !is_frozen {
+                process.is_in = true;
+                process.missed_probes = 0;
+                continue;
+            }
+            process.missed_probes += 1;
+            process.is_in &= process.missed_probes < MOST_MISSED_PROBES;
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/carried/world/faults.rs
@@ -0,0 +1,71 @@
+//! Faults.
+
+use super::*;
+
+impl CarriedWorld {
+    pub(super) fn fault(&mut self, fault: CarriedFault) {
+        let balancers = self.settings.balancers;
+        match fault {
+            CarriedFault::KillBalancer(node, down) => self.kill(node, down),
+            CarriedFault::KillAgent(agent, down) => self.kill(balancers + agent, down),
+            CarriedFault::KillAll(down) => {
+                for node in 0..self.nodes.len() {
+                    self.kill(node, down);
+                }
+            }
+            CarriedFault::FreezeBalancer(node, lasts) => self.freeze(node, lasts),
+            CarriedFault::FreezeAgent(agent, lasts) => self.freeze(balancers + agent, lasts),
+            CarriedFault::StopBalancer(node) => {
+                if let Some(balancer) = self.nodes[node].balancer() {
+                    balancer.start_draining();
+                    self.events.push(self.now + STOP_TAKES, Event::Start { node });
+                }
+            }
+            CarriedFault::CutBalancer(node, lasts) => self.cut(node, lasts),
+            CarriedFault::CutAgent(agent, lasts) => self.cut(balancers + agent, lasts),
+            CarriedFault::Loss(share, lasts) => {
+                self.loss = share;
+                self.events.push(self.now + lasts, Event::LossEnds);
+            }
+            CarriedFault::StoreDown(lasts) => {
+                self.store_down_until = self.store_down_until.max(self.now + lasts);
+            }
+            CarriedFault::MoveRoute => self.move_route(),
+            CarriedFault::ReplaceBackend(agent) => self.backends[agent].is_leaving = true,
+            CarriedFault::CrashBackend(agent, down) => {
+                if self.backends[agent].is_alive {
+                    self.backends[agent].is_alive = false;
+                    self.events.push(self.now + down, Event::StartBackend { agent });
+                }
+            }
+        }
+    }
+
+    pub(super) fn kill(&mut self, node: usize, down: Duration) {
+        if self.nodes[node].core.take().is_some() {
+            self.events.push(self.now + down, Event::Start { node });
+        }
+    }
+
+    pub(super) fn freeze(&mut self, node: usize, lasts: Duration) {
+        let until = self.now + lasts;
+        self.nodes[node].frozen_until = self.nodes[node].frozen_until.max(until);
+    }
+
+    pub(super) fn cut(&mut self, node: usize, lasts: Duration) {
+        self.nodes[node].cut_until = self.nodes[node].cut_until.max(self.now + lasts);
+    }
+
+    /// The operator writes; while the store is down nobody does.
+    pub(super) fn move_route(&mut self) {
+        if self.store_down_until > self.now {
+            return;
+        }
+        let current = &self.configuration.routes[1].parts[0].service;
+        let next = if current == SERVICES[0] { SERVICES[1] } else { SERVICES[0] };
+        self.configuration = configuration(self.configuration.version + 3, next);
+        // The bound does not run while any node may be away from the store.
+        let troubled = self.nodes.iter().map(|node| node.cut_until.max(node.frozen_until)).max();
+        self.changed_at = self.now.max(troubled.unwrap_or_default()).max(self.store_down_until);
+    }
+}
--- /dev/null
+++ b/crates/lab/src/carried/world/mod.rs
@@ -0,0 +1,234 @@
+//! The simulated day: what happens next, and to whom.
+
+mod backends;
+mod callers;
+mod faults;
+mod nodes;
+
+use super::backend::{LEAVES_AFTER, Reaction, SimulatedBackend};
+use super::caller::{Caller, CallerState, CallerStep};
+use super::fault::{CarriedFault, TimedFault};
+use super::outcome::CarriedOutcome;
+use super::process::{Core, Process};
+use crate::queue::EventQueue;
+use loftdrift_carried::{
+    CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings,
+    CarriedConfiguration, Node, NodeRole, Output, Part, PlainFormat, Route, SegmentFormat,
+    ServiceSettings,
+};
+use loftdrift_wire::FlowKey;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::{HashMap, HashSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::Duration;
+
+const PEER_PORT: u16 = 7_720;
+const WAY: Duration = Duration::from_micros(500);
+const JITTER_US: u64 = 300;
+/// Timers fire at least so late.
+const TIMER_STEP: Duration = Duration::from_micros(100);
+const STORE_WAY: Duration = Duration::from_millis(8);
+const STORE_LOOK: Duration = Duration::from_millis(500);
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const MOST_MISSED_PROBES: u32 = 2;
+const HEARTBEAT: Duration = Duration::from_millis(1_100);
+/// A configuration is in force, and a back end that leaves takes nothing new, after so long.
+const BOUND: Duration = Duration::from_secs(3);
+/// A planned stop takes so long: the router has turned away by then.
+const STOP_TAKES: Duration = Duration::from_millis(1_600);
+const LONGEST_FLOW: Duration = Duration::from_secs(60);
+const AIM_MS: u32 = 200;
+const SERVICES: [&str; 2] = ["tiles", "sheets"];
+/// Callers ask until this long before the end, so that every request comes to its end.
+const QUIET_END: Duration = Duration::from_secs(5);
+
+/// Sizes of a simulated system.
+#[derive(Clone, Copy, Debug)]
+pub struct CarriedWorldSettings {
+    /// Balancers.
+    pub balancers: usize,
+    /// Back ends, each with its agent; two in three serve the first service.
+    pub backends: usize,
+    /// Requests that each back end works on at once.
+    pub slots: usize,
+    /// Requests asked in a second.
+    pub requests_per_second: u64,
+    /// Time a request takes.
+    pub work: Duration,
+    /// Length of the day.
+    pub lasts: Duration,
+    /// Seed of everything left to chance.
+    pub seed: u64,
+}
+
+impl Default for CarriedWorldSettings {
+    fn default() -> Self {
+        CarriedWorldSettings {
+            balancers: 4,
+            backends: 9,
+            slots: 4,
+            requests_per_second: 200,
+            work: Duration::from_millis(30),
+            lasts: Duration::from_secs(22),
+            seed: 1,
+        }
+    }
+}
+
+enum Event {
+    Ask,
+    WakeCaller(u64),
+    ToBalancer { node: usize, packet: Vec<u8> },
+    ToCaller { packet: Vec<u8>, from_node: usize },
+    Peer { from: SocketAddrV4, to: SocketAddrV4, datagram: Vec<u8> },
+    WakeNode { node: usize, starts: u64 },
+    ToBackend { agent: usize, packet: Vec<u8> },
+    FromBackend { agent: usize, packet: Vec<u8> },
+    Worked { agent: usize, start: u64, flow: FlowKey },
+    BackendHeartbeat { agent: usize, start: u64 },
+    BackendGone { agent: usize, start: u64 },
+    StartBackend { agent: usize },
+    Probe,
+    StoreLook { node: usize, starts: u64 },
+    GiveSnapshot { from: usize, to: usize, starts: u64 },
+    Start { node: usize },
+    Fault(CarriedFault),
+    LossEnds,
+}
+
+/// A simulated system with its callers. Nodes are numbered balancers first, then agents.
+pub struct CarriedWorld {
+    settings: CarriedWorldSettings,
+    now: Duration,
+    events: EventQueue<Event>,
+    random: ChaCha8Rng,
+    nodes: Vec<Process>,
+    backends: Vec<SimulatedBackend>,
+    callers: HashMap<u64, Caller>,
+    by_address: HashMap<SocketAddrV4, u64>,
+    next_port: u32,
+    configuration: CarriedConfiguration,
+    changed_at: Duration,
+    store_down_until: Duration,
+    loss: f64,
+    backend_starts: u64,
+    /// Which back end's start holds a flow, for the verdict on a reset.
+    holders: HashMap<FlowKey, (usize, u64)>,
+    runs: HashSet<(u64, Vec<u8>)>,
+    sent: HashSet<Vec<u8>>,
+    outcome: CarriedOutcome,
+}
+
+impl CarriedWorld {
+    /// A system whose machines start now.
+    pub fn new(settings: CarriedWorldSettings, faults: &[TimedFault]) -> Self {
+        let count = settings.balancers + settings.backends;
+        let nodes = (0..count).map(|node| Process::new(node_address(&settings, node))).collect();
+        let mut world = CarriedWorld {
+            settings,
+            now: Duration::ZERO,
+            events: EventQueue::default(),
+            random: ChaCha8Rng::seed_from_u64(settings.seed),
+            nodes,
+            backends: Vec::new(),
+            callers: HashMap::new(),
+            by_address: HashMap::new(),
+            next_port: 1_024,
+            configuration: configuration(1, SERVICES[1]),
+            changed_at: Duration::ZERO,
+            store_down_until: Duration::ZERO,
+            loss: 0.0,
+            backend_starts: 0,
+            holders: HashMap::new(),
+            runs: HashSet::new(),
+            sent: HashSet::new(),
+            outcome: CarriedOutcome::default(),
+        };
+        for agent in 0..settings.backends {
+            let backend = world.new_backend(agent);
+            world.backends.push(backend);
+            world.schedule_heartbeat(agent, Duration::from_millis(10));
+        }
+        for node in 0..count {
+            world.events.push(Duration::ZERO, Event::Start { node });
+        }
+        world.events.push(PROBE_INTERVAL, Event::Probe);
+        world.events.push(Duration::from_secs(1), Event::Ask);
+        for timed in faults {
+            world.events.push(timed.at, Event::Fault(timed.fault));
+        }
+        world
+    }
+
+    /// Plays the day to its end.
+    pub fn run(mut self) -> CarriedOutcome {
+        while let Some((at, event)) = self.events.pop_until(self.settings.lasts) {
+            self.now = at;
+            self.handle(event);
+        }
+        for caller in self.callers.values() {
+            match caller.state {
+                CallerState::Served => self.outcome.served += 1,
+                CallerState::Refused => self.outcome.refused += 1,
+                _ => self.outcome.lost += 1,
+            }
+        }
+        self.outcome
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Ask => self.ask(),
+            Event::WakeCaller(number) => self.wake_caller(number),
+            Event::ToBalancer { node, packet } => self.deliver_to_balancer(node, packet),
+            Event::ToCaller { packet, from_node } => self.deliver_to_caller(&packet, from_node),
+            Event::Peer { from, to, datagram } => self.peer(from, to, datagram),
+            Event::WakeNode { node, starts } => self.wake_node(node, starts),
+            Event::ToBackend { agent, packet } => self.deliver_to_backend(agent, &packet),
+            Event::FromBackend { agent, packet } => self.take_from_backend(agent, packet),
+            Event::Worked { agent, start, flow } => self.worked(agent, start, flow),
+            Event::BackendHeartbeat { agent, start } => self.heartbeat(agent, start),
+            Event::BackendGone { agent, start } => self.backend_gone(agent, start),
+            Event::StartBackend { agent } => self.start_backend(agent),
+            Event::Probe => self.probe(),
+            Event::StoreLook { node, starts } => self.store_look(node, starts),
+            Event::GiveSnapshot { from, to, starts } => self.give_snapshot(from, to, starts),
+            Event::Start { node } => self.start(node),
+            Event::Fault(fault) => self.fault(fault),
+            Event::LossEnds => self.loss = 0.0,
+        }
+    }
+}
+
+fn node_address(settings: &CarriedWorldSettings, node: usize) -> SocketAddrV4 {
+    let kind = if node < settings.balancers { 1 } else { 2 };
+    SocketAddrV4::new(Ipv4Addr::new(10, kind, (node / 256) as u8, (node % 256) as u8), PEER_PORT)
+}
+
+fn service_address(number: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443 + number as u16)
+}
+
+/// Two addresses: the first stands for the first service, the second for `second`.
+fn configuration(version: u64, second: &str) -> CarriedConfiguration {
+    let route = |number: usize, service: &str| Route {
+        address: service_address(number),
+        parts: vec![Part { service: service.to_owned(), weight: 1 }],
+        aim_ms: AIM_MS,
+        priority: 1,
+    };
+    let service = |name: &str| ServiceSettings {
+        name: name.to_owned(),
+        health_path: "/health".to_owned(),
+        max_connections: 2_000,
+    };
+    CarriedConfiguration {
+        version,
+        routes: vec![route(0, SERVICES[0]), route(1, second)],
+        services: SERVICES.map(service).to_vec(),
+        idle_timeout_ms: 15_000,
+    }
+}
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -1,9 +1,9 @@
 //! The agent's core behind the shell.
 
 use crate::command::NodeStatus;
-use crate::core::{Action, Core};
+use crate::core::Core;
 use loftdrift_carried::{
-    AgentOutput, BackendReport, CarriedAgent, CarriedConfiguration, NodeRole, Snapshot,
+    BackendReport, CarriedAgent, CarriedConfiguration, NodeRole, Output, Snapshot,
 };
 use loftdrift_counters::{CounterSet, Sample};
 use std::net::SocketAddrV4;
@@ -33,15 +33,16 @@
         self.agent.next_timeout()
     }
 
-    fn take_action(&mut self) -> Option<Action> {
-        Some(match self.agent.take_output()? {
-            AgentOutput::ToBackend(datagram) => Action::SendLocal { to: self.backend, datagram },
-            AgentOutput::ToCaller { host, datagram } => {
-                Action::SendLocal { to: SocketAddrV4::new(host, self.caller_port), datagram }
-            }
-            AgentOutput::ToPeer { to, message } => Action::SendPeer { to, message },
-            AgentOutput::FetchSnapshot { from } => Action::FetchSnapshot { from },
-        })
+    fn take_output(&mut self) -> Option<Output> {
+        self.agent.take_output()
+    }
+
+    fn caller_port(&self) -> u16 {
+        self.caller_port
+    }
+
+    fn backend(&self) -> Option<SocketAddrV4> {
+        Some(self.backend)
     }
 
     fn adopt(&mut self, _now: Duration, configuration: CarriedConfiguration) {
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -1,10 +1,8 @@
 //! The balancer's core behind the shell.
 
 use crate::command::NodeStatus;
-use crate::core::{Action, Core};
-use loftdrift_carried::{
-    BalancerOutput, CarriedBalancer, CarriedConfiguration, NodeRole, Snapshot,
-};
+use crate::core::Core;
+use loftdrift_carried::{CarriedBalancer, CarriedConfiguration, NodeRole, Output, Snapshot};
 use loftdrift_counters::{CounterSet, Sample};
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -37,14 +35,12 @@
         self.balancer.next_timeout()
     }
 
-    fn take_action(&mut self) -> Option<Action> {
-        Some(match self.balancer.take_output()? {
-            BalancerOutput::ToCaller { host, datagram } => {
-                Action::SendLocal { to: SocketAddrV4::new(host, self.caller_port), datagram }
-            }
-            BalancerOutput::ToPeer { to, message } => Action::SendPeer { to, message },
-            BalancerOutput::FetchSnapshot { from } => Action::FetchSnapshot { from },
-        })
+    fn take_output(&mut self) -> Option<Output> {
+        self.balancer.take_output()
+    }
+
+    fn caller_port(&self) -> u16 {
+        self.caller_port
     }
 
     fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,29 +1,24 @@
 //! What the shell needs of a core, whatever its role.
 
 use crate::command::NodeStatus;
-use loftdrift_carried::{BackendReport, CarriedConfiguration, Message, NodeRole, Snapshot};
+use loftdrift_carried::{BackendReport, CarriedConfiguration, NodeRole, Output, Snapshot};
 use loftdrift_counters::Sample;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-/// What the shell does next.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) enum Action {
-    /// Send a packet from the local socket.
-    SendLocal { to: SocketAddrV4, datagram: Vec<u8> },
-    /// Send a message to a node.
-    SendPeer { to: SocketAddrV4, message: Message },
-    /// Fetch a snapshot.
-    FetchSnapshot { from: SocketAddrV4 },
-}
-
 /// A core behind the shell. The local socket is the one to callers or to the back end.
 pub(crate) trait Core: Send + 'static {
     fn handle_local(&mut self, now: Duration, datagram: &[u8]);
     fn handle_peer(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]);
     fn handle_timeout(&mut self, now: Duration);
     fn next_timeout(&self) -> Option<Duration>;
-    fn take_action(&mut self) -> Option<Action>;
+    fn take_output(&mut self) -> Option<Output>;
+    /// Port at which callers take packets.
+    fn caller_port(&self) -> u16;
+    /// The back end, beside an agent.
+    fn backend(&self) -> Option<SocketAddrV4> {
+        None
+    }
     fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration);
     fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]);
     fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -164,8 +164,15 @@
         let is_balancer = settings.node.role == NodeRole::Balancer;
         if let Some(address) = settings.metrics {
             let role = if is_balancer { "carried_balancer" } else { "carried_agent" };
-            let listener = bind_tcp("metrics", address).await?;
-            self.tasks.spawn(serve_metrics(listener, role, self.commands.clone()));
+            match bind_tcp("metrics", address).await {
+                Ok(listener) => {
+                    self.tasks.spawn(serve_metrics(listener, role, self.commands.clone()));
+                }
+                Err(error) => {
+                    let error = format!("{error:#}");
+                    log::warn!(error = error.as_str(); "metrics_not_served");
+                }
+            }
         }
         let outcome =
             stopping::stopped(settings.stop_grace, is_balancer, self.commands, self.status).await?;
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -117,7 +117,8 @@
     let region = reader.text("region");
     let messages = reader.listener("messages");
     let readiness = reader.optional_listener("readiness");
-    let metrics = reader.optional_listener("metrics");
+    // A node without metrics is better than none: an address that is taken is told at the start.
+    let metrics = reader.optional_address("metrics");
     let store = reader.address("store");
     let shortest_lease = reader.seconds("shortest_lease_s", DEFAULT_SHORTEST_LEASE_SECONDS);
     let seeds = reader.addresses("seeds");
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -1,7 +1,8 @@
 //! The task that owns a core and its two UDP sockets.
 
 use crate::command::{Command, NodeStatus};
-use crate::core::{Action, Core};
+use crate::core::Core;
+use loftdrift_carried::Output;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -35,7 +36,11 @@
         loop {
             let wake_at = self.wake_at();
             tokio::select! {
-                ready = self.local.readable() => if ready.is_ok() { self.take_local(&mut buffer) },
+                ready = self.local.readable() => if ready.is_ok() {
+                    // What nodes have said about a flow counts before the flow's next packet.
+                    self.take_peers(&mut buffer);
+                    self.take_local(&mut buffer);
+                },
                 ready = self.peers.readable() => if ready.is_ok() { self.take_peers(&mut buffer) },
                 () = tokio::time::sleep_until(wake_at) => {}
                 command = self.commands.recv() => match command {
@@ -101,18 +106,25 @@
         }
     }
 
+    /// Carries out what the core asks for. A datagram that the kernel does not take is lost, as on
+    /// any network.
     fn act(&mut self) {
-        while let Some(action) = self.core.take_action() {
-            // A datagram that the kernel does not take is lost, as on any network.
-            match action {
-                Action::SendLocal { to, datagram } => {
+        while let Some(output) = self.core.take_output() {
+            match output {
+                Output::ToCaller { host, datagram } => {
+                    let to = SocketAddrV4::new(host, self.core.caller_port());
                     let _ = self.local.try_send_to(&datagram, to.into());
                 }
-                Action::SendPeer { to, message } => {
+                Output::ToBackend(datagram) => {
+                    if let Some(to) = self.core.backend() {
+                        let _ = self.local.try_send_to(&datagram, to.into());
+                    }
+                }
+                Output::ToPeer { to, message } => {
                     let _ = self.peers.try_send_to(&message.encode(), to.into());
                 }
                 // One that is not fetched now is named again by the next heartbeat.
-                Action::FetchSnapshot { from } => drop(self.fetches.try_send(from)),
+                Output::FetchSnapshot { from } => drop(self.fetches.try_send(from)),
             }
         }
     }
