Keep members and configuration of both cores in one place

Ruled out: a trait over both cores (the state is the same, not only the calls).

No behaviour changes.

--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -20,6 +20,7 @@
 use crate::message::{Admission, BackendCondition, DeclineReason, LoadReport, Message, Snapshot};
 use crate::output::Output;
 use crate::segment::{Segment, SegmentFormat, flow_name};
+use crate::standing::Standing;
 use loftdrift_flow::{FlowId, FlowTable};
 use loftdrift_wire::FlowKey;
 use std::collections::{HashSet, VecDeque};
@@ -61,8 +62,7 @@
 pub struct CarriedAgent {
     settings: CarriedAgentSettings,
     format: Arc<dyn SegmentFormat>,
-    membership: Membership,
-    configuration: CarriedConfiguration,
+    standing: Standing,
     backend: Backend,
     flows: FlowTable<CarriedFlow>,
     foreign: HashSet<FlowKey>,
@@ -82,12 +82,11 @@
     /// An agent that has just started and knows nothing but its settings.
     pub fn new(settings: CarriedAgentSettings, format: Arc<dyn SegmentFormat>) -> Self {
         CarriedAgent {
-            membership: Membership::new(settings.node.clone()),
+            standing: Standing::new(settings.node.clone()),
             backend: Backend::new(settings.service.clone()),
             may_have_forgotten: !settings.is_first_start,
             settings,
             format,
-            configuration: CarriedConfiguration::default(),
             flows: FlowTable::default(),
             foreign: HashSet::new(),
             foreign_order: VecDeque::new(),
@@ -108,17 +107,17 @@
 
     /// The nodes known.
     pub fn membership(&self) -> &Membership {
-        &self.membership
+        &self.standing.membership
     }
 
     /// Version of the configuration in force.
     pub fn configuration_version(&self) -> u64 {
-        self.configuration.version
+        self.standing.configuration.version
     }
 
     /// Path of the health page of the back end's service, once the configuration tells.
     pub fn health_path(&self) -> Option<&str> {
-        let service = self.configuration.service(self.backend.service())?;
+        let service = self.standing.configuration.service(self.backend.service())?;
         Some(&service.health_path)
     }
 
@@ -129,7 +128,7 @@
 
     /// What this node gives to whoever asks.
     pub fn snapshot(&self) -> Snapshot {
-        snapshot_of(&self.membership, &self.configuration)
+        self.standing.snapshot()
     }
 
     /// Takes a node's snapshot.
@@ -142,33 +141,21 @@
 
     /// Learns of nodes by hearsay.
     pub fn learn_members(&mut self, now: Duration, members: &[(SocketAddrV4, crate::NodeRole)]) {
-        for (address, role) in members {
-            self.membership.learn(now, *address, *role);
-        }
+        self.standing.learn(now, members);
     }
 
     /// Puts a configuration in force when it is newer than the one in force.
     pub fn adopt(&mut self, configuration: CarriedConfiguration) -> bool {
-        if configuration.version <= self.configuration.version {
-            self.counters.configurations_passed_over += 1;
-            log::debug!(
-                offered = configuration.version, in_force = self.configuration.version;
-                "configuration_passed_over"
-            );
-            return false;
-        }
-        log::info!(
-            from = self.configuration.version, to = configuration.version; "configuration_adopted"
-        );
-        self.configuration = configuration;
-        self.counters.configurations_adopted += 1;
-        true
+        let is_newer = self.standing.adopt(configuration);
+        self.counters.configurations_adopted += u64::from(is_newer);
+        self.counters.configurations_passed_over += u64::from(!is_newer);
+        is_newer
     }
 
     /// Takes no new flows from now on and tells every balancer so.
     pub fn start_draining(&mut self, now: Duration) {
         self.stopping = true;
-        self.membership.hurry(now);
+        self.standing.membership.hurry(now);
         log::info!(waiting = self.waiting; "draining");
     }
 
@@ -217,7 +204,7 @@
         if before != after {
             let (from, to) = (format!("{before:?}"), format!("{after:?}"));
             log::info!(backend = id, from = from.as_str(), to = to.as_str(), waiting = self.waiting; "backend_changed");
-            self.membership.hurry(now);
+            self.standing.membership.hurry(now);
         }
     }
 
@@ -266,11 +253,9 @@
             Some(Message::Forward { datagram }) => self.deliver(now, from, datagram, true),
             Some(Message::Locate { datagram }) => self.deliver(now, from, datagram, false),
             Some(Message::Heartbeat(heartbeat)) => {
-                let heard = self.membership.on_heartbeat(now, from, &heartbeat);
-                if heartbeat.configuration > self.configuration.version {
-                    self.outputs.push_back(Output::FetchSnapshot { from });
-                }
-                if heard.is_new {
+                let (is_new, fetch) = self.standing.hear(now, from, &heartbeat);
+                self.outputs.extend(fetch);
+                if is_new {
                     self.send_heartbeat(now, from, false);
                 }
             }
@@ -280,7 +265,7 @@
 
     /// When [`CarriedAgent::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Option<Duration> {
-        [self.flows.next_wake_up(), self.membership.next_due()].into_iter().flatten().min()
+        [self.flows.next_wake_up(), self.standing.membership.next_due()].into_iter().flatten().min()
     }
 
     /// Does what is due at `now`.
@@ -288,7 +273,7 @@
         while let Some(id) = self.flows.pop_due(now) {
             self.wake(now, id);
         }
-        for (peer, wants_reply) in self.membership.take_due(now) {
+        for (peer, wants_reply) in self.standing.membership.take_due(now) {
             self.send_heartbeat(now, peer, wants_reply);
         }
     }
@@ -298,29 +283,15 @@
         CarriedAgentCounters {
             flows: self.flows.busy() as u64,
             waiting: u64::from(self.waiting),
-            peers: self.membership.len() as u64,
-            configuration_version: self.configuration.version,
+            peers: self.standing.membership.len() as u64,
+            configuration_version: self.standing.configuration.version,
             work_microseconds: (self.work.reported_seconds(now) * 1e6) as u64,
             ..self.counters
         }
     }
 
     fn send_heartbeat(&mut self, now: Duration, to: SocketAddrV4, wants_reply: bool) {
-        let mut heartbeat = self.membership.heartbeat(self.configuration.version, wants_reply);
-        heartbeat.report = Some(self.report(now));
-        self.outputs.push_back(Output::ToPeer { to, message: Message::Heartbeat(heartbeat) });
-    }
-}
-
-/// A node's snapshot: the configuration in force and every node known, itself included.
-pub(crate) fn snapshot_of(
-    membership: &Membership,
-    configuration: &CarriedConfiguration,
-) -> Snapshot {
-    let me = membership.me();
-    let peers = membership.peers().map(|(address, peer)| (*address, peer.role));
-    Snapshot {
-        configuration: (configuration.version > 0).then(|| configuration.clone()),
-        members: std::iter::once((me.address, me.role)).chain(peers).collect(),
+        let report = Some(self.report(now));
+        self.outputs.push_back(self.standing.heartbeat(to, wants_reply, report));
     }
 }
--- a/crates/carried/src/agent/phases.rs
+++ b/crates/carried/src/agent/phases.rs
@@ -23,10 +23,7 @@
     }
 
     pub(super) fn idle_timeout(&self) -> Duration {
-        match self.configuration.idle_timeout_ms {
-            0 => self.settings.longest_flow,
-            milliseconds => Duration::from_millis(u64::from(milliseconds)),
-        }
+        self.standing.idle_timeout(self.settings.longest_flow)
     }
 
     pub(super) fn remove(&mut self, id: FlowId) {
--- a/crates/carried/src/balancer/established.rs
+++ b/crates/carried/src/balancer/established.rs
@@ -12,7 +12,7 @@
             self.counters.openings_overtaken += 1;
             log::info!(
                 flow = flow_name(&flow).as_str(), asked = asked.unwrap_or_default().as_str(),
-                configuration = self.configuration.version; "opening_overtaken"
+                configuration = self.standing.configuration.version; "opening_overtaken"
             );
         }
         let idle = self.idle_timeout();
@@ -31,7 +31,7 @@
         let agents = self.locator.choose(&self.pool, &self.routes, &flow.service, except);
         log::info!(
             flow = flow_name(flow).as_str(), agents = agents.len(),
-            configuration = self.configuration.version; "flow_located"
+            configuration = self.standing.configuration.version; "flow_located"
         );
         for to in agents {
             let message = Message::Locate { datagram: datagram.to_vec() };
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -10,7 +10,6 @@
 mod established;
 mod openings;
 
-use crate::agent::snapshot_of;
 use crate::configuration::{CarriedConfiguration, RoutingTable};
 use crate::counters::CarriedBalancerCounters;
 use crate::flow_cache::FlowCache;
@@ -23,6 +22,7 @@
 use crate::output::Output;
 use crate::pool::{AgentView, Distance, Pool};
 use crate::segment::{Segment, SegmentFormat, flow_name};
+use crate::standing::Standing;
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -87,8 +87,7 @@
 /// A balancer.
 pub struct CarriedBalancer {
     format: Arc<dyn SegmentFormat>,
-    membership: Membership,
-    configuration: CarriedConfiguration,
+    standing: Standing,
     routes: RoutingTable,
     pool: Pool,
     flows: FlowCache,
@@ -106,8 +105,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
         CarriedBalancer {
             format,
-            membership: Membership::new(settings.node),
-            configuration: CarriedConfiguration::default(),
+            standing: Standing::new(settings.node),
             routes: RoutingTable::default(),
             pool: Pool::default(),
             flows: FlowCache::default(),
@@ -127,17 +125,17 @@
 
     /// The nodes known.
     pub fn membership(&self) -> &Membership {
-        &self.membership
+        &self.standing.membership
     }
 
     /// Version of the configuration in force.
     pub fn configuration_version(&self) -> u64 {
-        self.configuration.version
+        self.standing.configuration.version
     }
 
     /// Whether callers' packets should come here.
     pub fn is_ready(&self, now: Duration) -> bool {
-        let interval = self.membership.interval();
+        let interval = self.standing.membership.interval();
         !self.draining && !self.routes.is_empty() && self.pool.any_accepting(now, interval)
     }
 
@@ -149,7 +147,7 @@
 
     /// What this node gives to whoever asks.
     pub fn snapshot(&self) -> Snapshot {
-        snapshot_of(&self.membership, &self.configuration)
+        self.standing.snapshot()
     }
 
     /// Takes a node's snapshot.
@@ -162,37 +160,23 @@
 
     /// Learns of nodes by hearsay.
     pub fn learn_members(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
-        for (address, role) in members {
-            self.membership.learn(now, *address, *role);
-        }
+        self.standing.learn(now, members);
     }
 
     /// Puts a configuration in force when it is newer than the one in force.
     pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
-        if configuration.version <= self.configuration.version {
+        if !self.standing.adopt(configuration) {
             self.counters.configurations_passed_over += 1;
-            log::debug!(
-                offered = configuration.version, in_force = self.configuration.version;
-                "configuration_passed_over"
-            );
             return false;
         }
-        log::info!(
-            from = self.configuration.version, to = configuration.version,
-            routes = configuration.routes.len(); "configuration_adopted"
-        );
-        self.routes.replace(&configuration);
-        self.configuration = configuration;
+        self.routes.replace(&self.standing.configuration);
         self.counters.configurations_adopted += 1;
-        self.membership.hurry(now);
+        self.standing.membership.hurry(now);
         true
     }
 
     fn idle_timeout(&self) -> Duration {
-        match self.configuration.idle_timeout_ms {
-            0 => DEFAULT_IDLE,
-            milliseconds => Duration::from_millis(u64::from(milliseconds)),
-        }
+        self.standing.idle_timeout(DEFAULT_IDLE)
     }
 
     /// Takes a datagram of a caller.
@@ -226,25 +210,23 @@
     }
 
     fn handle_heartbeat(&mut self, now: Duration, from: SocketAddrV4, heartbeat: Heartbeat) {
-        let heard = self.membership.on_heartbeat(now, from, &heartbeat);
-        if heartbeat.configuration > self.configuration.version {
-            self.outputs.push_back(Output::FetchSnapshot { from });
-        }
+        let (is_new, fetch) = self.standing.hear(now, from, &heartbeat);
+        self.outputs.extend(fetch);
         let distance = self.distance(&heartbeat);
-        let interval = self.membership.interval();
+        let interval = self.standing.membership.interval();
         if let Some(view) = self.pool.view(&from).filter(|view| view.is_suspect(now, interval)) {
             log::info!(agent:% = from, away_ms = view.age(now).as_millis() as u64; "agent_back");
         }
         if let Some(report) = heartbeat.report {
             self.pool.take_report(now, from, Some(distance), report);
         }
-        if heard.is_new {
+        if is_new {
             self.send_heartbeat(from, false);
         }
     }
 
     fn distance(&self, heartbeat: &Heartbeat) -> Distance {
-        let me = self.membership.me();
+        let me = self.standing.membership.me();
         match (heartbeat.zone == me.zone, heartbeat.region == me.region) {
             (true, _) => Distance::SameZone,
             (false, true) => Distance::OtherZone,
@@ -253,14 +235,15 @@
     }
 
     fn send_heartbeat(&mut self, to: SocketAddrV4, wants_reply: bool) {
-        let heartbeat = self.membership.heartbeat(self.configuration.version, wants_reply);
-        let message = Message::Heartbeat(heartbeat);
-        self.outputs.push_back(Output::ToPeer { to, message });
+        self.outputs.push_back(self.standing.heartbeat(to, wants_reply, None));
     }
 
     /// When [`CarriedBalancer::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Option<Duration> {
-        [self.openings.next_wake_up(), self.membership.next_due()].into_iter().flatten().min()
+        [self.openings.next_wake_up(), self.standing.membership.next_due()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Does what is due at `now`.
@@ -268,7 +251,7 @@
         while let Some(number) = self.openings.pop_due(now) {
             self.wake_opening(now, number);
         }
-        for (peer, wants_reply) in self.membership.take_due(now) {
+        for (peer, wants_reply) in self.standing.membership.take_due(now) {
             self.send_heartbeat(peer, wants_reply);
         }
         self.flows.sweep(now);
@@ -277,8 +260,8 @@
 
     /// Forgets agents that the membership has forgotten.
     fn forget_agents(&mut self) {
-        if self.pool.len() > self.membership.len() {
-            let membership = &self.membership;
+        if self.pool.len() > self.standing.membership.len() {
+            let membership = &self.standing.membership;
             self.pool.forget(|agent| membership.knows(agent));
         }
     }
@@ -286,11 +269,11 @@
     /// What was counted so far, with the gauges of now.
     pub fn counters(&self, now: Duration) -> CarriedBalancerCounters {
         CarriedBalancerCounters {
-            configuration_version: self.configuration.version,
+            configuration_version: self.standing.configuration.version,
             flows: self.flows.len() as u64,
             agents: self.pool.len() as u64,
-            agents_suspect: self.pool.suspects(now, self.membership.interval()) as u64,
-            peers: self.membership.len() as u64,
+            agents_suspect: self.pool.suspects(now, self.standing.membership.interval()) as u64,
+            peers: self.standing.membership.len() as u64,
             ..self.counters
         }
     }
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -44,7 +44,7 @@
         let route = self.routes.route(&flow.service);
         let parts = route.map(|route| route.parts.as_slice()).unwrap_or_default();
         let is_part = parts.iter().any(|part| part.service == view.report.service);
-        is_part && !view.is_suspect(now, self.membership.interval())
+        is_part && !view.is_suspect(now, self.standing.membership.interval())
     }
 
     /// A caller repeats the opening packet of a flow that has been placed: its answer was lost.
@@ -64,7 +64,7 @@
 
     /// Takes an opening as far as it goes without another word from an agent.
     pub(super) fn advance(&mut self, now: Duration, number: u64) {
-        let interval = self.membership.interval();
+        let interval = self.standing.membership.interval();
         let random = &mut self.random;
         let Some(opening) = self.openings.get_mut(number) else { return };
         if opening.is_pending() {
@@ -94,7 +94,7 @@
 
     /// Everybody who seems able to take the flow was asked, and nobody has.
     pub(super) fn settle_unplaced(&mut self, now: Duration, number: u64) {
-        let interval = self.membership.interval();
+        let interval = self.standing.membership.interval();
         let Some(opening) = self.openings.get_mut(number) else { return };
         let age = opening.age(now);
         let is_full = opening.was_declined(DeclineReason::Busy)
@@ -165,7 +165,7 @@
             age_ms = opening.map_or(0, |opening| opening.age(now).as_millis() as u64),
             service = opening.map_or("", |opening| opening.service.as_str()),
             asked = opening.map(|opening| self.describe_asked(now, opening)).unwrap_or_default().as_str(),
-            configuration = self.configuration.version; "opening_refused"
+            configuration = self.standing.configuration.version; "opening_refused"
         );
         let datagram = self.format.reset(segment);
         self.outputs.push_back(Output::ToCaller { host: *segment.source.ip(), datagram });
@@ -178,7 +178,7 @@
             flow = flow_name(&opening.flow()).as_str(), reason = refusal.name(),
             age_ms = opening.age(now).as_millis() as u64,
             asked = self.describe_asked(now, opening).as_str(),
-            configuration = self.configuration.version; "opening_left_to_copies"
+            configuration = self.standing.configuration.version; "opening_left_to_copies"
         );
     }
 
@@ -219,7 +219,7 @@
             service = opening.service.as_str(), age_us = opening.age(now).as_micros() as u64,
             copy = opening.segment.acknowledgement,
             asked = self.describe_asked(now, &opening).as_str(),
-            configuration = self.configuration.version; "opening_placed"
+            configuration = self.standing.configuration.version; "opening_placed"
         );
         self.flows.insert(now, self.idle_timeout(), opening.flow(), from);
     }
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -22,6 +22,7 @@
 mod plain_format;
 mod pool;
 mod segment;
+mod standing;
 
 pub use agent::{CarriedAgent, CarriedAgentSettings};
 pub use backend::{BackendReport, ReportOutcome};
--- /dev/null
+++ b/crates/carried/src/standing.rs
@@ -0,0 +1,90 @@
+//! What a node knows of the system besides its own work: the members and the configuration.
+
+use crate::configuration::CarriedConfiguration;
+use crate::membership::{Membership, Node};
+use crate::message::{Heartbeat, Message, NodeRole, Snapshot};
+use crate::output::Output;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+/// Members and configuration, as one node knows them.
+#[derive(Debug)]
+pub(crate) struct Standing {
+    pub(crate) membership: Membership,
+    pub(crate) configuration: CarriedConfiguration,
+}
+
+impl Standing {
+    /// A node that knows nothing but itself.
+    pub(crate) fn new(node: Node) -> Self {
+        Standing {
+            membership: Membership::new(node),
+            configuration: CarriedConfiguration::default(),
+        }
+    }
+
+    pub(crate) fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
+        for (address, role) in members {
+            self.membership.learn(now, *address, *role);
+        }
+    }
+
+    /// The configuration in force and every node known, itself included.
+    pub(crate) fn snapshot(&self) -> Snapshot {
+        let me = self.membership.me();
+        let peers = self.membership.peers().map(|(address, peer)| (*address, peer.role));
+        let is_known = self.configuration.version > 0;
+        Snapshot {
+            configuration: is_known.then(|| self.configuration.clone()),
+            members: std::iter::once((me.address, me.role)).chain(peers).collect(),
+        }
+    }
+
+    /// Puts a configuration in force when it is newer than the one in force.
+    pub(crate) fn adopt(&mut self, configuration: CarriedConfiguration) -> bool {
+        let in_force = self.configuration.version;
+        if configuration.version <= in_force {
+            log::debug!(offered = configuration.version, in_force; "configuration_passed_over");
+            return false;
+        }
+        log::info!(
+            from = in_force, to = configuration.version, routes = configuration.routes.len();
+            "configuration_adopted"
+        );
+        self.configuration = configuration;
+        true
+    }
+
+    /// Takes a peer's heartbeat; `true` when the peer is new. A peer that is ahead is asked for a
+    /// snapshot.
+    pub(crate) fn hear(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        heartbeat: &Heartbeat,
+    ) -> (bool, Option<Output>) {
+        let heard = self.membership.on_heartbeat(now, from, heartbeat);
+        let is_ahead = heartbeat.configuration > self.configuration.version;
+        (heard.is_new, is_ahead.then_some(Output::FetchSnapshot { from }))
+    }
+
+    /// The heartbeat to a peer, with an agent's load.
+    pub(crate) fn heartbeat(
+        &self,
+        to: SocketAddrV4,
+        wants_reply: bool,
+        report: Option<crate::message::LoadReport>,
+    ) -> Output {
+        let version = self.configuration.version;
+        let heartbeat = Heartbeat { report, ..self.membership.heartbeat(version, wants_reply) };
+        Output::ToPeer { to, message: Message::Heartbeat(heartbeat) }
+    }
+
+    /// Rest after which a flow may be forgotten; `default` until a configuration tells.
+    pub(crate) fn idle_timeout(&self, default: Duration) -> Duration {
+        match self.configuration.idle_timeout_ms {
+            0 => default,
+            milliseconds => Duration::from_millis(u64::from(milliseconds)),
+        }
+    }
+}
