Break the circuit of a back end that fails what it is asked

Nothing looked at what answers said.

Balancers hear a condition of its own and ask such an agent only where the service has no other. Failures do not count as work. Balancers now hear at once when a silence or a rest is over; before, only with the next heartbeat.

An end that stands behind missing data now waits for it.

--- a/crates/carried/src/agent/flow.rs
+++ b/crates/carried/src/agent/flow.rs
@@ -19,6 +19,8 @@
         /// Requests in the system when it began, this one included.
         in_system: u32,
     },
+    /// A request waits far longer than requests do here; it was counted as failed.
+    Overdue,
     /// Nothing is owed.
     Resting,
     /// One end has finished.
@@ -28,9 +30,14 @@
 }
 
 impl Phase {
+    /// Whether a request waits for its answer.
+    pub(super) fn is_waiting(self) -> bool {
+        matches!(self, Phase::Waiting { .. } | Phase::Overdue)
+    }
+
     /// Whether the back end has something to do, or is about to.
     pub(super) fn burdens(self) -> bool {
-        matches!(self, Phase::Offered { .. } | Phase::Answered | Phase::Waiting { .. })
+        matches!(self, Phase::Offered { .. } | Phase::Answered) || self.is_waiting()
     }
 }
 
@@ -40,6 +47,8 @@
     pub(super) balancer: SocketAddrV4,
     pub(super) phase: Phase,
     pub(super) since: Duration,
+    /// The caller has finished; while a request waits, it has given that up.
+    pub(super) caller_left: bool,
     /// End of the caller's data so far, in its sequence numbers.
     pub(super) caller_end: Option<u32>,
     /// End of the back end's data so far, in the numbers that the caller acknowledges.
@@ -48,7 +57,14 @@
 
 impl CarriedFlow {
     pub(super) fn new(now: Duration, balancer: SocketAddrV4, phase: Phase) -> Self {
-        CarriedFlow { balancer, phase, since: now, caller_end: None, backend_end: None }
+        CarriedFlow {
+            balancer,
+            phase,
+            since: now,
+            caller_left: false,
+            caller_end: None,
+            backend_end: None,
+        }
     }
 
     /// Whether a caller's packet carries data that has not come before.
@@ -60,7 +76,14 @@
 
     /// Whether a caller's packet is the first of a request.
     pub(super) fn begins_request(&self, segment: &Segment) -> bool {
-        !matches!(self.phase, Phase::Waiting { .. }) && self.is_new_data(segment)
+        !self.phase.is_waiting() && self.is_new_data(segment)
+    }
+
+    /// Whether a packet without data that ends a flow stands behind data which has not come.
+    pub(super) fn is_ahead_of_answer(&self, segment: &Segment) -> bool {
+        let is_ahead = |known: u32| segment.sequence.wrapping_sub(known) as i32 > OPENING_NUMBERS;
+        let ends = segment.finishes && segment.payload_bytes == 0;
+        ends && self.backend_end.is_some_and(is_ahead)
     }
 
     /// Whether a caller's packet can be of this flow and not of another one between the same
@@ -74,5 +97,7 @@
     }
 }
 
+/// Sequence numbers that an opening packet takes.
+const OPENING_NUMBERS: i32 = 1;
 /// Further apart, in bytes, are no two packets of one flow that are under way.
 const LARGEST_WINDOW: u32 = 1 << 18;
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -8,11 +8,14 @@
 
 mod flow;
 mod offers;
+mod outcomes;
 mod packets;
 mod phases;
 
 use self::flow::{CarriedFlow, Phase};
+use self::outcomes::RequestOutcome;
 use crate::backend::{Backend, BackendReport, ReportOutcome};
+use crate::breaker::{Breaker, BreakerState};
 use crate::configuration::CarriedConfiguration;
 use crate::counters::CarriedAgentCounters;
 use crate::load::WorkMeter;
@@ -36,8 +39,14 @@
 const SILENCE_LASTS: Duration = Duration::from_millis(800);
 /// A caller that does not go on after the back end's answer has gone elsewhere.
 const HANDSHAKE_PATIENCE: Duration = Duration::from_millis(400);
-/// A request that gets no answer for so long burdens the back end no more.
+/// A request that is overdue for so long burdens the back end no more.
 const WAITING_PATIENCE: Duration = Duration::from_secs(6);
+/// A request is overdue after so many times the time that it is expected to take, ...
+const OVERDUE_TIMES: u32 = 10;
+/// ... but not before so long, ...
+const SOONEST_OVERDUE: Duration = Duration::from_millis(700);
+/// ... and never later than this.
+const LATEST_OVERDUE: Duration = Duration::from_secs(3);
 /// A flow that both ends may still speak of after its end is remembered for so long.
 const CLOSING_LASTS: Duration = Duration::from_secs(3);
 /// A back end whose first heartbeat heard here is one of its first began beside this very process.
@@ -69,10 +78,13 @@
     foreign_order: VecDeque<FlowKey>,
     waiting: u32,
     work: WorkMeter,
+    breaker: Breaker,
     /// The back end may hold flows that an earlier process of this agent knew.
     may_have_forgotten: bool,
     unanswered: u32,
     silent_until: Option<Duration>,
+    /// The condition that balancers were told last.
+    told: BackendCondition,
     stopping: bool,
     outputs: VecDeque<Output>,
     counters: CarriedAgentCounters,
@@ -92,8 +104,10 @@
             foreign_order: VecDeque::new(),
             waiting: 0,
             work: WorkMeter::default(),
+            breaker: Breaker::new(),
             unanswered: 0,
             silent_until: None,
+            told: BackendCondition::Unknown,
             stopping: false,
             outputs: VecDeque::new(),
             counters: CarriedAgentCounters::default(),
@@ -167,7 +181,6 @@
     /// Takes a heartbeat of the back end.
     pub fn take_report(&mut self, now: Duration, report: &BackendReport) -> ReportOutcome {
         self.counters.backend_reports += 1;
-        let before = self.condition(now);
         let is_first = !self.backend.has_reported();
         let outcome = self.backend.take_report(now, report);
         if is_first && report.sequence <= FRESH_SEQUENCE {
@@ -181,37 +194,43 @@
         if outcome != ReportOutcome::Outdated {
             self.silent_until = None;
         }
-        self.tell_change(now, before, &report.id);
+        self.tell_change(now, &report.id);
         outcome
     }
 
     /// Takes the back end's word that it leaves.
     pub fn take_departure(&mut self, now: Duration, id: &str) {
-        let before = self.condition(now);
         self.backend.take_departure(id);
-        self.tell_change(now, before, id);
+        self.tell_change(now, id);
     }
 
     /// Takes the answer to a question about the back end's health.
     pub fn take_health(&mut self, now: Duration, is_healthy: bool) {
-        let before = self.condition(now);
         self.backend.take_health(is_healthy);
-        self.tell_change(now, before, "asked");
+        self.tell_change(now, "asked");
     }
 
-    fn tell_change(&mut self, now: Duration, before: BackendCondition, id: &str) {
+    /// Has balancers hear of a condition that they were not told.
+    fn tell_change(&mut self, now: Duration, cause: &str) {
         let after = self.condition(now);
+        let before = std::mem::replace(&mut self.told, after);
         if before != after {
             let (from, to) = (format!("{before:?}"), format!("{after:?}"));
-            log::info!(backend = id, from = from.as_str(), to = to.as_str(), waiting = self.waiting; "backend_changed");
+            log::info!(backend = cause, from = from.as_str(), to = to.as_str(), waiting = self.waiting; "backend_changed");
             self.standing.membership.hurry(now);
         }
     }
 
+    /// When the condition changes by itself: a silence or a rest is over.
+    fn condition_changes_at(&self) -> Option<Duration> {
+        [self.silent_until, self.breaker.rests_until()].into_iter().flatten().min()
+    }
+
     /// The back end has started anew. Flows of its earlier start are over, but some may have opened
     /// since, before this heartbeat came: the back end tells which it holds.
     fn doubt_flows(&mut self, now: Duration) {
         self.work = WorkMeter::default();
+        self.breaker = Breaker::new();
         for id in self.flows.ids() {
             let phase = self.flows.get(id).map(|flow| flow.body.phase);
             // One that is being opened is answered by this start or by none.
@@ -229,6 +248,9 @@
             BackendCondition::Accepting if self.silent_until.is_some_and(|until| now < until) => {
                 BackendCondition::Silent
             }
+            BackendCondition::Accepting if self.breaker.state(now) == BreakerState::Open => {
+                BackendCondition::Failing
+            }
             condition => condition,
         }
     }
@@ -266,7 +288,9 @@
 
     /// When [`CarriedAgent::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Option<Duration> {
-        [self.flows.next_wake_up(), self.standing.membership.next_due()].into_iter().flatten().min()
+        let changes_at = self.condition_changes_at();
+        let due = [self.flows.next_wake_up(), self.standing.membership.next_due(), changes_at];
+        due.into_iter().flatten().min()
     }
 
     /// Does what is due at `now`.
@@ -274,6 +298,11 @@
         while let Some(id) = self.flows.pop_due(now) {
             self.wake(now, id);
         }
+        if self.condition_changes_at().is_some_and(|at| at <= now) {
+            self.silent_until = self.silent_until.filter(|until| now < *until);
+            self.breaker.wake(now);
+            self.tell_change(now, "rested");
+        }
         for (peer, wants_reply) in self.standing.membership.take_due(now) {
             self.send_heartbeat(now, peer, wants_reply);
         }
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -49,13 +49,21 @@
         if service != self.backend.service() {
             return Some(DeclineReason::OtherService);
         }
-        if self.condition(now) != BackendCondition::Accepting {
-            return Some(DeclineReason::NotAccepting);
+        let is_last_resort = matches!(admission, Admission::Failing(_));
+        match self.condition(now) {
+            BackendCondition::Accepting => {}
+            BackendCondition::Failing if is_last_resort => {}
+            BackendCondition::Failing => return Some(DeclineReason::Failing),
+            _ => return Some(DeclineReason::NotAccepting),
+        }
+        let breaks = self.breaker_limit(now).is_some_and(|limit| self.waiting >= limit);
+        if breaks && !is_last_resort {
+            return Some(DeclineReason::Failing);
         }
         let capacity = u32::from(self.backend.capacity());
         let limit = match admission {
             Admission::FreeSlot => capacity,
-            Admission::Within(milliseconds) => {
+            Admission::Within(milliseconds) | Admission::Failing(milliseconds) => {
                 let budget = Duration::from_millis(u64::from(milliseconds));
                 self.work.admission_limit(capacity, budget)
             }
@@ -76,6 +84,7 @@
             DeclineReason::Returned => self.counters.declined_returned += 1,
             DeclineReason::NotAccepting => self.counters.declined_not_accepting += 1,
             DeclineReason::OtherService => self.counters.declined_other_service += 1,
+            DeclineReason::Failing => self.counters.declined_failing += 1,
         }
         let report = self.report(now);
         log::info!(
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -88,7 +88,8 @@
         let Some(flow) = self.flows.get_mut(id) else { return };
         let body = &mut flow.body;
         if segment.resets || segment.finishes {
-            if !matches!(body.phase, Phase::Waiting { .. }) || segment.resets {
+            body.caller_left = true;
+            if !body.phase.is_waiting() || segment.resets {
                 self.set_phase(now, id, Phase::Closing);
             }
             return;
@@ -104,7 +105,7 @@
             return;
         }
         body.caller_end = Some(segment.end());
-        if matches!(body.phase, Phase::Waiting { .. }) {
+        if body.phase.is_waiting() {
             return;
         }
         let already = u32::from(body.phase.burdens());
@@ -131,7 +132,7 @@
         }
         self.counters.packets_answered += 1;
         match self.flows.find(&flow) {
-            Some(id) => self.follow_backend(now, id, &segment),
+            Some(id) => self.follow_backend(now, id, &segment, &datagram),
             None => self.remember(now, flow),
         }
         let host = *flow.caller.ip();
@@ -158,11 +159,18 @@
         self.set_phase(now, id, Phase::Resting);
     }
 
-    pub(super) fn follow_backend(&mut self, now: Duration, id: FlowId, segment: &Segment) {
+    pub(super) fn follow_backend(
+        &mut self,
+        now: Duration,
+        id: FlowId,
+        segment: &Segment,
+        datagram: &[u8],
+    ) {
         let Some(flow) = self.flows.get_mut(id) else { return };
+        let is_early = flow.body.is_ahead_of_answer(segment);
         flow.body.backend_end = Some(segment.end());
         let (balancer, phase, since) = (flow.body.balancer, flow.body.phase, flow.body.since);
-        let key = flow.key;
+        let (key, caller_left) = (flow.key, flow.body.caller_left);
         match phase {
             Phase::Offered { number } if segment.opens => {
                 let message = Message::Placed { number, report: self.report(now) };
@@ -170,10 +178,20 @@
                 self.set_phase(now, id, Phase::Answered);
             }
             Phase::Waiting { in_system } if segment.payload_bytes > 0 => {
-                let capacity = u32::from(self.backend.capacity());
-                self.work.record(now, now.saturating_sub(since), in_system, capacity);
+                let outcome = self.outcome(in_system, datagram);
+                if outcome == RequestOutcome::Answered {
+                    let capacity = u32::from(self.backend.capacity());
+                    self.work.record(now, now.saturating_sub(since), in_system, capacity);
+                }
+                self.note_outcome(now, &key, outcome);
                 self.set_phase(now, id, Phase::Resting);
             }
+            // Packets overtake each other: the answer that this one stands behind is to come.
+            Phase::Waiting { .. } if is_early => return,
+            Phase::Waiting { .. } if (segment.resets || segment.finishes) && !caller_left => {
+                self.note_outcome(now, &key, RequestOutcome::BrokenOff);
+            }
+            Phase::Overdue if segment.payload_bytes > 0 => self.set_phase(now, id, Phase::Resting),
             Phase::Tried => {
                 self.tell_held(balancer, &key);
                 self.set_phase(now, id, Phase::Resting);
--- a/crates/carried/src/agent/phases.rs
+++ b/crates/carried/src/agent/phases.rs
@@ -16,12 +16,20 @@
         match phase {
             Phase::Offered { .. } => OPENING_PATIENCE,
             Phase::Answered => HANDSHAKE_PATIENCE,
-            Phase::Waiting { .. } => WAITING_PATIENCE,
+            Phase::Waiting { in_system } => self.overdue_after(in_system),
+            Phase::Overdue => WAITING_PATIENCE,
             Phase::Resting | Phase::Tried => self.idle_timeout(),
             Phase::Closing => CLOSING_LASTS,
         }
     }
 
+    /// After how long a request that began with so many in the system is overdue.
+    fn overdue_after(&self, in_system: u32) -> Duration {
+        let capacity = u32::from(self.backend.capacity());
+        let expected = self.work.expected(in_system, capacity);
+        (expected * OVERDUE_TIMES).clamp(SOONEST_OVERDUE, LATEST_OVERDUE)
+    }
+
     pub(super) fn idle_timeout(&self) -> Duration {
         self.standing.idle_timeout(self.settings.longest_flow)
     }
@@ -50,8 +58,13 @@
                 self.set_phase(now, id, Phase::Resting);
             }
             Phase::Waiting { .. } => {
+                let key = flow.key;
+                self.note_outcome(now, &key, RequestOutcome::Overdue);
+                self.set_phase(now, id, Phase::Overdue);
+            }
+            Phase::Overdue => {
                 log::warn!(
-                    flow = flow_name(&flow.key).as_str(), age_ms = WAITING_PATIENCE.as_millis() as u64;
+                    flow = flow_name(&flow.key).as_str(), overdue_ms = WAITING_PATIENCE.as_millis() as u64;
                     "request_unanswered_by_backend"
                 );
                 self.set_phase(now, id, Phase::Resting);
@@ -66,9 +79,8 @@
         if self.unanswered < SILENT_AFTER {
             return;
         }
-        let before = self.condition(now);
+        self.counters.backend_silences += u64::from(self.told != BackendCondition::Silent);
         self.silent_until = Some(now + SILENCE_LASTS);
-        self.counters.backend_silences += u64::from(before != BackendCondition::Silent);
-        self.tell_change(now, before, "silent");
+        self.tell_change(now, "silent");
     }
 }
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -104,6 +104,11 @@
             if let Some(agent) = self.pool.suspect(now, interval, &opening.service, asked) {
                 return self.offer(now, number, agent);
             }
+            let asked = |agent: &SocketAddrV4| opening.has_asked_failing(agent);
+            if let Some(agent) = self.pool.failing(now, interval, &opening.service, asked) {
+                opening.is_last_resort = true;
+                return self.offer(now, number, agent);
+            }
         }
         let has_unanswered = opening.has_unanswered();
         let refusal = match (has_unanswered, is_full) {
@@ -127,12 +132,12 @@
 
     pub(super) fn offer(&mut self, now: Duration, number: u64, agent: SocketAddrV4) {
         let Some(opening) = self.openings.get_mut(number) else { return };
-        let admission = match opening.wants_queue {
-            false => Admission::FreeSlot,
-            true => {
-                let budget = opening.aim.mul_f64(QUEUE_SHARE).saturating_sub(opening.age(now));
-                Admission::Within(budget.as_millis() as u32)
-            }
+        let budget = opening.aim.mul_f64(QUEUE_SHARE).saturating_sub(opening.age(now));
+        let budget_ms = budget.as_millis() as u32;
+        let admission = match (opening.is_last_resort, opening.wants_queue) {
+            (true, _) => Admission::Failing(budget_ms),
+            (false, true) => Admission::Within(budget_ms),
+            (false, false) => Admission::FreeSlot,
         };
         opening.asked.push(Asked { agent, admission, answer: Answer::Pending });
         let message = Message::Offer {
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -79,6 +79,12 @@
         declined_not_accepting,
         /// Offers declined because they are for another service.
         declined_other_service,
+        /// Offers declined because the back end fails what it is asked.
+        declined_failing,
+        /// Requests that the back end failed, refused with a slot free, broke off, or left unanswered.
+        requests_failed,
+        /// Times that the circuit breaker opened.
+        breaker_openings,
         /// Packets passed to the back end.
         packets_delivered,
         /// Packets of the back end passed to callers.
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -10,6 +10,7 @@
 mod agent;
 mod backend;
 mod balancer;
+mod breaker;
 mod configuration;
 mod counters;
 mod flow_cache;
@@ -37,4 +38,4 @@
 };
 pub use output::Output;
 pub use plain_format::PlainFormat;
-pub use segment::{Segment, SegmentError, SegmentFormat, flow_name};
+pub use segment::{AnswerOutcome, Segment, SegmentError, SegmentFormat, flow_name};
--- a/crates/carried/src/load.rs
+++ b/crates/carried/src/load.rs
@@ -37,6 +37,13 @@
         u32::try_from(age).unwrap_or(u32::MAX)
     }
 
+    /// Mean time until an answer for a request that begins with so many in the system; nothing when
+    /// no request was measured.
+    pub(crate) fn expected(&self, in_system: u32, capacity: u32) -> Duration {
+        let crowding = (f64::from(in_system) / f64::from(capacity.max(1))).max(1.0);
+        Duration::from_secs_f64(self.mean_seconds.unwrap_or(0.0) * crowding)
+    }
+
     /// How many requests may be in the system so that the last one is answered within `budget`.
     pub(crate) fn admission_limit(&self, capacity: u32, budget: Duration) -> u32 {
         let rounds = match self.mean_seconds {
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -23,6 +23,8 @@
     FreeSlot,
     /// When the request can still be answered within so many milliseconds.
     Within(u32),
+    /// As `Within`, though the back end fails: no other one is there.
+    Failing(u32),
 }
 
 /// Whether the back end beside an agent takes new flows.
@@ -37,6 +39,8 @@
     Silent,
     /// It leaves, has left, or its agent stops.
     Leaving,
+    /// It fails what it is asked and rests.
+    Failing,
 }
 
 /// An agent's load, as only it knows it.
@@ -70,6 +74,8 @@
     NotAccepting,
     /// The back end is of another service.
     OtherService,
+    /// The back end fails what it is asked.
+    Failing,
 }
 
 impl DeclineReason {
@@ -80,6 +86,7 @@
             DeclineReason::Returned => "returned_by_backend",
             DeclineReason::NotAccepting => "not_accepting",
             DeclineReason::OtherService => "other_service",
+            DeclineReason::Failing => "failing",
         }
     }
 }
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -43,6 +43,8 @@
     pub(crate) asked: Vec<Asked>,
     /// Nobody has a free slot: whoever can answer in time is asked.
     pub(crate) wants_queue: bool,
+    /// No back end of the service is there but ones that fail.
+    pub(crate) is_last_resort: bool,
     wake_at: Duration,
 }
 
@@ -69,6 +71,12 @@
         })
     }
 
+    /// Whether an agent was asked though its back end fails.
+    pub(crate) fn has_asked_failing(&self, agent: &SocketAddrV4) -> bool {
+        let is_last_resort = |asked: &Asked| matches!(asked.admission, Admission::Failing(_));
+        self.asked.iter().any(|asked| asked.agent == *agent && is_last_resort(asked))
+    }
+
     /// Offers made in the round under way.
     pub(crate) fn asked_in_round(&self) -> usize {
         let in_round =
@@ -146,6 +154,7 @@
             copied_at: now,
             asked: Vec::new(),
             wants_queue: false,
+            is_last_resort: false,
             wake_at: now,
         };
         self.by_flow.insert(segment.flow(), number);
--- a/crates/carried/src/plain_format.rs
+++ b/crates/carried/src/plain_format.rs
@@ -2,7 +2,7 @@
 //!
 //! A packet is a `bincode` head followed by its data.
 
-use crate::segment::{Segment, SegmentError, SegmentFormat};
+use crate::segment::{AnswerOutcome, Segment, SegmentError, SegmentFormat};
 use bincode::{Decode, Encode};
 use std::net::SocketAddrV4;
 
@@ -27,6 +27,11 @@
 pub struct PlainFormat;
 
 impl PlainFormat {
+    /// The answer of a back end that failed.
+    pub const FAILED: &'static [u8] = b"failed";
+    /// The answer of a back end that did not take the request.
+    pub const REFUSED: &'static [u8] = b"refused";
+
     /// The packet that a segment describes, with its data.
     pub fn write(segment: &Segment, data: &[u8]) -> Vec<u8> {
         let head = Head {
@@ -89,6 +94,14 @@
         PlainFormat::write(&reset, &[])
     }
 
+    fn answer_outcome(&self, datagram: &[u8]) -> AnswerOutcome {
+        match PlainFormat::data(datagram) {
+            data if data == PlainFormat::FAILED => AnswerOutcome::Failed,
+            data if data == PlainFormat::REFUSED => AnswerOutcome::Refused,
+            _ => AnswerOutcome::Answered,
+        }
+    }
+
     fn clear_returned(&self, datagram: &mut [u8]) {
         if let Some(mark) = datagram.get_mut(RETURNED_AT) {
             *mark = 0;
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -126,9 +126,23 @@
         suspects.max_by_key(|(_, view)| view.heard_at()).map(|(agent, _)| *agent)
     }
 
+    /// An agent of a service whose back end fails what it is asked, the emptiest one.
+    pub(crate) fn failing(
+        &self,
+        now: Duration,
+        interval: Duration,
+        service: &str,
+        asked: impl Fn(&AgentId) -> bool,
+    ) -> Option<AgentId> {
+        let failing = self.of_service(service).filter(|(agent, view)| {
+            view.may_fail() && !view.is_suspect(now, interval) && !asked(agent)
+        });
+        failing.min_by_key(|(_, view)| view.report.waiting).map(|(agent, _)| *agent)
+    }
+
     /// Whether any agent that was heard lately takes new flows.
     pub(crate) fn any_accepting(&self, now: Duration, interval: Duration) -> bool {
-        self.agents.values().any(|view| view.is_accepting() && !view.is_suspect(now, interval))
+        self.agents.values().any(|view| view.may_fail() && !view.is_suspect(now, interval))
     }
 
     pub(crate) fn suspects(&self, now: Duration, interval: Duration) -> usize {
--- a/crates/carried/src/segment.rs
+++ b/crates/carried/src/segment.rs
@@ -78,6 +78,17 @@
     Oversized,
 }
 
+/// What a back end said to a request, as far as the first packet of its answer tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerOutcome {
+    /// The request was answered, or the packet does not tell otherwise.
+    Answered,
+    /// The back end failed.
+    Failed,
+    /// The back end did not take the request.
+    Refused,
+}
+
 /// How packets of carried flows are written. An implementation translates and decides nothing.
 pub trait SegmentFormat: Send + Sync {
     /// Reads a datagram.
@@ -89,6 +100,11 @@
         let _ = datagram;
         None
     }
+    /// What the back end said, read from the first packet of its answer.
+    fn answer_outcome(&self, datagram: &[u8]) -> AnswerOutcome {
+        let _ = datagram;
+        AnswerOutcome::Answered
+    }
     /// Takes the mark of a packet that a back end sent back off it, so that it is as its sender
     /// wrote it.
     fn clear_returned(&self, datagram: &mut [u8]);
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -123,6 +123,11 @@
         self.report.condition == BackendCondition::Accepting
     }
 
+    /// Whether new flows are taken, be it as a last resort.
+    pub(crate) fn may_fail(&self) -> bool {
+        self.is_accepting() || self.report.condition == BackendCondition::Failing
+    }
+
     pub(crate) fn is_suspect(&self, now: Duration, interval: Duration) -> bool {
         let is_unheard = self.age(now) > interval * SUSPECT_INTERVALS;
         is_unheard || self.unanswered >= SUSPECT_AFTER
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -276,3 +276,29 @@
     assert!(!has_reset(&outputs_of(&mut balancer)));
     assert_eq!(balancer.counters(milliseconds(1_500)).openings_overtaken, 1);
 }
+
+#[test]
+fn a_back_end_that_fails_is_asked_only_where_no_other_is_there() {
+    let failing = LoadReport { condition: BackendCondition::Failing, ..load(SERVICE, 0) };
+    let mut balancer = balancer(2);
+    tell(&mut balancer, milliseconds(1), 1, failing.clone());
+    balancer.handle_caller(milliseconds(2), &packet(&opening(1)));
+    let offer = offers(&outputs_of(&mut balancer))[0];
+    assert_eq!(offer.0, agent_address(2));
+    let message = Message::Declined {
+        number: offer.1,
+        reason: DeclineReason::Failing,
+        report: failing.clone(),
+    };
+    balancer.handle_peer(milliseconds(3), offer.0, &message.encode());
+    let outputs = outputs_of(&mut balancer);
+    assert!(!has_reset(&outputs));
+    let asked = outputs.iter().any(|output| {
+        let admission = match output {
+            Output::ToPeer { message: Message::Offer { admission, .. }, .. } => *admission,
+            _ => return false,
+        };
+        matches!(admission, loftdrift_carried::Admission::Failing(_))
+    });
+    assert!(asked, "{outputs:?}");
+}
--- a/crates/lab/src/carried/backend.rs
+++ b/crates/lab/src/carried/backend.rs
@@ -1,5 +1,6 @@
 //! A simulated back end: slots, a short queue, flows of its own.
 
+use super::fault::FailureMode;
 use loftdrift_carried::{BackendReport, PlainFormat, Segment, SegmentFormat};
 use loftdrift_wire::FlowKey;
 use std::collections::{HashMap, VecDeque};
@@ -44,6 +45,8 @@
     /// When the agent had taken the word that it leaves.
     pub(super) leaving_since: Option<Duration>,
     pub(super) sequence: u64,
+    /// How it fails what it is asked, while it does.
+    pub(super) failing: Option<FailureMode>,
     slots: usize,
     busy: usize,
     queue: VecDeque<FlowKey>,
@@ -60,6 +63,7 @@
             is_leaving: false,
             leaving_since: None,
             sequence: 0,
+            failing: None,
             slots,
             busy: 0,
             queue: VecDeque::new(),
@@ -97,6 +101,18 @@
         if segment.payload_bytes > 0 && flow.stage == Stage::Opened {
             flow.stage = Stage::Working;
             flow.request = PlainFormat::data(packet).to_vec();
+            let said = match self.failing {
+                Some(FailureMode::Fail) => PlainFormat::FAILED,
+                Some(FailureMode::Refuse) => PlainFormat::REFUSED,
+                Some(FailureMode::Hang) => return reaction,
+                None => &[],
+            };
+            if !said.is_empty() {
+                flow.stage = Stage::Answered;
+                flow.request = said.to_vec();
+                reaction.packets.push(answer(&key, flow));
+                return reaction;
+            }
             self.queue.push_back(key);
             reaction.began = self.begin();
         } else if segment.payload_bytes > 0 && flow.stage == Stage::Answered {
--- a/crates/lab/src/carried/caller.rs
+++ b/crates/lab/src/carried/caller.rs
@@ -21,6 +21,8 @@
     },
     Served,
     Refused,
+    /// The back end said that it failed.
+    Failed,
     Lost,
 }
 
@@ -145,7 +147,12 @@
                 CallerStep { was_broken: true, ..CallerStep::default() }
             }
             CallerState::Open { sequence } if segment.payload_bytes > 0 => {
-                if PlainFormat::data(packet) != self.request() {
+                let data = PlainFormat::data(packet);
+                if data == PlainFormat::FAILED || data == PlainFormat::REFUSED {
+                    self.state = CallerState::Failed;
+                    return self.send_end(sequence.wrapping_add(u32::from(segment.payload_bytes)));
+                }
+                if data != self.request() {
                     return CallerStep { was_mixed: true, ..CallerStep::default() };
                 }
                 self.state = CallerState::Served;
--- a/crates/lab/src/carried/fault.rs
+++ b/crates/lab/src/carried/fault.rs
@@ -2,6 +2,17 @@
 
 use std::time::Duration;
 
+/// How a back end fails what it is asked, though it calls itself ready.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FailureMode {
+    /// It answers at once that it failed.
+    Fail,
+    /// It answers at once that it did not take the request.
+    Refuse,
+    /// It takes the request and never answers.
+    Hang,
+}
+
 /// One thing that happens. Nodes and back ends are named by their numbers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CarriedFault {
@@ -31,6 +42,8 @@
     ReplaceBackend(usize),
     /// A back end ends without a word and starts again.
     CrashBackend(usize, Duration),
+    /// A back end fails what it is asked.
+    FailBackend(usize, FailureMode, Duration),
 }
 
 /// A fault with its time.
--- a/crates/lab/src/carried/mod.rs
+++ b/crates/lab/src/carried/mod.rs
@@ -9,7 +9,7 @@
 mod random_days;
 mod world;
 
-pub use fault::{CarriedFault, TimedFault};
+pub use fault::{CarriedFault, FailureMode, TimedFault};
 pub use outcome::CarriedOutcome;
 pub use random_days::random_day;
 pub use world::{CarriedWorld, CarriedWorldSettings};
--- a/crates/lab/src/carried/outcome.rs
+++ b/crates/lab/src/carried/outcome.rs
@@ -1,6 +1,6 @@
 //! What callers and back ends of a simulated day saw.
 
-/// Counts of one day. All but the first four must stay 0.
+/// Counts of one day. All but the first five must stay 0.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CarriedOutcome {
     /// Requests asked.
@@ -9,6 +9,8 @@
     pub served: u64,
     /// Requests given up after their last try was refused.
     pub refused: u64,
+    /// Requests that their back end failed.
+    pub failed: u64,
     /// Requests without an answer at their deadline.
     pub lost: u64,
     /// Open flows that were reset though their back end lived.
@@ -30,7 +32,8 @@
 impl CarriedOutcome {
     /// Whether every rule was kept.
     pub fn keeps_the_rules(&self) -> bool {
-        let CarriedOutcome { asked, served, refused, lost, .. } = *self;
-        *self == CarriedOutcome { asked, served, refused, lost, ..CarriedOutcome::default() }
+        let CarriedOutcome { asked, served, refused, failed, lost, .. } = *self;
+        *self
+            == CarriedOutcome { asked, served, refused, failed, lost, ..CarriedOutcome::default() }
     }
 }
--- a/crates/lab/src/carried/world/backends.rs
+++ b/crates/lab/src/carried/world/backends.rs
@@ -47,6 +47,12 @@
         self.schedule_heartbeat(agent, Duration::from_millis(20));
     }
 
+    pub(super) fn backend_well(&mut self, agent: usize, start: u64) {
+        if self.backends[agent].start == start {
+            self.backends[agent].failing = None;
+        }
+    }
+
     pub(super) fn deliver_to_backend(&mut self, agent: usize, packet: &[u8]) {
         if !self.backends[agent].is_alive {
             return;
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -32,6 +32,11 @@
             }
             CarriedFault::MoveRoute => self.move_route(),
             CarriedFault::ReplaceBackend(agent) => self.backends[agent].is_leaving = true,
+            CarriedFault::FailBackend(agent, mode, lasts) => {
+                self.backends[agent].failing = Some(mode);
+                let start = self.backends[agent].start;
+                self.events.push(self.now + lasts, Event::BackendWell { agent, start });
+            }
             CarriedFault::CrashBackend(agent, down) => {
                 if self.backends[agent].is_alive {
                     self.backends[agent].is_alive = false;
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -91,6 +91,7 @@
     BackendHeartbeat { agent: usize, start: u64 },
     BackendGone { agent: usize, start: u64 },
     StartBackend { agent: usize },
+    BackendWell { agent: usize, start: u64 },
     Probe,
     StoreLook { node: usize, starts: u64 },
     GiveSnapshot { from: usize, to: usize, starts: u64 },
@@ -173,6 +174,7 @@
             match caller.state {
                 CallerState::Served => self.outcome.served += 1,
                 CallerState::Refused => self.outcome.refused += 1,
+                CallerState::Failed => self.outcome.failed += 1,
                 _ => self.outcome.lost += 1,
             }
         }
@@ -193,6 +195,7 @@
             Event::BackendHeartbeat { agent, start } => self.heartbeat(agent, start),
             Event::BackendGone { agent, start } => self.backend_gone(agent, start),
             Event::StartBackend { agent } => self.start_backend(agent),
+            Event::BackendWell { agent, start } => self.backend_well(agent, start),
             Event::Probe => self.probe(),
             Event::StoreLook { node, starts } => self.store_look(node, starts),
             Event::GiveSnapshot { from, to, starts } => self.give_snapshot(from, to, starts),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -30,7 +30,8 @@
 pub use backend::BackendBehaviour;
 pub use caller::CallerBehaviour;
 pub use carried::{
-    CarriedFault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, TimedFault, random_day,
+    CarriedFault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, FailureMode, TimedFault,
+    random_day,
 };
 pub use compare::{Comparison, compare};
 pub use explore::{Failure, explore, shrink};
--- a/crates/lab/tests/carried.rs
+++ b/crates/lab/tests/carried.rs
@@ -2,8 +2,8 @@
 //! days. Every seed is fixed.
 
 use loftdrift_lab::{
-    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, TimedFault,
-    random_day,
+    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, FailureMode,
+    TimedFault, random_day,
 };
 use std::time::Duration;
 
@@ -118,6 +118,24 @@
     assert_kept(play(&[(4.0, Fault::CrashBackend(0, seconds(4.0)))]), 0.99);
 }
 
+#[test]
+fn back_ends_that_fail_what_they_are_asked_get_little_of_it() {
+    for mode in [FailureMode::Fail, FailureMode::Refuse, FailureMode::Hang] {
+        let outcome = play(&[(4.0, Fault::FailBackend(0, mode, seconds(8.0)))]);
+        assert!(outcome.keeps_the_rules(), "{mode:?}: {outcome:?}");
+        let unserved = outcome.asked - outcome.served;
+        assert!(unserved <= 20, "{mode:?}: {outcome:?}");
+    }
+}
+
+#[test]
+fn where_all_back_ends_fail_callers_hear_so_and_all_is_well_soon_after() {
+    let day: Vec<_> = (0..9)
+        .map(|agent| (4.0, Fault::FailBackend(agent, FailureMode::Fail, seconds(3.0))))
+        .collect();
+    assert_kept(play(&day), 0.75);
+}
+
 #[test]
 fn random_days_break_no_rule() {
     let settings = CarriedWorldSettings::default();
