Limit a queue by the mean only once enough was measured

The first answers of a back end are those of its shortest requests; the first one alone made the mean, and 5 ms of work let in 100 requests.

Ruled out: flows that agents had forgotten (all 46 came through offers); copies.

Change: no more than two rounds of slots until two answers a slot were measured; the mean is a plain one until its ten first.

Tests: two new ones, red before; the test of a measured back end measures eight answers instead of one and now asserts the exact number that is taken.

--- a/crates/carried/src/load.rs
+++ b/crates/carried/src/load.rs
@@ -4,8 +4,11 @@
 
 /// Share of a new measurement in the mean.
 const NEW_SHARE: f64 = 0.1;
-/// Slots' worth of requests that are taken before anything was measured.
+/// Slots' worth of requests that are taken at most before enough was measured.
 const UNMEASURED_ROUNDS: f64 = 2.0;
+/// So many answers a slot are enough. The first answers are those of the shortest requests: their
+/// mean lets in far more than the back end can answer in time.
+const ENOUGH_ROUNDS: u32 = 2;
 
 /// Mean time from a request to its answer, less what it waited for a slot.
 #[derive(Debug, Default)]
@@ -13,6 +16,8 @@
     /// `None` before any measurement.
     mean_seconds: Option<f64>,
     measured_at: Duration,
+    /// Measurements so far.
+    measured: u32,
 }
 
 impl WorkMeter {
@@ -21,8 +26,11 @@
     pub(crate) fn record(&mut self, now: Duration, took: Duration, in_system: u32, capacity: u32) {
         let crowding = (f64::from(in_system) / f64::from(capacity.max(1))).max(1.0);
         let measured = took.as_secs_f64() / crowding;
+        self.measured = self.measured.saturating_add(1);
+        // A plain mean until the share of a new measurement has fallen to its usual size.
+        let share = NEW_SHARE.max(1.0 / f64::from(self.measured));
         let mean = self.mean_seconds.unwrap_or(measured);
-        self.mean_seconds = Some(mean + NEW_SHARE * (measured - mean));
+        self.mean_seconds = Some(mean + share * (measured - mean));
         self.measured_at = now;
     }
 
@@ -50,6 +58,8 @@
             Some(mean) => budget.as_secs_f64() / mean.max(LEAST_SECONDS),
             None => UNMEASURED_ROUNDS,
         };
+        let is_enough = self.measured >= capacity * ENOUGH_ROUNDS;
+        let rounds = if is_enough { rounds } else { rounds.min(UNMEASURED_ROUNDS) };
         let limit = f64::from(capacity) * rounds;
         (limit.min(f64::from(u16::MAX)) as u32).max(capacity)
     }
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -2,7 +2,8 @@
 
 mod support;
 
-use loftdrift_carried::{Admission, DeclineReason, Message, Output, Segment};
+use loftdrift_carried::{Admission, CarriedAgent, DeclineReason, Message, Output, Segment};
+use std::time::Duration;
 use support::*;
 
 #[test]
@@ -18,24 +19,56 @@
     assert_eq!(declined(&outputs(&mut agent)), Some(DeclineReason::Busy));
 }
 
+/// Opens a flow, asks, and is answered after `took`.
+fn ask_and_answer(agent: &mut CarriedAgent, now: Duration, port: u16, took: Duration) {
+    open(agent, now, port, 500);
+    let request = Message::Forward { datagram: packet(&data(port, 101, 501)) }.encode();
+    agent.handle_peer(now, balancer_address(), &request);
+    let response = Segment { payload_bytes: 10, ..answer(port, 501) };
+    agent.handle_backend(now + took, packet(&response));
+    outputs(agent);
+}
+
+/// How many flows are taken that are to be answered within 152 ms.
+fn taken_at_once(agent: &mut CarriedAgent, now: Duration) -> u16 {
+    let within = Admission::Within(152);
+    (1..=200)
+        .take_while(|port| {
+            agent.handle_peer(now, balancer_address(), &offer(1, 1_000 + port, within));
+            declined(&outputs(agent)).is_none()
+        })
+        .count() as u16
+}
+
 #[test]
 fn a_measured_back_end_gets_what_it_can_answer_in_time() {
     let mut agent = agent(true);
     agent.take_report(milliseconds(0), &report("one", 1, true));
-    open(&mut agent, milliseconds(1), 1, 500);
-    let request = Message::Forward { datagram: packet(&data(1, 101, 501)) }.encode();
-    agent.handle_peer(milliseconds(2), balancer_address(), &request);
-    let response = Segment { payload_bytes: 10, ..answer(1, 501) };
-    agent.handle_backend(milliseconds(52), packet(&response));
-    outputs(&mut agent);
+    for port in 1..=8 {
+        ask_and_answer(&mut agent, milliseconds(100 * u64::from(port)), port, milliseconds(50));
+    }
     // 50 ms a request, 4 slots, 152 ms: three rounds.
-    for port in 2..=13 {
-        let offer = offer(1, port, Admission::Within(152));
-        agent.handle_peer(milliseconds(60), balancer_address(), &offer);
-        assert_eq!(declined(&outputs(&mut agent)), None, "flow {port}");
+    assert_eq!(taken_at_once(&mut agent, milliseconds(1_000)), 12);
+}
+
+#[test]
+fn the_first_quick_answers_do_not_open_the_gates() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    ask_and_answer(&mut agent, milliseconds(1), 1, milliseconds(5));
+    // At 5 ms a request 121 would be taken.
+    assert_eq!(taken_at_once(&mut agent, milliseconds(10)), 8);
+}
+
+#[test]
+fn one_quick_answer_among_the_first_does_not_make_the_mean() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    for port in 1..=8 {
+        let took = if port == 1 { 5 } else { 50 };
+        ask_and_answer(&mut agent, milliseconds(100 * u64::from(port)), port, milliseconds(took));
     }
-    agent.handle_peer(milliseconds(60), balancer_address(), &offer(1, 14, Admission::Within(152)));
-    assert_eq!(declined(&outputs(&mut agent)), Some(DeclineReason::Busy));
+    assert_eq!(taken_at_once(&mut agent, milliseconds(1_000)), 13);
 }
 
 #[test]
