--- a/crates/bench/benches/carried.rs
+++ b/crates/bench/benches/carried.rs
@@ -9,7 +9,6 @@
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::sync::Arc;
 use std::time::Duration;
 
 #[global_allocator]
@@ -93,7 +92,7 @@
         incarnation: 1,
     };
     let settings = CarriedBalancerSettings { node, seed: 1 };
-    let mut balancer = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
     balancer.adopt(Duration::ZERO, configuration(services));
     let with_routes = held();
     let now = Duration::from_millis(10);
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -22,13 +22,13 @@
 use crate::membership::{Membership, Node};
 use crate::message::{Admission, BackendCondition, DeclineReason, LoadReport, Message, Snapshot};
 use crate::output::Output;
+use crate::plain_format::PlainFormat;
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use crate::standing::Standing;
 use loftdrift_flow::{FlowId, FlowTable};
 use loftdrift_wire::FlowKey;
 use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// An opening packet that the back end has not answered for so long speaks for its silence.
@@ -68,9 +68,9 @@
 }
 
 /// An agent.
-pub struct CarriedAgent {
+pub struct CarriedAgent<F = PlainFormat> {
     settings: CarriedAgentSettings,
-    format: Arc<dyn SegmentFormat>,
+    format: F,
     standing: Standing,
     backend: Backend,
     flows: FlowTable<CarriedFlow>,
@@ -90,9 +90,9 @@
     counters: CarriedAgentCounters,
 }
 
-impl CarriedAgent {
+impl<F: SegmentFormat> CarriedAgent<F> {
     /// An agent that has just started and knows nothing but its settings.
-    pub fn new(settings: CarriedAgentSettings, format: Arc<dyn SegmentFormat>) -> Self {
+    pub fn new(settings: CarriedAgentSettings, format: F) -> Self {
         CarriedAgent {
             standing: Standing::new(settings.node.clone()),
             backend: Backend::new(settings.service.clone()),
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl CarriedAgent {
+impl<F: SegmentFormat> CarriedAgent<F> {
     pub(super) fn handle_offer(
         &mut self,
         now: Duration,
--- a/crates/carried/src/agent/outcomes.rs
+++ b/crates/carried/src/agent/outcomes.rs
@@ -39,7 +39,7 @@
     }
 }
 
-impl CarriedAgent {
+impl<F: SegmentFormat> CarriedAgent<F> {
     /// What the first packet of an answer says of a request that began with so many in the system.
     pub(super) fn outcome(&self, in_system: u32, datagram: &[u8]) -> RequestOutcome {
         let is_crowded = in_system > u32::from(self.backend.capacity());
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl CarriedAgent {
+impl<F: SegmentFormat> CarriedAgent<F> {
     /// Passes a caller's packet to the back end when its flow lives here. A forwarded packet goes
     /// back to the balancer when it does not; a located one was sent to others as well.
     pub(super) fn deliver(
--- a/crates/carried/src/agent/phases.rs
+++ b/crates/carried/src/agent/phases.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl CarriedAgent {
+impl<F: SegmentFormat> CarriedAgent<F> {
     pub(super) fn set_phase(&mut self, now: Duration, id: FlowId, phase: Phase) {
         let lasts = self.phase_lasts(phase);
         let Some(flow) = self.flows.get_mut(id) else { return };
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -20,6 +20,7 @@
 };
 use crate::opening::{Answer, Asked, Opening, Openings};
 use crate::output::Output;
+use crate::plain_format::PlainFormat;
 use crate::pool::Pool;
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use crate::standing::Standing;
@@ -29,7 +30,6 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::time::Duration;
 
 /// An agent has so long to answer an offer before the next one is asked as well.
@@ -86,8 +86,8 @@
 }
 
 /// A balancer.
-pub struct CarriedBalancer {
-    format: Arc<dyn SegmentFormat>,
+pub struct CarriedBalancer<F = PlainFormat> {
+    format: F,
     standing: Standing,
     routes: RoutingTable,
     pool: Pool,
@@ -100,9 +100,9 @@
     counters: CarriedBalancerCounters,
 }
 
-impl CarriedBalancer {
+impl<F: SegmentFormat> CarriedBalancer<F> {
     /// A balancer that has just started and knows nothing but its settings.
-    pub fn new(settings: CarriedBalancerSettings, format: Arc<dyn SegmentFormat>) -> Self {
+    pub fn new(settings: CarriedBalancerSettings, format: F) -> Self {
         let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
         CarriedBalancer {
             format,
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -2,7 +2,7 @@
 
 use super::*;
 
-impl CarriedBalancer {
+impl<F: SegmentFormat> CarriedBalancer<F> {
     pub(super) fn handle_opening(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
         let flow = segment.flow();
         if let Some(number) = self.openings.number_of(&flow) {
--- a/crates/carried/src/segment.rs
+++ b/crates/carried/src/segment.rs
@@ -90,7 +90,7 @@
 }
 
 /// How packets of carried flows are written. An implementation translates and decides nothing.
-pub trait SegmentFormat: Send + Sync {
+pub trait SegmentFormat: Send + Sync + 'static {
     /// Reads a datagram.
     fn parse(&self, datagram: &[u8]) -> Result<Segment, SegmentError>;
     /// A reset that answers a caller's packet.
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -3,11 +3,10 @@
 mod support;
 
 use loftdrift_carried::{
-    BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason, Heartbeat,
-    LoadReport, Message, NodeRole, Output, PlainFormat, Segment,
+    BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason, LoadReport, Message,
+    NodeRole, Output, PlainFormat, Segment,
 };
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::time::Duration;
 use support::*;
 
@@ -23,24 +22,11 @@
     }
 }
 
-fn tell(balancer: &mut CarriedBalancer, now: Duration, agent: u8, report: LoadReport) {
-    let heartbeat = Heartbeat {
-        role: NodeRole::Agent,
-        zone: "a".to_owned(),
-        region: "r".to_owned(),
-        incarnation: 1,
-        configuration: 1,
-        report: Some(report),
-        wants_reply: false,
-    };
-    balancer.handle_peer(now, agent_address(agent), &Message::Heartbeat(heartbeat).encode());
-}
-
 /// A balancer with a route to `SERVICE` and `agents` agents of it.
 fn balancer(agents: u8) -> CarriedBalancer {
     let settings =
         CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed: 1 };
-    let mut balancer = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
     let routes = vec![route(service_address(), SERVICE)];
     balancer.adopt(milliseconds(0), configuration(1, routes));
     for agent in 1..=agents {
@@ -50,20 +36,6 @@
     balancer
 }
 
-fn outputs_of(balancer: &mut CarriedBalancer) -> Vec<Output> {
-    std::iter::from_fn(|| balancer.take_output()).collect()
-}
-
-fn offers(outputs: &[Output]) -> Vec<(SocketAddrV4, u64)> {
-    outputs
-        .iter()
-        .filter_map(|output| match output {
-            Output::ToPeer { to, message: Message::Offer { number, .. } } => Some((*to, *number)),
-            _ => None,
-        })
-        .collect()
-}
-
 fn has_reset(outputs: &[Output]) -> bool {
     outputs.iter().any(|output| matches!(output, Output::ToCaller { .. }))
 }
@@ -148,7 +120,7 @@
     let first_number = |seed: u64| {
         let settings =
             CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed };
-        let mut balancer = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+        let mut balancer = CarriedBalancer::new(settings, PlainFormat);
         balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
         tell(&mut balancer, milliseconds(0), 1, load(SERVICE, 0));
         balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
@@ -201,7 +173,7 @@
 
     let settings =
         CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed: 1 };
-    let mut unconfigured = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+    let mut unconfigured = CarriedBalancer::new(settings, PlainFormat);
     unconfigured.handle_caller(milliseconds(1), &packet(&elsewhere));
     assert!(!has_reset(&outputs_of(&mut unconfigured)));
     assert!(!unconfigured.is_ready(milliseconds(1)));
--- a/crates/carried/tests/choice.rs
+++ b/crates/carried/tests/choice.rs
@@ -3,12 +3,11 @@
 mod support;
 
 use loftdrift_carried::{
-    BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason, Heartbeat,
-    LoadReport, Message, NodeRole, Output, PlainFormat,
+    BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason, LoadReport, Message,
+    NodeRole, PlainFormat,
 };
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::time::Duration;
 use support::*;
 
@@ -25,40 +24,15 @@
     }
 }
 
-fn tell(balancer: &mut CarriedBalancer, now: Duration, agent: u8, report: LoadReport) {
-    let heartbeat = Heartbeat {
-        role: NodeRole::Agent,
-        zone: "a".to_owned(),
-        region: "r".to_owned(),
-        incarnation: 1,
-        configuration: 1,
-        report: Some(report),
-        wants_reply: false,
-    };
-    balancer.handle_peer(now, agent_address(agent), &Message::Heartbeat(heartbeat).encode());
-}
-
 fn balancer(seed: u64) -> CarriedBalancer {
     let node = node(balancer_address(), NodeRole::Balancer);
     let settings = CarriedBalancerSettings { node, seed };
-    let mut balancer = CarriedBalancer::new(settings, Arc::new(PlainFormat));
+    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
     let routes = vec![route(service_address(), SERVICE)];
     balancer.adopt(milliseconds(0), configuration(1, routes));
     balancer
 }
 
-fn outputs_of(balancer: &mut CarriedBalancer) -> Vec<Output> {
-    std::iter::from_fn(|| balancer.take_output()).collect()
-}
-
-fn offers(outputs: &[Output]) -> Vec<(SocketAddrV4, u64)> {
-    let offer = |output: &Output| match output {
-        Output::ToPeer { to, message: Message::Offer { number, .. } } => Some((*to, *number)),
-        _ => None,
-    };
-    outputs.iter().filter_map(offer).collect()
-}
-
 fn first_offer(balancer: &mut CarriedBalancer, now: Duration, port: u16) -> (SocketAddrV4, u64) {
     outputs_of(balancer);
     balancer.handle_caller(now, &packet(&opening(port)));
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -2,12 +2,11 @@
 #![allow(dead_code, missing_docs)]
 
 use loftdrift_carried::{
-    Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedConfiguration,
-    DeclineReason, Message, Node, NodeRole, Output, Part, PlainFormat, Route, Segment,
-    ServiceSettings,
+    Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer,
+    CarriedConfiguration, DeclineReason, Heartbeat, LoadReport, Message, Node, NodeRole, Output,
+    Part, PlainFormat, Route, Segment, ServiceSettings,
 };
 use std::net::SocketAddrV4;
-use std::sync::Arc;
 use std::time::Duration;
 
 pub const SERVICE: &str = "tiles";
@@ -61,7 +60,7 @@
         longest_flow: Duration::from_secs(60),
         is_first_start,
     };
-    CarriedAgent::new(settings, Arc::new(PlainFormat))
+    CarriedAgent::new(settings, PlainFormat)
 }
 
 pub fn report(id: &str, sequence: u64, is_ready: bool) -> BackendReport {
@@ -128,3 +127,31 @@
     let syn_ack = Segment { opens: true, ..answer(port, sequence) };
     agent.handle_backend(now, packet(&syn_ack));
 }
+
+/// Has an agent tell a balancer its load.
+pub fn tell(balancer: &mut CarriedBalancer, now: Duration, agent: u8, report: LoadReport) {
+    let heartbeat = Heartbeat {
+        role: NodeRole::Agent,
+        zone: "a".to_owned(),
+        region: "r".to_owned(),
+        incarnation: 1,
+        configuration: 1,
+        report: Some(report),
+        wants_reply: false,
+    };
+    balancer.handle_peer(now, agent_address(agent), &Message::Heartbeat(heartbeat).encode());
+}
+
+pub fn outputs_of(balancer: &mut CarriedBalancer) -> Vec<Output> {
+    std::iter::from_fn(|| balancer.take_output()).collect()
+}
+
+pub fn offers(outputs: &[Output]) -> Vec<(SocketAddrV4, u64)> {
+    outputs
+        .iter()
+        .filter_map(|output| match output {
+            Output::ToPeer { to, message: Message::Offer { number, .. } } => Some((*to, *number)),
+            _ => None,
+        })
+        .collect()
+}
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -22,7 +22,6 @@
 use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddrV4};
-use std::sync::Arc;
 use std::time::Duration;
 
 const PEER_PORT: u16 = 7_720;
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -12,7 +12,7 @@
         process.wake_at = None;
         let starts = process.starts;
         let me = self.describe(node, starts);
-        let format = Arc::new(PlainFormat);
+        let format = PlainFormat;
         let core = if node < settings.balancers {
             let seed = self.random.random();
             let settings = CarriedBalancerSettings { node: me, seed };
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -3,20 +3,20 @@
 use crate::command::NodeStatus;
 use crate::core::Core;
 use loftdrift_carried::{
-    BackendReport, CarriedAgent, CarriedConfiguration, NodeRole, Output, Snapshot,
+    BackendReport, CarriedAgent, CarriedConfiguration, NodeRole, Output, SegmentFormat, Snapshot,
 };
 use loftdrift_counters::{CounterSet, Sample};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 /// An agent with the addresses that its packets go to.
-pub(crate) struct AgentCore {
-    pub(crate) agent: CarriedAgent,
+pub(crate) struct AgentCore<F> {
+    pub(crate) agent: CarriedAgent<F>,
     pub(crate) backend: SocketAddrV4,
     pub(crate) caller_port: u16,
 }
 
-impl Core for AgentCore {
+impl<F: SegmentFormat> Core for AgentCore<F> {
     fn handle_local(&mut self, now: Duration, datagram: &[u8]) {
         self.agent.handle_backend(now, datagram.to_vec());
     }
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -2,7 +2,9 @@
 
 use crate::command::NodeStatus;
 use crate::core::Core;
-use loftdrift_carried::{CarriedBalancer, CarriedConfiguration, NodeRole, Output, Snapshot};
+use loftdrift_carried::{
+    CarriedBalancer, CarriedConfiguration, NodeRole, Output, SegmentFormat, Snapshot,
+};
 use loftdrift_counters::{CounterSet, Sample};
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -11,13 +13,13 @@
 const QUIET: Duration = Duration::from_millis(400);
 
 /// A balancer with the port at which callers take packets.
-pub(crate) struct BalancerCore {
-    pub(crate) balancer: CarriedBalancer,
+pub(crate) struct BalancerCore<F> {
+    pub(crate) balancer: CarriedBalancer<F>,
     pub(crate) caller_port: u16,
     pub(crate) last_packet: Duration,
 }
 
-impl Core for BalancerCore {
+impl<F: SegmentFormat> Core for BalancerCore<F> {
     fn handle_local(&mut self, now: Duration, datagram: &[u8]) {
         self.last_packet = now;
         self.balancer.handle_caller(now, datagram);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -21,7 +21,6 @@
 use loftdrift_http::{Answer, text_answer};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
-use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
@@ -39,10 +38,10 @@
 const SOCKET_BUFFER_BYTES: usize = 1024 * 1024;
 
 /// Runs a node until it is asked to stop.
-pub async fn run<S: SharedStore, I: Interface>(
+pub async fn run<F: SegmentFormat, S: SharedStore, I: Interface>(
     file: PathBuf,
     settings: NodeSettings,
-    format: Arc<dyn SegmentFormat>,
+    format: F,
     interface: I,
     store: S,
 ) -> Result<()> {
@@ -63,10 +62,10 @@
     }
 }
 
-async fn run_balancer<S: SharedStore, I: Interface>(
+async fn run_balancer<F: SegmentFormat, S: SharedStore, I: Interface>(
     settings: NodeSettings,
     place: BalancerPlace,
-    format: Arc<dyn SegmentFormat>,
+    format: F,
     interface: I,
     store: S,
 ) -> Result<()> {
@@ -83,10 +82,10 @@
     node.run(settings, interface, store, None).await
 }
 
-async fn run_agent<S: SharedStore, I: Interface>(
+async fn run_agent<F: SegmentFormat, S: SharedStore, I: Interface>(
     settings: NodeSettings,
     place: AgentPlace,
-    format: Arc<dyn SegmentFormat>,
+    format: F,
     interface: I,
     store: S,
 ) -> Result<()> {
