Latency histograms, store calls by outcome, dropped lines among the metrics

Cause: the metrics told counts only; how long an offer, an opening, a handshake or an answer took, what calls to the store came to, how old a configuration is and how many log lines were dropped was in the logs at best.

Change: histograms from the metrics library (0.5 ms to 8 s), filled by the cores and listed beside their counters; a store client that counts and times the calls of the one it wraps; gauges for the configuration's age and the newest version that a peer has told of. The page of metrics has a module of its own.

--- a/crates/app/src/metrics.rs
+++ b/crates/app/src/metrics.rs
@@ -13,7 +13,7 @@
 
 /// A channel on which a process publishes its counters.
 pub fn channel(role: &'static str) -> (watch::Sender<PublishedSet>, watch::Receiver<PublishedSet>) {
-    watch::channel(PublishedSet { role, samples: Vec::new() })
+    watch::channel(PublishedSet { role, samples: Vec::new(), histograms: Vec::new() })
 }
 
 /// Publishes a counter set.
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -18,6 +18,7 @@
 use crate::breaker::{Breaker, BreakerState};
 use crate::configuration::CarriedConfiguration;
 use crate::counters::CarriedAgentCounters;
+use crate::latency::AgentLatency;
 use crate::load::WorkMeter;
 use crate::membership::{Membership, Node};
 use crate::message::{Admission, BackendCondition, DeclineReason, LoadReport, Message, Snapshot};
@@ -25,6 +26,7 @@
 use crate::plain_format::PlainFormat;
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use crate::standing::Standing;
+use loftdrift_counters::Histogram;
 use loftdrift_flow::{FlowId, FlowTable};
 use loftdrift_wire::FlowKey;
 use std::collections::{HashSet, VecDeque};
@@ -88,6 +90,7 @@
     stopping: bool,
     outputs: VecDeque<Output>,
     counters: CarriedAgentCounters,
+    latency: AgentLatency,
 }
 
 impl<F: SegmentFormat> CarriedAgent<F> {
@@ -111,6 +114,7 @@
             stopping: false,
             outputs: VecDeque::new(),
             counters: CarriedAgentCounters::default(),
+            latency: AgentLatency::default(),
         }
     }
 
@@ -149,7 +153,7 @@
     pub fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
         self.learn_members(now, &snapshot.members);
         if let Some(configuration) = snapshot.configuration {
-            self.adopt(configuration);
+            self.adopt(now, configuration);
         }
     }
 
@@ -159,8 +163,8 @@
     }
 
     /// Puts a configuration in force when it is newer than the one in force.
-    pub fn adopt(&mut self, configuration: CarriedConfiguration) -> bool {
-        let is_newer = self.standing.adopt(configuration);
+    pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
+        let is_newer = self.standing.adopt(now, configuration);
         self.counters.configurations_adopted += u64::from(is_newer);
         self.counters.configurations_passed_over += u64::from(!is_newer);
         is_newer
@@ -308,13 +312,20 @@
         }
     }
 
+    /// What was measured so far.
+    pub fn histograms(&self) -> Vec<Histogram> {
+        self.latency.histograms()
+    }
+
     /// What was counted so far, with the gauges of now.
-    pub fn counters(&self) -> CarriedAgentCounters {
+    pub fn counters(&self, now: Duration) -> CarriedAgentCounters {
         CarriedAgentCounters {
             flows: self.flows.busy() as u64,
             waiting: u64::from(self.waiting),
             peers: self.standing.membership.len() as u64,
             configuration_version: self.standing.configuration.version,
+            configuration_newest_heard: self.standing.newest_heard(),
+            configuration_age_seconds: self.standing.configuration_age(now).as_secs(),
             work_microseconds: u64::from(self.work.mean_us()),
             ..self.counters
         }
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -175,9 +175,11 @@
             Phase::Offered { number } if segment.opens => {
                 let message = Message::Placed { number, report: self.report(now) };
                 self.outputs.push_back(Output::ToPeer { to: balancer, message });
+                self.latency.handshake.observe(now.saturating_sub(since));
                 self.set_phase(now, id, Phase::Answered);
             }
             Phase::Waiting { in_system } if segment.payload_bytes > 0 => {
+                self.latency.answer.observe(now.saturating_sub(since));
                 let outcome = self.outcome(in_system, datagram);
                 if outcome == RequestOutcome::Answered {
                     let capacity = u32::from(self.backend.capacity());
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -13,6 +13,7 @@
 use crate::configuration::{CarriedConfiguration, RoutingTable};
 use crate::counters::CarriedBalancerCounters;
 use crate::flow_cache::FlowCache;
+use crate::latency::BalancerLatency;
 use crate::locating::Locator;
 use crate::membership::{Membership, Node};
 use crate::message::{
@@ -25,6 +26,7 @@
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use crate::standing::Standing;
 use crate::view::{AgentView, Distance};
+use loftdrift_counters::Histogram;
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -98,6 +100,7 @@
     draining: bool,
     outputs: VecDeque<Output>,
     counters: CarriedBalancerCounters,
+    latency: BalancerLatency,
 }
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
@@ -116,6 +119,7 @@
             draining: false,
             outputs: VecDeque::new(),
             counters: CarriedBalancerCounters::default(),
+            latency: BalancerLatency::default(),
         }
     }
 
@@ -166,7 +170,7 @@
 
     /// Puts a configuration in force when it is newer than the one in force.
     pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
-        if !self.standing.adopt(configuration) {
+        if !self.standing.adopt(now, configuration) {
             self.counters.configurations_passed_over += 1;
             return false;
         }
@@ -267,10 +271,17 @@
         }
     }
 
+    /// What was measured so far.
+    pub fn histograms(&self) -> Vec<Histogram> {
+        self.latency.histograms()
+    }
+
     /// What was counted so far, with the gauges of now.
     pub fn counters(&self, now: Duration) -> CarriedBalancerCounters {
         CarriedBalancerCounters {
             configuration_version: self.standing.configuration.version,
+            configuration_newest_heard: self.standing.newest_heard(),
+            configuration_age_seconds: self.standing.configuration_age(now).as_secs(),
             flows: self.flows.len() as u64,
             agents: self.pool.len() as u64,
             agents_suspect: self.pool.suspects(now, self.standing.membership.interval()) as u64,
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -139,7 +139,7 @@
             (false, true) => Admission::Within(budget_ms),
             (false, false) => Admission::FreeSlot,
         };
-        opening.asked.push(Asked { agent, admission, answer: Answer::Pending });
+        opening.asked.push(Asked { agent, admission, answer: Answer::Pending, asked_at: now });
         let message = Message::Offer {
             number,
             service: opening.service.clone(),
@@ -219,6 +219,9 @@
         }
         let Some(opening) = self.openings.finish(number) else { return };
         self.counters.openings_placed += 1;
+        self.note_answer(now, &opening, from);
+        self.latency.opening.observe(opening.age(now));
+        self.latency.offers.observe_count(opening.asked.len());
         log::info!(
             flow = flow_name(&opening.flow()).as_str(), agent:% = from,
             service = opening.service.as_str(), age_us = opening.age(now).as_micros() as u64,
@@ -229,6 +232,13 @@
         self.flows.insert(now, self.idle_timeout(), opening.flow(), from);
     }
 
+    fn note_answer(&self, now: Duration, opening: &Opening, from: SocketAddrV4) {
+        let made = opening.asked.iter().rev().find(|asked| asked.agent == from);
+        if let Some(asked) = made {
+            self.latency.offer.observe(now.saturating_sub(asked.asked_at));
+        }
+    }
+
     pub(super) fn handle_declined(
         &mut self,
         now: Duration,
@@ -240,8 +250,9 @@
         self.counters.offers_declined += 1;
         self.pool.take_report(now, from, None, report);
         let Some(opening) = self.openings.get_mut(number) else { return };
-        if let Some(answer) = opening.answer_of(from) {
-            *answer = Answer::Declined(reason);
+        if let Some(asked) = opening.last_offer_to(from) {
+            asked.answer = Answer::Declined(reason);
+            self.latency.offer.observe(now.saturating_sub(asked.asked_at));
         }
         self.advance(now, number);
     }
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -53,6 +53,10 @@
     gauges {
         /// Version of the configuration in force.
         configuration_version,
+        /// Newest version that a peer has told of.
+        configuration_newest_heard,
+        /// Seconds since the configuration in force was adopted.
+        configuration_age_seconds,
         /// Flows remembered.
         flows,
         /// Agents known.
@@ -113,6 +117,10 @@
     gauges {
         /// Version of the configuration in force.
         configuration_version,
+        /// Newest version that a peer has told of.
+        configuration_newest_heard,
+        /// Seconds since the configuration in force was adopted.
+        configuration_age_seconds,
         /// Flows remembered.
         flows,
         /// Requests that wait for an answer.
--- /dev/null
+++ b/crates/carried/src/latency.rs
@@ -0,0 +1,65 @@
+//! How long what a core waits for takes.
+
+use loftdrift_counters::Histogram;
+
+/// What a balancer of carried flows measures.
+#[derive(Clone, Debug)]
+pub struct BalancerLatency {
+    /// From an offer to the agent's word.
+    pub(crate) offer: Histogram,
+    /// From an opening packet to its flow's place.
+    pub(crate) opening: Histogram,
+    /// Offers that it took.
+    pub(crate) offers: Histogram,
+}
+
+impl Default for BalancerLatency {
+    fn default() -> Self {
+        BalancerLatency {
+            offer: Histogram::seconds("offer_answer_seconds", "From an offer to the agent's word."),
+            opening: Histogram::seconds(
+                "opening_seconds",
+                "From a caller's opening packet until an agent has placed the flow.",
+            ),
+            offers: Histogram::counts("opening_offers", "Offers until a flow was placed."),
+        }
+    }
+}
+
+impl BalancerLatency {
+    /// All of them.
+    pub fn histograms(&self) -> Vec<Histogram> {
+        vec![self.offer.clone(), self.opening.clone(), self.offers.clone()]
+    }
+}
+
+/// What an agent of carried flows measures.
+#[derive(Clone, Debug)]
+pub struct AgentLatency {
+    /// From an opening packet passed on to the back end's answer to it.
+    pub(crate) handshake: Histogram,
+    /// From a request's first packet to the first one of its answer.
+    pub(crate) answer: Histogram,
+}
+
+impl Default for AgentLatency {
+    fn default() -> Self {
+        AgentLatency {
+            handshake: Histogram::seconds(
+                "handshake_seconds",
+                "From an opening packet passed to the back end until its answer.",
+            ),
+            answer: Histogram::seconds(
+                "answer_seconds",
+                "From a request passed to the back end until the first packet of its answer.",
+            ),
+        }
+    }
+}
+
+impl AgentLatency {
+    /// All of them.
+    pub fn histograms(&self) -> Vec<Histogram> {
+        vec![self.handshake.clone(), self.answer.clone()]
+    }
+}
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -14,6 +14,7 @@
 mod configuration;
 mod counters;
 mod flow_cache;
+mod latency;
 mod load;
 mod locating;
 mod membership;
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -28,6 +28,7 @@
     pub(crate) agent: SocketAddrV4,
     pub(crate) admission: Admission,
     pub(crate) answer: Answer,
+    pub(crate) asked_at: Duration,
 }
 
 /// A new flow on its way to a back end.
@@ -101,10 +102,9 @@
         self.asked.iter().any(|asked| asked.agent == agent)
     }
 
-    /// The offer that an agent still has to answer.
-    pub(crate) fn answer_of(&mut self, agent: SocketAddrV4) -> Option<&mut Answer> {
-        let mut made = self.asked.iter_mut().rev();
-        made.find(|asked| asked.agent == agent).map(|asked| &mut asked.answer)
+    /// The offer made to an agent last.
+    pub(crate) fn last_offer_to(&mut self, agent: SocketAddrV4) -> Option<&mut Asked> {
+        self.asked.iter_mut().rev().find(|asked| asked.agent == agent)
     }
 }
 
--- a/crates/carried/src/standing.rs
+++ b/crates/carried/src/standing.rs
@@ -11,7 +11,10 @@
 #[derive(Debug)]
 pub(crate) struct Standing {
     pub(crate) membership: Membership,
+    /// Its version never falls.
     pub(crate) configuration: CarriedConfiguration,
+    adopted_at: Duration,
+    newest_heard: u64,
 }
 
 impl Standing {
@@ -20,9 +23,21 @@
         Standing {
             membership: Membership::new(node),
             configuration: CarriedConfiguration::default(),
+            adopted_at: Duration::ZERO,
+            newest_heard: 0,
         }
     }
 
+    /// The newest version that a peer has told of, or that is in force here.
+    pub(crate) fn newest_heard(&self) -> u64 {
+        self.newest_heard.max(self.configuration.version)
+    }
+
+    /// Time since the configuration in force was adopted.
+    pub(crate) fn configuration_age(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.adopted_at)
+    }
+
     pub(crate) fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
         for (address, role) in members {
             self.membership.learn(now, *address, *role);
@@ -41,7 +56,7 @@
     }
 
     /// Puts a configuration in force when it is newer than the one in force.
-    pub(crate) fn adopt(&mut self, configuration: CarriedConfiguration) -> bool {
+    pub(crate) fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
         let in_force = self.configuration.version;
         if configuration.version <= in_force {
             log::debug!(offered = configuration.version, in_force; "configuration_passed_over");
@@ -52,6 +67,7 @@
             "configuration_adopted"
         );
         self.configuration = configuration;
+        self.adopted_at = now;
         true
     }
 
@@ -64,6 +80,7 @@
         heartbeat: &Heartbeat,
     ) -> (bool, Option<Output>) {
         let heard = self.membership.on_heartbeat(now, from, heartbeat);
+        self.newest_heard = self.newest_heard.max(heartbeat.configuration);
         let is_ahead = heartbeat.configuration > self.configuration.version;
         (heard.is_new, is_ahead.then_some(Output::FetchSnapshot { from }))
     }
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -159,8 +159,8 @@
     }
     agent.handle_backend(milliseconds(1), Vec::new());
     assert_eq!(outputs(&mut agent), []);
-    assert_eq!(agent.counters().messages_malformed, 3);
-    assert_eq!(agent.counters().packets_malformed, 2);
+    assert_eq!(agent.counters(milliseconds(0)).messages_malformed, 3);
+    assert_eq!(agent.counters(milliseconds(0)).packets_malformed, 2);
 }
 
 #[test]
@@ -198,5 +198,5 @@
         .handle_backend(milliseconds(30), packet(&Segment { payload_bytes: 10, ..answer(1, 501) }));
     let answered = outputs(&mut agent);
     assert!(answered.iter().any(|output| matches!(output, Output::ToCaller { .. })));
-    assert_eq!(agent.counters().waiting, 0);
+    assert_eq!(agent.counters(milliseconds(0)).waiting, 0);
 }
--- a/crates/carried/tests/breaker.rs
+++ b/crates/carried/tests/breaker.rs
@@ -64,7 +64,7 @@
 fn a_back_end_that_fails_at_once_gets_a_few_requests_and_no_more() {
     let mut agent = ready_agent();
     assert_eq!(taken_until_declined(&mut agent, milliseconds(10), PlainFormat::FAILED), 2);
-    assert_eq!(agent.counters().breaker_openings, 1);
+    assert_eq!(agent.counters(NOTHING).breaker_openings, 1);
 }
 
 #[test]
@@ -81,8 +81,8 @@
         let text = if port % 20 == 0 { PlainFormat::FAILED } else { b"whole" };
         reply(&mut agent, milliseconds(11), port, text);
     }
-    assert_eq!(agent.counters().breaker_openings, 0);
-    assert_eq!(agent.counters().requests_failed, 5);
+    assert_eq!(agent.counters(NOTHING).breaker_openings, 0);
+    assert_eq!(agent.counters(NOTHING).requests_failed, 5);
 }
 
 #[test]
@@ -121,13 +121,13 @@
         assert_eq!(ask(&mut agent, milliseconds(10), port), None);
     }
     agent.handle_timeout(milliseconds(600));
-    assert_eq!(agent.counters().requests_failed, 0);
+    assert_eq!(agent.counters(NOTHING).requests_failed, 0);
     agent.handle_timeout(milliseconds(720));
-    assert_eq!(agent.counters().requests_failed, 2);
-    assert_eq!(agent.counters().waiting, 2, "they may still be at work");
+    assert_eq!(agent.counters(NOTHING).requests_failed, 2);
+    assert_eq!(agent.counters(NOTHING).waiting, 2, "they may still be at work");
     assert_eq!(ask(&mut agent, milliseconds(721), 3), Some(DeclineReason::Failing));
     reply(&mut agent, milliseconds(730), 1, b"whole");
-    assert_eq!(agent.counters().waiting, 1);
+    assert_eq!(agent.counters(NOTHING).waiting, 1);
 }
 
 #[test]
@@ -189,7 +189,7 @@
         agent.handle_backend(milliseconds(11), packet(&finish));
         reply(&mut agent, milliseconds(12), port, PlainFormat::FAILED);
     }
-    assert_eq!(agent.counters().requests_failed, 2);
+    assert_eq!(agent.counters(NOTHING).requests_failed, 2);
     assert_eq!(ask(&mut agent, milliseconds(13), 3), Some(DeclineReason::Failing));
 }
 
@@ -198,8 +198,8 @@
     let mut agent = ready_agent();
     assert_eq!(ask(&mut agent, milliseconds(10), 1), None);
     agent.handle_backend(milliseconds(11), packet(&Segment { finishes: true, ..answer(1, 501) }));
-    assert_eq!(agent.counters().requests_failed, 1);
-    assert_eq!(agent.counters().waiting, 0);
+    assert_eq!(agent.counters(NOTHING).requests_failed, 1);
+    assert_eq!(agent.counters(NOTHING).waiting, 0);
 }
 
 #[test]
@@ -214,5 +214,5 @@
         agent.handle_backend(milliseconds(51), packet(&end));
         outputs(&mut agent);
     }
-    assert_eq!(agent.counters().requests_failed, 0);
+    assert_eq!(agent.counters(NOTHING).requests_failed, 0);
 }
--- a/crates/counters/src/lib.rs
+++ b/crates/counters/src/lib.rs
@@ -3,8 +3,10 @@
 //! A core counts in plain integers of a struct made by [`counter_set!`]; its shell copies the
 //! struct out every second. [`render`] turns any number of copies into the Prometheus text format.
 
+mod histogram;
 mod packet_drops;
 
+pub use histogram::Histogram;
 pub use packet_drops::PacketDrops;
 
 use prometheus_client::collector::Collector;
@@ -94,6 +96,8 @@
     pub role: &'static str,
     /// Its values.
     pub samples: Vec<Sample>,
+    /// Its histograms; clones of those that the role goes on filling.
+    pub histograms: Vec<Histogram>,
 }
 
 #[derive(Debug)]
@@ -127,6 +131,11 @@
 pub fn render(sets: &[PublishedSet]) -> String {
     let mut registry = Registry::default();
     for set in sets {
+        for histogram in &set.histograms {
+            let name = format!("loftdrift_{}_{}", set.role, histogram.name);
+            let help = histogram.help.trim_end_matches('.');
+            registry.register(name, help, histogram.buckets.clone());
+        }
         registry.register_collector(Box::new(SetCollector(set.clone())));
     }
     let mut page = String::new();
--- /dev/null
+++ b/crates/counters/tests/render.rs
@@ -0,0 +1,31 @@
+//! Counters and histograms on the page of metrics.
+
+use loftdrift_counters::{Histogram, Kind, PublishedSet, Sample, render};
+use std::time::Duration;
+
+#[test]
+fn histograms_stand_beside_counters_under_their_roles_name() {
+    let answer = Histogram::seconds("answer_seconds", "Time of an answer.");
+    let offers = Histogram::counts("offers", "Offers.");
+    let sample = Sample { name: "asked", help: "Asked.", kind: Kind::Counter, value: 7 };
+    let set = PublishedSet {
+        role: "agent",
+        samples: vec![sample],
+        histograms: vec![answer.clone(), offers.clone()],
+    };
+    answer.observe(Duration::from_millis(3));
+    answer.observe(Duration::from_secs(60));
+    offers.observe_count(2);
+    let page = render(&[set]);
+    for line in [
+        "loftdrift_agent_asked_total 7",
+        "loftdrift_agent_answer_seconds_bucket{le=\"0.002\"} 0",
+        "loftdrift_agent_answer_seconds_bucket{le=\"0.004\"} 1",
+        "loftdrift_agent_answer_seconds_bucket{le=\"+Inf\"} 2",
+        "loftdrift_agent_answer_seconds_count 2",
+        "loftdrift_agent_offers_bucket{le=\"1.0\"} 0",
+        "loftdrift_agent_offers_bucket{le=\"2.0\"} 1",
+    ] {
+        assert!(page.lines().any(|found| found == line), "{line}\n{page}");
+    }
+}
--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -22,9 +22,17 @@
 
 use log::Level;
 use std::io::Write;
-use std::sync::Mutex;
+use std::sync::{Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// The process's queue, once one is installed.
+static INSTALLED: OnceLock<LineQueue> = OnceLock::new();
+
+/// Lines that the process has dropped so far.
+pub fn lines_dropped() -> u64 {
+    INSTALLED.get().map_or(0, LineQueue::dropped)
+}
+
 /// What every line of a process says.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -53,6 +61,8 @@
 /// overrides it. Only the first call in a process takes effect.
 pub fn install(identity: Identity, output: impl Write + Send + 'static) -> LogGuard {
     let queue = LineQueue::start(QueueSettings::default(), output);
+    // Only the first one is counted, as only it is written to.
+    let _ = INSTALLED.set(queue.clone());
     let started = Instant::now();
     let limits = Mutex::new(RateLimits::new(Rates::default()));
     let mut builder = env_logger::Builder::from_env(
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -1,11 +1,11 @@
 //! The agent's core behind the shell.
 
-use crate::command::NodeStatus;
+use crate::command::{Measures, NodeStatus};
 use crate::core::Core;
 use loftdrift_carried::{
     BackendReport, CarriedAgent, CarriedConfiguration, NodeRole, Output, SegmentFormat, Snapshot,
 };
-use loftdrift_counters::{CounterSet, Sample};
+use loftdrift_counters::CounterSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -45,8 +45,8 @@
         Some(self.backend)
     }
 
-    fn adopt(&mut self, _now: Duration, configuration: CarriedConfiguration) {
-        self.agent.adopt(configuration);
+    fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) {
+        self.agent.adopt(now, configuration);
     }
 
     fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
@@ -61,8 +61,9 @@
         self.agent.snapshot()
     }
 
-    fn samples(&self, _now: Duration) -> Vec<Sample> {
-        self.agent.counters().samples()
+    fn measures(&self, now: Duration) -> Measures {
+        let samples = self.agent.counters(now).samples();
+        Measures { samples, histograms: self.agent.histograms() }
     }
 
     fn status(&self, _now: Duration) -> NodeStatus {
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -1,11 +1,11 @@
 //! The balancer's core behind the shell.
 
-use crate::command::NodeStatus;
+use crate::command::{Measures, NodeStatus};
 use crate::core::Core;
 use loftdrift_carried::{
     CarriedBalancer, CarriedConfiguration, NodeRole, Output, SegmentFormat, Snapshot,
 };
-use loftdrift_counters::{CounterSet, Sample};
+use loftdrift_counters::CounterSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -61,8 +61,9 @@
         self.balancer.snapshot()
     }
 
-    fn samples(&self, now: Duration) -> Vec<Sample> {
-        self.balancer.counters(now).samples()
+    fn measures(&self, now: Duration) -> Measures {
+        let samples = self.balancer.counters(now).samples();
+        Measures { samples, histograms: self.balancer.histograms() }
     }
 
     fn status(&self, now: Duration) -> NodeStatus {
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,7 +1,7 @@
 //! What tasks say to the one that owns the core, and what that one publishes.
 
 use loftdrift_carried::{BackendReport, CarriedConfiguration, NodeRole, Snapshot};
-use loftdrift_counters::Sample;
+use loftdrift_counters::{Histogram, Sample};
 use std::net::SocketAddrV4;
 use tokio::sync::oneshot;
 
@@ -16,8 +16,8 @@
     TakeSnapshot(Snapshot),
     /// Give a snapshot.
     GiveSnapshot(oneshot::Sender<Snapshot>),
-    /// Give the counters.
-    GiveCounters(oneshot::Sender<Vec<Sample>>),
+    /// Give what was counted and measured.
+    GiveMeasures(oneshot::Sender<Measures>),
     /// The back end's heartbeat; answered once it is in force.
     Report(BackendReport, oneshot::Sender<()>),
     /// The back end leaves; answered once it is in force.
@@ -28,6 +28,15 @@
     Drain,
 }
 
+/// What a core has counted and measured.
+#[derive(Clone, Debug)]
+pub struct Measures {
+    /// Counters and gauges.
+    pub samples: Vec<Sample>,
+    /// Histograms; the core goes on filling them.
+    pub histograms: Vec<Histogram>,
+}
+
 /// What other tasks need to know of the core.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct NodeStatus {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,8 +1,7 @@
 //! What the shell needs of a core, whatever its role.
 
-use crate::command::NodeStatus;
+use crate::command::{Measures, NodeStatus};
 use loftdrift_carried::{BackendReport, CarriedConfiguration, NodeRole, Output, Snapshot};
-use loftdrift_counters::Sample;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -23,7 +22,7 @@
     fn learn(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]);
     fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot);
     fn snapshot(&self) -> Snapshot;
-    fn samples(&self, now: Duration) -> Vec<Sample>;
+    fn measures(&self, now: Duration) -> Measures;
     fn status(&self, now: Duration) -> NodeStatus;
     fn drain(&mut self, now: Duration);
 
--- /dev/null
+++ b/crates/node/src/counted_store.rs
@@ -0,0 +1,125 @@
+//! Counts what calls to the shared store come to, and how long they take.
+
+use crate::shared_store::{ConfigurationChange, Lease, Member, SharedStore, StoreFailure};
+use loftdrift_counters::{CounterSet, Histogram, PublishedSet, counter_set};
+use std::future::Future;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+counter_set! {
+    /// Calls to the shared store by outcome.
+    pub struct StoreCounters {
+        /// Calls that were answered.
+        calls_answered,
+        /// Calls without an answer; they may have taken effect.
+        calls_unanswered,
+        /// Calls refused because there were too many.
+        calls_throttled,
+        /// Calls refused for now.
+        calls_refused,
+        /// Calls for something that is gone: a lease, a history.
+        calls_gone,
+        /// Calls whose answer could not be read.
+        calls_unreadable,
+    }
+}
+
+/// What was counted of all calls of one process. Clones share it.
+#[derive(Clone, Debug)]
+pub(crate) struct StoreMeter {
+    counters: Arc<Mutex<StoreCounters>>,
+    /// Calls that wait for a change are not among them.
+    took: Histogram,
+}
+
+impl StoreMeter {
+    fn new() -> Self {
+        let took = Histogram::seconds("call_seconds", "Time of a call that waits for no change.");
+        StoreMeter { counters: Arc::default(), took }
+    }
+
+    /// The metrics of the store.
+    pub(crate) fn publish(&self) -> PublishedSet {
+        // Counts are good enough after a panic elsewhere.
+        let counters = *self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        let histograms = vec![self.took.clone()];
+        PublishedSet { role: "store", samples: counters.samples(), histograms }
+    }
+
+    fn count<T>(&self, outcome: &Result<T, StoreFailure>) {
+        let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
+        let counter = match outcome {
+            Ok(_) => &mut counters.calls_answered,
+            Err(StoreFailure::NoAnswer(_)) => &mut counters.calls_unanswered,
+            Err(StoreFailure::Throttled) => &mut counters.calls_throttled,
+            Err(StoreFailure::Unavailable) => &mut counters.calls_refused,
+            Err(StoreFailure::Gone) => &mut counters.calls_gone,
+            Err(StoreFailure::Unreadable(_)) => &mut counters.calls_unreadable,
+        };
+        *counter += 1;
+    }
+}
+
+/// A store with its calls counted.
+#[derive(Clone, Debug)]
+pub(crate) struct CountedStore<S> {
+    store: S,
+    meter: StoreMeter,
+}
+
+impl<S: SharedStore> CountedStore<S> {
+    pub(crate) fn new(store: S) -> Self {
+        CountedStore { store, meter: StoreMeter::new() }
+    }
+
+    pub(crate) fn meter(&self) -> StoreMeter {
+        self.meter.clone()
+    }
+
+    async fn timed<T>(
+        &self,
+        call: impl Future<Output = Result<T, StoreFailure>> + Send,
+    ) -> Result<T, StoreFailure> {
+        let started = Instant::now();
+        let outcome = call.await;
+        self.meter.took.observe(started.elapsed());
+        self.meter.count(&outcome);
+        outcome
+    }
+}
+
+impl<S: SharedStore> SharedStore for CountedStore<S> {
+    async fn read_configuration(&self) -> Result<ConfigurationChange, StoreFailure> {
+        self.timed(self.store.read_configuration()).await
+    }
+
+    async fn wait_configuration(
+        &self,
+        after: u64,
+        patience: Duration,
+    ) -> Result<ConfigurationChange, StoreFailure> {
+        let outcome = self.store.wait_configuration(after, patience).await;
+        self.meter.count(&outcome);
+        outcome
+    }
+
+    async fn take_lease(&self, lasts: Duration) -> Result<Lease, StoreFailure> {
+        self.timed(self.store.take_lease(lasts)).await
+    }
+
+    async fn renew_lease(&self, lease: Lease) -> Result<(), StoreFailure> {
+        self.timed(self.store.renew_lease(lease)).await
+    }
+
+    async fn end_lease(&self, lease: Lease) -> Result<(), StoreFailure> {
+        self.timed(self.store.end_lease(lease)).await
+    }
+
+    async fn write_member(&self, member: &Member, lease: Lease) -> Result<(), StoreFailure> {
+        self.timed(self.store.write_member(member, lease)).await
+    }
+
+    async fn read_members(&self) -> Result<Vec<Member>, StoreFailure> {
+        self.timed(self.store.read_members()).await
+    }
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -4,7 +4,9 @@
 use crate::balancer_core::BalancerCore;
 use crate::command::{Command, NodeStatus};
 use crate::core::Core;
+use crate::counted_store::CountedStore;
 use crate::interface::{Interface, Request, RequestKind};
+use crate::metrics::Metrics;
 use crate::settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
 use crate::shared_store::{Member, SharedStore};
 use crate::shell::Shell;
@@ -17,7 +19,6 @@
     CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings, NodeRole,
     SegmentFormat,
 };
-use loftdrift_counters::{PublishedSet, render};
 use loftdrift_http::{Answer, text_answer};
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
@@ -33,7 +34,6 @@
 const MAX_BODY_BYTES: usize = 16 * 1024;
 /// A node whose command queue is not served for so long refuses the request.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(800);
-const METRICS_PATH: &str = "/metrics";
 /// Asked of the kernel, which may give less.
 const SOCKET_BUFFER_BYTES: usize = 1024 * 1024;
 
@@ -47,6 +47,7 @@
 ) -> Result<()> {
     let reloads = reloading::requests()?;
     let _reloading = AbortOnDrop(tokio::spawn(reloading::follow(reloads, file, settings.clone())));
+    let store = CountedStore::new(store);
     match settings.place.clone() {
         Place::Balancer(place) => run_balancer(settings, place, format, interface, store).await,
         Place::Agent(place) => run_agent(settings, place, format, interface, store).await,
@@ -67,7 +68,7 @@
     place: BalancerPlace,
     format: F,
     interface: I,
-    store: S,
+    store: CountedStore<S>,
 ) -> Result<()> {
     let core = BalancerCore {
         balancer: CarriedBalancer::new(
@@ -87,7 +88,7 @@
     place: AgentPlace,
     format: F,
     interface: I,
-    store: S,
+    store: CountedStore<S>,
 ) -> Result<()> {
     let core = AgentCore {
         agent: CarriedAgent::new(
@@ -142,7 +143,7 @@
         mut self,
         settings: NodeSettings,
         interface: I,
-        store: S,
+        store: CountedStore<S>,
         control: Option<SocketAddrV4>,
     ) -> Result<()> {
         let member = Member {
@@ -150,6 +151,7 @@
             address: settings.node.address,
             role: settings.node.role,
         };
+        let store_meter = store.meter();
         self.tasks.spawn(registration::keep(store, member, self.commands.clone()));
         for address in [settings.readiness, control].into_iter().flatten() {
             let listener = bind_tcp("requests", address).await?;
@@ -163,15 +165,8 @@
         let is_balancer = settings.node.role == NodeRole::Balancer;
         if let Some(address) = settings.metrics {
             let role = if is_balancer { "carried_balancer" } else { "carried_agent" };
-            match bind_tcp("metrics", address).await {
-                Ok(listener) => {
-                    self.tasks.spawn(serve_metrics(listener, role, self.commands.clone()));
-                }
-                Err(error) => {
-                    let error = format!("{error:#}");
-                    log::warn!(error = error.as_str(); "metrics_not_served");
-                }
-            }
+            let (commands, store) = (self.commands.clone(), store_meter);
+            self.tasks.spawn(Metrics { role, commands, store }.serve(address));
         }
         let outcome =
             stopping::stopped(settings.stop_grace, is_balancer, self.commands, self.status).await?;
@@ -240,23 +235,6 @@
     }
 }
 
-async fn serve_metrics(listener: TcpListener, role: &'static str, commands: mpsc::Sender<Command>) {
-    loftdrift_http::serve(listener, move |request| {
-        let commands = commands.clone();
-        let is_here = request.uri().path() == METRICS_PATH;
-        async move {
-            if !is_here {
-                return Some(text_answer(StatusCode::NOT_FOUND, ""));
-            }
-            let (sender, samples) = oneshot::channel();
-            commands.send(Command::GiveCounters(sender)).await.ok()?;
-            let samples = samples.await.ok()?;
-            Some(text_answer(StatusCode::OK, render(&[PublishedSet { role, samples }])))
-        }
-    })
-    .await;
-}
-
 async fn bind_udp(what: &str, address: SocketAddrV4) -> Result<UdpSocket> {
     let socket = UdpSocket::bind(address)
         .await
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -94,7 +94,7 @@
             Command::Drain => self.core.drain(now),
             // Whoever asked and did not wait needs no answer.
             Command::GiveSnapshot(answer) => drop(answer.send(self.core.snapshot())),
-            Command::GiveCounters(answer) => drop(answer.send(self.core.samples(now))),
+            Command::GiveMeasures(answer) => drop(answer.send(self.core.measures(now))),
             Command::Report(report, answer) => {
                 self.core.take_report(now, &report);
                 let _ = answer.send(());
