Keep flows that nobody has room for while their service comes back, within bounds

Each refusal brought the caller back at once.

Change: while agents of a service have taken flows for less than 1.5 s, a flow that nobody has room for is kept up to 350 ms and offered again each 15 ms, no more of them than this balancer's share of 0.6 of what the service works off in that time. Flows that are late by their copy's number or their age ask for spare slots only (two thirds of them): new ones come first. The time within which a caller may be reset goes by the copy it sent last; a flow with an offer unanswered for less than 130 ms is never reset.

Tests: crates/carried/tests/recovery.rs and one of the agent's.

--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -53,6 +53,8 @@
 const CLOSING_LASTS: Duration = Duration::from_secs(3);
 /// A back end whose first heartbeat heard here is one of its first began beside this very process.
 const FRESH_SEQUENCE: u64 = 2;
+/// Thirds of the slots that requests which are late already may take.
+const SPARE_OF_THREE: u32 = 2;
 /// Flows that are known not to live here are remembered, so that they are not tried again.
 const MOST_FOREIGN: usize = 2_048;
 
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -63,6 +63,7 @@
         let capacity = u32::from(self.backend.capacity());
         let limit = match admission {
             Admission::FreeSlot => capacity,
+            Admission::Spare => (capacity * SPARE_OF_THREE / 3).max(1),
             Admission::Within(milliseconds) | Admission::Failing(milliseconds) => {
                 let budget = Duration::from_millis(u64::from(milliseconds));
                 self.work.admission_limit(capacity, budget)
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -42,12 +42,13 @@
 const MOST_FREE_ASKED: usize = 6;
 /// Agents asked for a place in their queue, at most.
 const MOST_QUEUE_ASKED: usize = 4;
-/// An agent that was late with its answer may have placed the flow; the caller goes on within this
-/// time if so.
-const UNANSWERED_LASTS: Duration = Duration::from_millis(130);
-/// A caller may be reset only so long after its opening packet came: it repeats the packet after
-/// 200 ms, perhaps through another balancer, where the flow may open meanwhile.
-const RESET_WITHIN: Duration = Duration::from_millis(160);
+/// While a service comes back, a flow that nobody has room for is kept for so long: what was asked
+/// while it was away comes all at once, and a caller that is refused has used up its tries at once.
+const HELD_LASTS: Duration = Duration::from_millis(350);
+/// Share of what a service works off that is left for flows that are kept.
+const HELD_SHARE: f64 = 0.6;
+/// Time between two looks for room.
+const HELD_INTERVAL: Duration = Duration::from_millis(15);
 /// Share of the aim for which a flow waits for an agent to ask.
 const SEARCH_SHARE: f64 = 0.2;
 /// Share of the aim within which an agent may still queue a request; the rest is for the ways and
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -6,7 +6,7 @@
     pub(super) fn handle_opening(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
         let flow = segment.flow();
         if let Some(number) = self.openings.number_of(&flow) {
-            self.openings.note_copy(now, number);
+            self.openings.note_copy(now, number, segment.acknowledgement);
             return;
         }
         if let Some(agent) = self.flows.agent(&flow) {
@@ -84,7 +84,9 @@
             if let Some(agent) = next {
                 return self.offer(now, number, agent);
             }
-            if opening.wants_queue {
+            // A place in the queue is for those that still meet their aim.
+            let is_late = opening.is_late(now) && self.pool.is_recovering(now, &opening.service);
+            if opening.wants_queue || is_late {
                 break;
             }
             opening.wants_queue = true;
@@ -98,7 +100,8 @@
         let Some(opening) = self.openings.get_mut(number) else { return };
         let age = opening.age(now);
         let is_full = opening.was_declined(DeclineReason::Busy)
-            || opening.was_declined(DeclineReason::Returned);
+            || opening.was_declined(DeclineReason::Returned)
+            || self.pool.is_known_full(now, interval, &opening.service);
         if !is_full {
             let asked = |agent: &SocketAddrV4| opening.has_asked(agent);
             if let Some(agent) = self.pool.suspect(now, interval, &opening.service, asked) {
@@ -111,8 +114,12 @@
             }
         }
         let has_unanswered = opening.has_unanswered();
+        if is_full && age < HELD_LASTS && self.may_hold(now, number) {
+            return self.hold(now, number);
+        }
+        let Some(opening) = self.openings.get_mut(number) else { return };
         let refusal = match (has_unanswered, is_full) {
-            (true, _) if age < UNANSWERED_LASTS => None,
+            (true, _) if opening.may_be_placed(now) => None,
             (true, _) => Some(Refusal::Unanswered),
             (false, true) => Some(Refusal::Busy),
             (false, false) if age < opening.aim.mul_f64(SEARCH_SHARE) => None,
@@ -122,7 +129,7 @@
             None => self.openings.wake_at(number, now + SEARCH_INTERVAL),
             Some(refusal) => {
                 let Some(opening) = self.openings.finish(number) else { return };
-                if opening.copy_age(now) > RESET_WITHIN {
+                if !opening.may_reset(now) {
                     return self.give_up(now, &opening, refusal);
                 }
                 self.refuse(now, &opening.segment, refusal, Some(&opening));
@@ -130,13 +137,33 @@
         }
     }
 
+    /// Whether a flow that nobody has room for is kept: its service is just coming back, and no more
+    /// are kept than this balancer's share of what the service can work off beside new requests.
+    fn may_hold(&self, now: Duration, number: u64) -> bool {
+        let Some(opening) = self.openings.get(number) else { return false };
+        if !self.pool.is_recovering(now, &opening.service) {
+            return false;
+        }
+        let balancers = 1 + self.standing.membership.balancers();
+        let share = self.pool.throughput(now, &opening.service) / balancers as f64;
+        let most = share * HELD_LASTS.as_secs_f64() * HELD_SHARE;
+        opening.was_held || (self.openings.held() as f64) < most
+    }
+
+    fn hold(&mut self, now: Duration, number: u64) {
+        self.counters.openings_held += u64::from(self.openings.hold(number));
+        self.openings.wake_at(number, now + HELD_INTERVAL);
+    }
+
     pub(super) fn offer(&mut self, now: Duration, number: u64, agent: SocketAddrV4) {
         let Some(opening) = self.openings.get_mut(number) else { return };
         let budget = opening.aim.mul_f64(QUEUE_SHARE).saturating_sub(opening.age(now));
         let budget_ms = budget.as_millis() as u32;
+        let is_late = opening.is_late(now) && self.pool.is_recovering(now, &opening.service);
         let admission = match (opening.is_last_resort, opening.wants_queue) {
             (true, _) => Admission::Failing(budget_ms),
             (false, true) => Admission::Within(budget_ms),
+            (false, false) if is_late => Admission::Spare,
             (false, false) => Admission::FreeSlot,
         };
         opening.asked.push(Asked { agent, admission, answer: Answer::Pending, asked_at: now });
@@ -259,6 +286,9 @@
 
     pub(super) fn wake_opening(&mut self, now: Duration, number: u64) {
         let Some(opening) = self.openings.get_mut(number) else { return };
+        if opening.is_held {
+            opening.begin_again();
+        }
         for asked in &mut opening.asked {
             if asked.answer != Answer::Pending {
                 continue;
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -31,6 +31,8 @@
         openings_refused_no_route,
         /// Flows given up because no agent has answered.
         openings_given_up,
+        /// Flows kept until an agent has room.
+        openings_held,
         /// Flows left to copies of their opening packets, too late for a reset.
         openings_left_to_copies,
         /// Offers made to agents.
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -203,6 +203,11 @@
         self.peers.len()
     }
 
+    /// How many other balancers are known.
+    pub(crate) fn balancers(&self) -> usize {
+        self.peers.values().filter(|peer| peer.role == NodeRole::Balancer).count()
+    }
+
     /// The nodes known, with their addresses.
     pub fn peers(&self) -> impl Iterator<Item = (&SocketAddrV4, &Peer)> {
         self.peers.iter()
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -25,6 +25,8 @@
     Within(u32),
     /// As `Within`, though the back end fails: no other one is there.
     Failing(u32),
+    /// Only when slots are to spare: the request is late already.
+    Spare,
 }
 
 /// Whether the back end beside an agent takes new flows.
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -11,6 +11,18 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+/// How long a caller has waited when it sends each copy of its opening packet.
+const COPIED_AFTER: [Duration; 3] =
+    [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
+/// Share of the aim after which a request is taken to be late: its work is still to come.
+const LATE_SHARE: f64 = 0.5;
+/// A caller may be reset only so long after each copy came: it sends the next one a little later.
+const RESET_WITHIN: [Duration; 3] =
+    [Duration::from_millis(160), Duration::from_millis(360), Duration::from_millis(700)];
+/// An agent that was late with its answer may have placed the flow; the caller goes on within this
+/// time if so.
+const UNANSWERED_LASTS: Duration = Duration::from_millis(130);
+
 /// What one agent said to an offer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Answer {
@@ -31,6 +43,13 @@
     pub(crate) asked_at: Duration,
 }
 
+impl Asked {
+    /// Whether a place in the queue was asked for, not a slot.
+    fn wanted_queue(&self) -> bool {
+        !matches!(self.admission, Admission::FreeSlot | Admission::Spare)
+    }
+}
+
 /// A new flow on its way to a back end.
 #[derive(Debug)]
 pub(crate) struct Opening {
@@ -41,6 +60,12 @@
     pub(crate) started: Duration,
     /// When the last copy of the opening packet came.
     copied_at: Duration,
+    /// Which copy that was.
+    copy: u32,
+    /// Kept until an agent has room, since the service is just coming back.
+    pub(crate) is_held: bool,
+    /// Was kept at least once.
+    pub(crate) was_held: bool,
     pub(crate) asked: Vec<Asked>,
     /// Nobody has a free slot: whoever can answer in time is asked.
     pub(crate) wants_queue: bool,
@@ -63,10 +88,40 @@
         now.saturating_sub(self.copied_at)
     }
 
+    /// Whether the caller may still be reset: it repeats the packet soon, perhaps through another
+    /// balancer, where the flow may open meanwhile.
+    pub(crate) fn may_reset(&self, now: Duration) -> bool {
+        let last = RESET_WITHIN[RESET_WITHIN.len() - 1];
+        let within = RESET_WITHIN.get(self.copy as usize).copied().unwrap_or(last);
+        self.copy_age(now) <= within
+    }
+
+    /// Whether the aim is past, or too near for a place in a queue.
+    pub(crate) fn is_late(&self, now: Duration) -> bool {
+        let waited = COPIED_AFTER.get(self.segment.acknowledgement as usize);
+        let waited = waited.copied().unwrap_or(COPIED_AFTER[COPIED_AFTER.len() - 1]);
+        waited + self.age(now) >= self.aim.mul_f64(LATE_SHARE)
+    }
+
+    /// Whether an agent that has said nothing so far may have placed the flow not long ago.
+    pub(crate) fn may_be_placed(&self, now: Duration) -> bool {
+        self.asked.iter().any(|asked| {
+            let is_recent = now.saturating_sub(asked.asked_at) < UNANSWERED_LASTS;
+            asked.answer == Answer::Unanswered && is_recent
+        })
+    }
+
+    /// Asks everybody again, but for those that have not answered.
+    pub(crate) fn begin_again(&mut self) {
+        self.is_held = false;
+        self.wants_queue = false;
+        self.asked.retain(|asked| asked.answer == Answer::Unanswered);
+    }
+
     /// Whether an agent is not to be asked (again) in the round under way.
     pub(crate) fn has_asked(&self, agent: &SocketAddrV4) -> bool {
         self.asked.iter().any(|asked| {
-            let this_round = (asked.admission != Admission::FreeSlot) == self.wants_queue;
+            let this_round = asked.wanted_queue() == self.wants_queue;
             let is_busy = asked.answer == Answer::Declined(DeclineReason::Busy);
             asked.agent == *agent && (this_round || !is_busy)
         })
@@ -80,8 +135,7 @@
 
     /// Offers made in the round under way.
     pub(crate) fn asked_in_round(&self) -> usize {
-        let in_round =
-            |asked: &&Asked| (asked.admission != Admission::FreeSlot) == self.wants_queue;
+        let in_round = |asked: &&Asked| asked.wanted_queue() == self.wants_queue;
         self.asked.iter().filter(in_round).count()
     }
 
@@ -115,6 +169,8 @@
     by_number: HashMap<u64, Opening>,
     wake_ups: BTreeSet<(Duration, u64)>,
     last_number: u64,
+    /// Openings under way that were kept at least once.
+    held: usize,
 }
 
 /// Most openings under way; more are refused at once.
@@ -152,6 +208,9 @@
             aim,
             started: now,
             copied_at: now,
+            copy: segment.acknowledgement,
+            is_held: false,
+            was_held: false,
             asked: Vec::new(),
             wants_queue: false,
             is_last_resort: false,
@@ -163,14 +222,33 @@
         number
     }
 
+    pub(crate) fn get(&self, number: u64) -> Option<&Opening> {
+        self.by_number.get(&number)
+    }
+
+    /// How many under way were kept at least once.
+    pub(crate) fn held(&self) -> usize {
+        self.held
+    }
+
+    /// Keeps an opening until its next wake-up; `true` the first time.
+    pub(crate) fn hold(&mut self, number: u64) -> bool {
+        let Some(opening) = self.by_number.get_mut(&number) else { return false };
+        opening.is_held = true;
+        let is_first = !std::mem::replace(&mut opening.was_held, true);
+        self.held += usize::from(is_first);
+        is_first
+    }
+
     pub(crate) fn get_mut(&mut self, number: u64) -> Option<&mut Opening> {
         self.by_number.get_mut(&number)
     }
 
     /// A copy of the opening packet came.
-    pub(crate) fn note_copy(&mut self, now: Duration, number: u64) {
+    pub(crate) fn note_copy(&mut self, now: Duration, number: u64, copy: u32) {
         if let Some(opening) = self.by_number.get_mut(&number) {
             opening.copied_at = now;
+            opening.copy = copy;
         }
     }
 
@@ -178,6 +256,7 @@
         let opening = self.by_number.remove(&number)?;
         self.wake_ups.remove(&(opening.wake_at, number));
         self.by_flow.remove(&opening.flow());
+        self.held -= usize::from(opening.was_held);
         Some(opening)
     }
 
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -140,6 +140,24 @@
         failing.min_by_key(|(_, view)| view.report.waiting).map(|(agent, _)| *agent)
     }
 
+    /// Whether agents of a service have begun to take new flows only just now.
+    pub(crate) fn is_recovering(&self, now: Duration, service: &str) -> bool {
+        self.accepting(service).any(|(_, view)| view.has_just_come(now))
+    }
+
+    /// Requests that a service works off in a second, as far as is known.
+    pub(crate) fn throughput(&self, now: Duration, service: &str) -> f64 {
+        let typical = Typical::of(self.accepting(service).map(|(_, view)| view));
+        self.accepting(service).map(|(_, view)| view.throughput(now, &typical)).sum()
+    }
+
+    /// Whether every agent of a service that takes new flows has just said that it is full.
+    pub(crate) fn is_known_full(&self, now: Duration, interval: Duration, service: &str) -> bool {
+        let mut alive =
+            self.accepting(service).filter(|(_, view)| !view.is_suspect(now, interval)).peekable();
+        alive.peek().is_some() && alive.all(|(_, view)| view.is_known_full(now))
+    }
+
     /// Whether any agent that was heard lately takes new flows.
     pub(crate) fn any_accepting(&self, now: Duration, interval: Duration) -> bool {
         self.agents.values().any(|view| view.may_fail() && !view.is_suspect(now, interval))
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -14,6 +14,8 @@
 const SUSPECT_INTERVALS: u32 = 4;
 /// An agent's word that no slot is free holds for so long.
 const FULL_LASTS: Duration = Duration::from_millis(10);
+/// An agent has just come for so long after it began to take new flows.
+const JUST_COME: Duration = Duration::from_millis(1_500);
 /// A back end that is cold is taken to be so much slower.
 const COLD_FACTOR: f64 = 1.6;
 /// A way to another zone is worth so much, in seconds of waiting.
@@ -83,6 +85,8 @@
     pub(crate) report: LoadReport,
     pub(crate) distance: Distance,
     heard_at: Duration,
+    /// Since when it has said that it takes new flows; `None` while it does not.
+    accepts_since: Option<Duration>,
     /// Flows offered there since the report.
     placed_since: u32,
     /// Offers in a row that it did not answer.
@@ -95,6 +99,7 @@
             report: LoadReport::default(),
             distance: Distance::OtherZone,
             heard_at: now,
+            accepts_since: None,
             placed_since: 0,
             unanswered: 0,
         }
@@ -105,6 +110,7 @@
         self.report = report;
         self.distance = distance.unwrap_or(self.distance);
         self.heard_at = now;
+        self.accepts_since = self.is_accepting().then(|| self.accepts_since.unwrap_or(now));
         self.placed_since = 0;
         self.unanswered = 0;
     }
@@ -133,6 +139,11 @@
         is_unheard || self.unanswered >= SUSPECT_AFTER
     }
 
+    /// Whether it has begun to take new flows only just now.
+    pub(crate) fn has_just_come(&self, now: Duration) -> bool {
+        self.accepts_since.is_some_and(|since| now.saturating_sub(since) < JUST_COME)
+    }
+
     /// Whether the agent has just said that no slot is free there.
     pub(crate) fn is_known_full(&self, now: Duration) -> bool {
         let capacity = u32::from(self.report.capacity);
@@ -169,6 +180,15 @@
         drift(measured, typical.work, age / WORK_HALF_SECONDS).max(LEAST_WORK_SECONDS)
     }
 
+    /// Requests that it works off in a second, as far as is known.
+    pub(crate) fn throughput(&self, now: Duration, typical: &Typical) -> f64 {
+        self.capacity() / (self.work(now, typical) * self.slowness())
+    }
+
+    fn slowness(&self) -> f64 {
+        if self.report.is_cold { COLD_FACTOR } else { 1.0 }
+    }
+
     /// Seconds until a new request there would be answered, as far as is known.
     pub(crate) fn cost(&self, now: Duration, typical: &Typical) -> f64 {
         let work = self.work(now, typical);
@@ -176,10 +196,9 @@
         let load = drift(self.reported_load(), typical.load, half_lives);
         let with_new = load + (f64::from(self.placed_since) + 1.0) / self.capacity();
         let crowding = with_new.max(1.0);
-        let factor = if self.report.is_cold { COLD_FACTOR } else { 1.0 };
         // Among back ends with a free slot the emptier one is better: its load is less likely to
         // have grown since.
-        work * factor * (crowding + with_new) + self.distance.seconds()
+        work * self.slowness() * (crowding + with_new) + self.distance.seconds()
     }
 }
 
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -200,3 +200,17 @@
     assert!(answered.iter().any(|output| matches!(output, Output::ToCaller { .. })));
     assert_eq!(agent.counters(milliseconds(0)).waiting, 0);
 }
+
+#[test]
+fn a_request_that_is_late_already_gets_spare_slots_only() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    let mut taken = 0;
+    for port in 1..=4 {
+        agent.handle_peer(milliseconds(1), balancer_address(), &offer(1, port, Admission::Spare));
+        taken += u32::from(declined(&outputs(&mut agent)).is_none());
+    }
+    assert_eq!(taken, 2, "of four slots");
+    agent.handle_peer(milliseconds(1), balancer_address(), &offer(1, 9, Admission::FreeSlot));
+    assert_eq!(declined(&outputs(&mut agent)), None, "a new one comes before");
+}
--- /dev/null
+++ b/crates/carried/tests/recovery.rs
@@ -0,0 +1,148 @@
+//! A service that comes back: what was asked while it was away comes all at once.
+
+mod support;
+
+use loftdrift_carried::{
+    Admission, BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason,
+    LoadReport, Message, NodeRole, Output, PlainFormat, Segment,
+};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use support::*;
+
+/// Agents, each with four slots.
+const AGENTS: u8 = 3;
+
+fn full() -> LoadReport {
+    LoadReport {
+        service: SERVICE.to_owned(),
+        condition: BackendCondition::Accepting,
+        capacity: 4,
+        waiting: 8,
+        work_us: 50_000,
+        ..LoadReport::default()
+    }
+}
+
+/// A balancer that has just started; its agents have just come and are full.
+fn balancer() -> CarriedBalancer {
+    let node = node(balancer_address(), NodeRole::Balancer);
+    let settings = CarriedBalancerSettings { node, seed: 1 };
+    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
+    balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+    for agent in 1..=AGENTS {
+        tell(&mut balancer, milliseconds(0), agent, full());
+    }
+    outputs_of(&mut balancer);
+    balancer
+}
+
+/// Has every offer declined until none is made; tells the admissions asked for and whether a caller
+/// was reset.
+fn decline_all(balancer: &mut CarriedBalancer, now: Duration) -> (Vec<Admission>, usize) {
+    let (mut asked, mut resets) = (Vec::new(), 0);
+    loop {
+        let outputs = outputs_of(balancer);
+        resets += outputs.iter().filter(|output| matches!(output, Output::ToCaller { .. })).count();
+        let made: Vec<_> = outputs.iter().filter_map(offer_of).collect();
+        if made.is_empty() {
+            return (asked, resets);
+        }
+        for (to, number, admission) in made {
+            asked.push(admission);
+            let reason = DeclineReason::Busy;
+            let message = Message::Declined { number, reason, report: full() };
+            balancer.handle_peer(now, to, &message.encode());
+        }
+    }
+}
+
+fn offer_of(output: &Output) -> Option<(SocketAddrV4, u64, Admission)> {
+    match output {
+        Output::ToPeer { to, message: Message::Offer { number, admission, .. } } => {
+            Some((*to, *number, *admission))
+        }
+        _ => None,
+    }
+}
+
+#[test]
+fn a_flow_that_nobody_has_room_for_is_kept_and_placed_when_somebody_has() {
+    let mut balancer = balancer();
+    balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
+    assert_eq!(decline_all(&mut balancer, milliseconds(2)).1, 0, "kept");
+    let empty = LoadReport { waiting: 0, ..full() };
+    tell(&mut balancer, milliseconds(30), 2, empty.clone());
+    balancer.handle_timeout(milliseconds(40));
+    let made: Vec<_> = outputs_of(&mut balancer).iter().filter_map(offer_of).collect();
+    assert_eq!(made.len(), 1);
+    assert_eq!(made[0].0, agent_address(2));
+    let placed = Message::Placed { number: made[0].1, report: empty };
+    balancer.handle_peer(milliseconds(41), made[0].0, &placed.encode());
+    assert_eq!(balancer.counters(milliseconds(41)).openings_placed, 1);
+    assert_eq!(balancer.counters(milliseconds(41)).openings_held, 1);
+}
+
+#[test]
+fn a_flow_that_was_kept_in_vain_is_refused_long_before_its_deadline() {
+    let mut balancer = balancer();
+    balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
+    let mut refused_at = None;
+    for at in 2..1_000 {
+        balancer.handle_timeout(milliseconds(at));
+        // The caller's own repetition, through this balancer.
+        if at == 201 {
+            let copy = Segment { acknowledgement: 1, ..opening(1) };
+            balancer.handle_caller(milliseconds(at), &packet(&copy));
+        }
+        if decline_all(&mut balancer, milliseconds(at)).1 > 0 {
+            refused_at = refused_at.or(Some(at));
+        }
+    }
+    assert!(refused_at.is_some_and(|at| (300..=380).contains(&at)), "{refused_at:?}");
+}
+
+#[test]
+fn no_more_flows_are_kept_than_the_service_works_off_meanwhile() {
+    let mut balancer = balancer();
+    let mut resets = 0;
+    for port in 1..=300 {
+        balancer.handle_caller(milliseconds(1), &packet(&opening(port)));
+        resets += decline_all(&mut balancer, milliseconds(1)).1;
+    }
+    // 3 x 4 slots / 50 ms = 240 a second: 84 in 350 ms.
+    let kept = 300 - resets;
+    assert!((10..=84).contains(&kept), "{kept} kept");
+}
+
+#[test]
+fn a_flow_that_is_late_asks_for_spare_slots_only() {
+    let mut balancer = balancer();
+    let copy = Segment { acknowledgement: 1, ..opening(1) };
+    balancer.handle_caller(milliseconds(20), &packet(&copy));
+    balancer.handle_timeout(milliseconds(40));
+    let (asked, _) = decline_all(&mut balancer, milliseconds(41));
+    assert!(!asked.is_empty());
+    assert!(asked.iter().all(|admission| *admission == Admission::Spare), "{asked:?}");
+}
+
+#[test]
+fn a_kept_flow_whose_last_offer_was_not_answered_is_not_reset() {
+    let mut balancer = balancer();
+    balancer.handle_caller(milliseconds(1), &packet(&opening(1)));
+    decline_all(&mut balancer, milliseconds(2));
+    let mut resets = 0;
+    let mut last_offer = Duration::ZERO;
+    for at in 3..160 {
+        let now = milliseconds(at);
+        balancer.handle_timeout(now);
+        for output in outputs_of(&mut balancer) {
+            resets += usize::from(matches!(output, Output::ToCaller { .. }));
+            // From here on nobody answers: any of them may have placed the flow.
+            if offer_of(&output).is_some() {
+                last_offer = now;
+            }
+        }
+        assert!(resets == 0 || now > last_offer + milliseconds(130), "reset at {now:?}");
+    }
+}
