Fence a node that stood still until it knows better

Cause: a balancer that was frozen for seconds went on at once with what it knew, and with what had waited in its sockets: opening packets whose callers had long given up were offered and took slots for up to 0.4 s each.

Change: the shell notices a standstill of more than a second before it takes anything that waited. Packets of open flows go on. An agent passes over offers for 20 ms and tells balancers that it is back. The callers' copies of the opening packets are taken.

--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -53,6 +53,9 @@
 const CLOSING_LASTS: Duration = Duration::from_secs(3);
 /// A back end whose first heartbeat heard here is one of its first began beside this very process.
 const FRESH_SEQUENCE: u64 = 2;
+/// Offers that come so soon after a standstill waited in the socket all the while; their balancers
+/// have asked others since.
+const STALE_OFFERS: Duration = Duration::from_millis(20);
 /// Thirds of the slots that requests which are late already may take.
 const SPARE_OF_THREE: u32 = 2;
 /// Flows that are known not to live here are remembered, so that they are not tried again.
@@ -91,6 +94,8 @@
     told: BackendCondition,
     /// The balancer that asked for the configuration last, until it was told of a newer one.
     errand_of: Option<SocketAddrV4>,
+    /// Offers before this are passed over.
+    stale_until: Duration,
     stopping: bool,
     outputs: VecDeque<Output>,
     counters: CarriedAgentCounters,
@@ -116,6 +121,7 @@
             silent_until: None,
             told: BackendCondition::Unknown,
             errand_of: None,
+            stale_until: Duration::ZERO,
             stopping: false,
             outputs: VecDeque::new(),
             counters: CarriedAgentCounters::default(),
@@ -186,6 +192,14 @@
         log::info!(waiting = self.waiting; "draining");
     }
 
+    /// The process has stood still for longer than any peer waits.
+    pub fn resume(&mut self, now: Duration) {
+        self.stale_until = now + STALE_OFFERS;
+        self.counters.standstills += 1;
+        self.standing.membership.hurry(now);
+        log::warn!(waiting = self.waiting; "resumed_after_standstill");
+    }
+
     /// Whether nothing waits for an answer.
     pub fn is_drained(&self) -> bool {
         self.waiting == 0
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -13,6 +13,10 @@
         datagram: Vec<u8>,
     ) {
         self.counters.offers_received += 1;
+        if now < self.stale_until {
+            self.counters.offers_stale += 1;
+            return;
+        }
         let Ok(segment) = self.format.parse(&datagram) else {
             self.counters.packets_malformed += 1;
             return;
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -9,9 +9,11 @@
 
 mod errands;
 mod established;
+mod fence;
 mod openings;
 
 use self::errands::Errands;
+use self::fence::Fence;
 use crate::configuration::{CarriedConfiguration, RoutingTable};
 use crate::counters::CarriedBalancerCounters;
 use crate::flow_cache::FlowCache;
@@ -100,6 +102,7 @@
     openings: Openings,
     locator: Locator,
     errands: Errands,
+    fence: Fence,
     random: ChaCha8Rng,
     draining: bool,
     outputs: VecDeque<Output>,
@@ -120,6 +123,7 @@
             openings: Openings::new(random.random()),
             locator: Locator::default(),
             errands: Errands::default(),
+            fence: Fence::default(),
             random,
             draining: false,
             outputs: VecDeque::new(),
@@ -180,6 +184,7 @@
             return false;
         }
         self.routes.replace(&self.standing.configuration);
+        self.fence.lift(now);
         self.counters.configurations_adopted += 1;
         self.standing.membership.hurry(now);
         true
@@ -222,6 +227,7 @@
     fn handle_heartbeat(&mut self, now: Duration, from: SocketAddrV4, heartbeat: Heartbeat) {
         let (is_new, fetch) = self.standing.hear(now, from, &heartbeat);
         self.outputs.extend(fetch);
+        self.compare_with_peer(now, heartbeat.configuration);
         let distance = self.distance(&heartbeat);
         let interval = self.standing.membership.interval();
         if let Some(view) = self.pool.view(&from).filter(|view| view.is_suspect(now, interval)) {
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -4,6 +4,10 @@
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
     pub(super) fn handle_opening(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
+        if self.fence.is_up(now) {
+            self.counters.openings_fenced += 1;
+            return;
+        }
         let flow = segment.flow();
         if let Some(number) = self.openings.number_of(&flow) {
             self.openings.note_copy(now, number, segment.acknowledgement);
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -33,6 +33,10 @@
         openings_given_up,
         /// Flows kept until an agent has room.
         openings_held,
+        /// Opening packets dropped right after a standstill; their copies are taken.
+        openings_fenced,
+        /// Times that the process stood still.
+        standstills,
         /// Agents asked to read the shared store for this balancer.
         store_errands,
         /// Flows left to copies of their opening packets, too late for a reset.
@@ -77,6 +81,10 @@
     pub struct CarriedAgentCounters {
         /// Offers of new flows received.
         offers_received,
+        /// Offers passed over right after a standstill.
+        offers_stale,
+        /// Times that the process stood still.
+        standstills,
         /// New flows passed to the back end.
         offers_taken,
         /// Offers declined because the back end has enough to do.
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -214,3 +214,16 @@
     agent.handle_peer(milliseconds(1), balancer_address(), &offer(1, 9, Admission::FreeSlot));
     assert_eq!(declined(&outputs(&mut agent)), None, "a new one comes before");
 }
+
+#[test]
+fn offers_that_waited_through_a_standstill_take_no_slots() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    agent.resume(milliseconds(5_000));
+    let old = offer(1, 1, Admission::FreeSlot);
+    agent.handle_peer(milliseconds(5_001), balancer_address(), &old);
+    assert_eq!(outputs(&mut agent), []);
+    assert_eq!(agent.counters(milliseconds(5_001)).waiting, 0);
+    agent.handle_peer(milliseconds(5_021), balancer_address(), &offer(2, 2, Admission::FreeSlot));
+    assert_eq!(sent_to_backend(&outputs(&mut agent)), 1);
+}
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -59,6 +59,24 @@
     pub(super) fn freeze(&mut self, node: usize, lasts: Duration) {
         let until = self.now + lasts;
         self.nodes[node].frozen_until = self.nodes[node].frozen_until.max(until);
+        if lasts > STANDSTILL {
+            // Before everything that waits until then.
+            let starts = self.nodes[node].starts;
+            self.events.push(until, Event::Thaw { node, starts });
+        }
+    }
+
+    pub(super) fn resume(&mut self, node: usize, starts: u64) {
+        if self.nodes[node].starts != starts || self.thaw(node).is_some() {
+            return;
+        }
+        let own = self.nodes[node].own_time(self.now);
+        match &mut self.nodes[node].core {
+            Some(Core::Balancer(balancer)) => balancer.resume(own),
+            Some(Core::Agent(agent)) => agent.resume(own),
+            None => {}
+        }
+        self.settle(node);
     }
 
     pub(super) fn cut(&mut self, node: usize, lasts: Duration) {
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -38,6 +38,8 @@
 const BOUND: Duration = Duration::from_secs(3);
 /// A planned stop takes so long: the router has turned away by then.
 const STOP_TAKES: Duration = Duration::from_millis(1_600);
+/// A process that was frozen for longer notices.
+const STANDSTILL: Duration = Duration::from_secs(1);
 const LONGEST_FLOW: Duration = Duration::from_secs(60);
 const AIM_MS: u32 = 200;
 const SERVICES: [&str; 2] = ["tiles", "sheets"];
@@ -93,6 +95,7 @@
     BackendWell { agent: usize, start: u64 },
     Probe,
     StoreLook { node: usize, starts: u64 },
+    Thaw { node: usize, starts: u64 },
     ReadStore { agent: usize, starts: u64 },
     GiveSnapshot { from: usize, to: usize, starts: u64 },
     Start { node: usize },
@@ -200,6 +203,7 @@
             Event::BackendWell { agent, start } => self.backend_well(agent, start),
             Event::Probe => self.probe(),
             Event::StoreLook { node, starts } => self.store_look(node, starts),
+            Event::Thaw { node, starts } => self.resume(node, starts),
             Event::ReadStore { agent, starts } => self.read_store(agent, starts),
             Event::GiveSnapshot { from, to, starts } => self.give_snapshot(from, to, starts),
             Event::Start { node } => self.start(node),
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -76,6 +76,10 @@
         }
     }
 
+    fn resume(&mut self, now: Duration) {
+        self.agent.resume(now);
+    }
+
     fn drain(&mut self, now: Duration) {
         self.agent.start_draining(now);
     }
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -75,6 +75,10 @@
         }
     }
 
+    fn resume(&mut self, now: Duration) {
+        self.balancer.resume(now);
+    }
+
     fn note_store(&mut self, now: Duration, answers: bool) {
         self.balancer.note_store(now, answers);
     }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -26,6 +26,8 @@
     fn status(&self, now: Duration) -> NodeStatus;
     fn drain(&mut self, now: Duration);
 
+    /// The process stood still.
+    fn resume(&mut self, now: Duration);
     /// Whether the shared store answers; agents do not follow it.
     fn note_store(&mut self, _now: Duration, _answers: bool) {}
     /// A back end's heartbeat; no core but an agent's is sent any.
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -15,6 +15,16 @@
 const DATAGRAMS_A_TURN: usize = 32;
 /// Longest time between two looks at the core's status.
 const STATUS_INTERVAL: Duration = Duration::from_millis(100);
+/// A process that has not had its turn for so long stood still.
+const STANDSTILL: Duration = Duration::from_secs(1);
+
+/// What a turn begins with.
+enum Ready {
+    Local,
+    Peers,
+    Command(Command),
+    Nothing,
+}
 
 /// The shell of one core.
 pub(crate) struct Shell<C> {
@@ -34,21 +44,24 @@
     /// Runs until the task is dropped or nobody can send commands.
     pub(crate) async fn run(mut self) {
         let mut buffer = vec![0; BUFFER_BYTES];
+        let mut last_turn = self.now();
         loop {
             let wake_at = self.wake_at();
-            tokio::select! {
-                ready = self.local.readable() => if ready.is_ok() {
-                    // What nodes have said about a flow counts before the flow's next packet.
-                    self.take_peers(&mut buffer);
-                    self.take_local(&mut buffer);
-                },
-                ready = self.peers.readable() => if ready.is_ok() { self.take_peers(&mut buffer) },
-                () = tokio::time::sleep_until(wake_at) => {}
+            let ready = tokio::select! {
+                ready = self.local.readable() => ready.map_or(Ready::Nothing, |()| Ready::Local),
+                ready = self.peers.readable() => ready.map_or(Ready::Nothing, |()| Ready::Peers),
+                () = tokio::time::sleep_until(wake_at) => Ready::Nothing,
                 command = self.commands.recv() => match command {
-                    Some(command) => self.take_command(command),
+                    Some(command) => Ready::Command(command),
                     None => return,
                 },
+            };
+            // Before anything that waited meanwhile is taken.
+            if self.now().saturating_sub(last_turn) > STANDSTILL {
+                self.core.resume(self.now());
             }
+            last_turn = self.now();
+            self.take(ready, &mut buffer);
             let now = self.now();
             if self.core.next_timeout().is_some_and(|next| next <= now) {
                 self.core.handle_timeout(now);
@@ -58,6 +71,19 @@
         }
     }
 
+    fn take(&mut self, ready: Ready, buffer: &mut [u8]) {
+        match ready {
+            Ready::Local => {
+                // What nodes have said about a flow counts before the flow's next packet.
+                self.take_peers(buffer);
+                self.take_local(buffer);
+            }
+            Ready::Peers => self.take_peers(buffer),
+            Ready::Command(command) => self.take_command(command),
+            Ready::Nothing => {}
+        }
+    }
+
     fn now(&self) -> Duration {
         self.started.elapsed()
     }
