--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -24,11 +24,7 @@
 
 /// A balancer with a route to `SERVICE` and `agents` agents of it.
 fn balancer(agents: u8) -> CarriedBalancer {
-    let settings =
-        CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed: 1 };
-    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
-    let routes = vec![route(service_address(), SERVICE)];
-    balancer.adopt(milliseconds(0), configuration(1, routes));
+    let mut balancer = new_balancer(1);
     for agent in 1..=agents {
         tell(&mut balancer, milliseconds(0), agent, load(SERVICE, 0));
     }
--- a/crates/carried/tests/choice.rs
+++ b/crates/carried/tests/choice.rs
@@ -2,10 +2,7 @@
 
 mod support;
 
-use loftdrift_carried::{
-    BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason, LoadReport, Message,
-    NodeRole, PlainFormat,
-};
+use loftdrift_carried::{BackendCondition, CarriedBalancer, DeclineReason, LoadReport, Message};
 use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -24,15 +21,6 @@
     }
 }
 
-fn balancer(seed: u64) -> CarriedBalancer {
-    let node = node(balancer_address(), NodeRole::Balancer);
-    let settings = CarriedBalancerSettings { node, seed };
-    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
-    let routes = vec![route(service_address(), SERVICE)];
-    balancer.adopt(milliseconds(0), configuration(1, routes));
-    balancer
-}
-
 fn first_offer(balancer: &mut CarriedBalancer, now: Duration, port: u16) -> (SocketAddrV4, u64) {
     outputs_of(balancer);
     balancer.handle_caller(now, &packet(&opening(port)));
@@ -41,7 +29,7 @@
 
 #[test]
 fn an_agent_that_has_measured_nothing_is_not_taken_for_the_fastest() {
-    let mut balancer = balancer(1);
+    let mut balancer = new_balancer(1);
     let now = milliseconds(10);
     for agent in 1..=6 {
         tell(&mut balancer, now, agent, load(1, WORK_US));
@@ -55,7 +43,7 @@
 
 #[test]
 fn an_agent_that_has_rested_is_not_taken_for_the_fastest() {
-    let mut balancer = balancer(1);
+    let mut balancer = new_balancer(1);
     let now = milliseconds(10);
     for agent in 1..=6 {
         tell(&mut balancer, now, agent, load(1, WORK_US));
@@ -73,7 +61,7 @@
     let now = milliseconds(1_010);
     let mut chosen: HashMap<SocketAddrV4, u32> = HashMap::new();
     for seed in 0..100 {
-        let mut balancer = balancer(seed);
+        let mut balancer = new_balancer(seed);
         for agent in 1..=20 {
             tell(&mut balancer, milliseconds(10), agent, load(u16::from(agent > 1) * 2, WORK_US));
         }
@@ -86,7 +74,7 @@
 #[test]
 fn a_fresh_word_of_rest_is_followed_in_a_small_pool() {
     for seed in 0..20 {
-        let mut balancer = balancer(seed);
+        let mut balancer = new_balancer(seed);
         for agent in 1..=7 {
             tell(&mut balancer, milliseconds(10), agent, load(u16::from(agent > 1) * 2, WORK_US));
         }
@@ -96,7 +84,7 @@
 
 #[test]
 fn slots_of_agents_that_are_not_the_fastest_are_found_before_a_queue_is() {
-    let mut balancer = balancer(1);
+    let mut balancer = new_balancer(1);
     let now = milliseconds(10);
     for agent in 1..=10 {
         tell(&mut balancer, now, agent, load(4, WORK_US / 2));
--- a/crates/carried/tests/fence.rs
+++ b/crates/carried/tests/fence.rs
@@ -3,8 +3,7 @@
 mod support;
 
 use loftdrift_carried::{
-    BackendCondition, CarriedBalancer, CarriedBalancerSettings, Heartbeat, LoadReport, Message,
-    NodeRole, Output, PlainFormat,
+    BackendCondition, CarriedBalancer, Heartbeat, LoadReport, Message, NodeRole, Output,
 };
 use std::time::Duration;
 use support::*;
@@ -22,10 +21,7 @@
 }
 
 fn balancer() -> CarriedBalancer {
-    let node = node(balancer_address(), NodeRole::Balancer);
-    let settings = CarriedBalancerSettings { node, seed: 1 };
-    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
-    balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+    let mut balancer = new_balancer(1);
     for agent in 1..=20 {
         tell(&mut balancer, milliseconds(0), agent, load());
     }
--- a/crates/carried/tests/recovery.rs
+++ b/crates/carried/tests/recovery.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use loftdrift_carried::{
-    Admission, BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason,
-    LoadReport, Message, NodeRole, Output, PlainFormat, Segment,
+    Admission, BackendCondition, CarriedBalancer, DeclineReason, LoadReport, Message, Output,
+    Segment,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -26,10 +26,7 @@
 
 /// A balancer that has just started; its agents have just come and are full.
 fn balancer() -> CarriedBalancer {
-    let node = node(balancer_address(), NodeRole::Balancer);
-    let settings = CarriedBalancerSettings { node, seed: 1 };
-    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
-    balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+    let mut balancer = new_balancer(1);
     for agent in 1..=AGENTS {
         tell(&mut balancer, milliseconds(0), agent, full());
     }
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -3,8 +3,8 @@
 
 use loftdrift_carried::{
     Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer,
-    CarriedConfiguration, DeclineReason, Heartbeat, LoadReport, Message, Node, NodeRole, Output,
-    Part, PlainFormat, Route, Segment, ServiceSettings,
+    CarriedBalancerSettings, CarriedConfiguration, DeclineReason, Heartbeat, LoadReport, Message,
+    Node, NodeRole, Output, Part, PlainFormat, Route, Segment, ServiceSettings,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -155,3 +155,11 @@
         })
         .collect()
 }
+
+/// A balancer that knows nobody and has a route to [`SERVICE`].
+pub fn new_balancer(seed: u64) -> CarriedBalancer {
+    let node = node(balancer_address(), NodeRole::Balancer);
+    let mut balancer = CarriedBalancer::new(CarriedBalancerSettings { node, seed }, PlainFormat);
+    balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+    balancer
+}
