--- a/crates/bench/benches/carried.rs
+++ b/crates/bench/benches/carried.rs
@@ -50,6 +50,7 @@
             work_us: 55_000,
             measured_ms_ago: 0,
             is_cold: false,
+            begun_ms_ago: None,
         }),
         wants_reply: false,
     })
--- a/crates/carried/src/agent/flow.rs
+++ b/crates/carried/src/agent/flow.rs
@@ -1,6 +1,7 @@
 //! One flow, as far as its packets tell.
 
 use crate::segment::Segment;
+use loftdrift_wire::FlowKey;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -47,10 +48,16 @@
     pub(super) balancer: SocketAddrV4,
     pub(super) phase: Phase,
     pub(super) since: Duration,
+    /// Sequence number of the opening packet, by which its copies are told from another flow's.
+    pub(super) opened_with: Option<u32>,
     /// The caller has finished; while a request waits, it has given that up.
     pub(super) caller_left: bool,
+    /// The back end has finished.
+    pub(super) backend_left: bool,
     /// End of the caller's data so far, in its sequence numbers.
     pub(super) caller_end: Option<u32>,
+    /// What the caller's last packet acknowledges.
+    pub(super) caller_acknowledges: Option<u32>,
     /// End of the back end's data so far, in the numbers that the caller acknowledges.
     pub(super) backend_end: Option<u32>,
 }
@@ -61,8 +68,11 @@
             balancer,
             phase,
             since: now,
+            opened_with: None,
             caller_left: false,
+            backend_left: false,
             caller_end: None,
+            caller_acknowledges: None,
             backend_end: None,
         }
     }
@@ -89,11 +99,42 @@
     /// Whether a caller's packet can be of this flow and not of another one between the same
     /// addresses: it acknowledges what this flow's back end has sent.
     pub(super) fn acknowledges_here(&self, segment: &Segment) -> bool {
-        let Some(end) = self.backend_end.filter(|_| segment.acknowledges) else {
+        self.acknowledges(segment.acknowledges.then_some(segment.acknowledgement))
+    }
+
+    /// The same of a packet's acknowledgement alone.
+    pub(super) fn acknowledges(&self, acknowledged: Option<u32>) -> bool {
+        let (Some(end), Some(acknowledged)) = (self.backend_end, acknowledged) else {
             return true;
         };
-        let distance = segment.acknowledgement.wrapping_sub(end) as i32;
-        distance.unsigned_abs() <= LARGEST_WINDOW
+        acknowledged.wrapping_sub(end).cast_signed().unsigned_abs() <= LARGEST_WINDOW
+    }
+
+    /// Whether a copy of the opening packet may still open the flow.
+    pub(super) fn awaits_opening_of(&self, copy: &Segment) -> bool {
+        let awaits = matches!(self.phase, Phase::Offered { .. } | Phase::Answered);
+        awaits && self.opened_with.is_none_or(|sequence| sequence == copy.sequence)
+    }
+
+    /// Whether a packet is a copy of the one that opened the flow, which is not over.
+    pub(super) fn was_opened_by(&self, copy: &Segment) -> bool {
+        self.phase != Phase::Closing && self.opened_with == Some(copy.sequence)
+    }
+
+    /// What a reset of the flow answers; `None` before the caller has acknowledged anything.
+    pub(super) fn last_segment(&self, key: &FlowKey) -> Option<Segment> {
+        let acknowledgement = self.caller_acknowledges?;
+        let head = Segment::between(key.caller, key.service);
+        Some(Segment { acknowledges: true, acknowledgement, ..head })
+    }
+
+    /// Whether a caller's packet shows that the flow is open here: its back end has sent something,
+    /// and the packet acknowledges that.
+    pub(super) fn is_open_here(&self, segment: &Segment) -> bool {
+        let is_over =
+            self.backend_left || matches!(self.phase, Phase::Offered { .. } | Phase::Closing);
+        let is_known = self.backend_end.is_some() && segment.acknowledges;
+        !is_over && is_known && self.acknowledges_here(segment)
     }
 }
 
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -6,14 +6,18 @@
 //! - An offer gets one final answer, `Placed` or `Declined`; a declined flow has never been at work.
 //! - A packet of a flow that does not live here goes back to the balancer as its sender wrote it.
 
+mod finding;
 mod flow;
 mod offers;
 mod outcomes;
 mod packets;
 mod phases;
+mod watch;
 
 use self::flow::{CarriedFlow, Phase};
 use self::outcomes::RequestOutcome;
+pub use self::watch::ProbeOutcome;
+use self::watch::Watch;
 use crate::backend::{Backend, BackendReport, ReportOutcome};
 use crate::breaker::{Breaker, BreakerState};
 use crate::configuration::CarriedConfiguration;
@@ -51,11 +55,13 @@
 const LATEST_OVERDUE: Duration = Duration::from_secs(3);
 /// A flow that both ends may still speak of after its end is remembered for so long.
 const CLOSING_LASTS: Duration = Duration::from_secs(3);
-/// A back end whose first heartbeat heard here is one of its first began beside this very process.
-const FRESH_SEQUENCE: u64 = 2;
+/// A back end whose very first heartbeat is heard here began beside this process.
+const FRESH_SEQUENCE: u64 = 1;
 /// Offers that come so soon after a standstill waited in the socket all the while; their balancers
 /// have asked others since.
 const STALE_OFFERS: Duration = Duration::from_millis(20);
+/// A stop waits so long until balancers have heard that the back end has ended.
+const GOODBYE_LASTS: Duration = Duration::from_millis(60);
 /// Thirds of the slots that requests which are late already may take.
 const SPARE_OF_THREE: u32 = 2;
 /// Flows that are known not to live here are remembered, so that they are not tried again.
@@ -86,8 +92,11 @@
     waiting: u32,
     work: WorkMeter,
     breaker: Breaker,
+    watch: Watch,
     /// The back end may hold flows that an earlier process of this agent knew.
     may_have_forgotten: bool,
+    /// About when the back end started, where this process has run ever since.
+    begun_at: Option<Duration>,
     unanswered: u32,
     silent_until: Option<Duration>,
     /// The condition that balancers were told last.
@@ -97,6 +106,8 @@
     /// Offers before this are passed over.
     stale_until: Duration,
     stopping: bool,
+    /// Until when balancers are being told that the back end has ended; a stop waits for it.
+    goodbye_until: Option<Duration>,
     outputs: VecDeque<Output>,
     counters: CarriedAgentCounters,
     latency: AgentLatency,
@@ -110,6 +121,7 @@
             backend: Backend::new(settings.service.clone()),
             may_have_forgotten: !settings.is_first_start,
             settings,
+            begun_at: None,
             format,
             flows: FlowTable::default(),
             foreign: HashSet::new(),
@@ -117,12 +129,14 @@
             waiting: 0,
             work: WorkMeter::default(),
             breaker: Breaker::new(),
+            watch: Watch::default(),
             unanswered: 0,
             silent_until: None,
             told: BackendCondition::Unknown,
             errand_of: None,
             stale_until: Duration::ZERO,
             stopping: false,
+            goodbye_until: None,
             outputs: VecDeque::new(),
             counters: CarriedAgentCounters::default(),
             latency: AgentLatency::default(),
@@ -157,7 +171,7 @@
 
     /// What this node gives to whoever asks.
     pub fn snapshot(&self) -> Snapshot {
-        self.standing.snapshot()
+        self.standing.snapshot(|_| true)
     }
 
     /// Takes a node's snapshot.
@@ -188,6 +202,7 @@
     /// Takes no new flows from now on and tells every balancer so.
     pub fn start_draining(&mut self, now: Duration) {
         self.stopping = true;
+        self.hurry_watch(now);
         self.standing.membership.hurry(now);
         log::info!(waiting = self.waiting; "draining");
     }
@@ -200,9 +215,15 @@
         log::warn!(waiting = self.waiting; "resumed_after_standstill");
     }
 
-    /// Whether nothing waits for an answer.
-    pub fn is_drained(&self) -> bool {
-        self.waiting == 0
+    /// Whether a stop was asked for, nothing waits for an answer, and balancers were told whether the back end lives.
+    pub fn is_drained(&self, now: Duration) -> bool {
+        let is_told = self.goodbye_until.is_none_or(|until| now >= until);
+        self.stopping && self.waiting == 0 && !self.watch.is_open() && is_told
+    }
+
+    /// Whether the back end's process has ended: the agent holds no flow, and none comes back.
+    pub fn has_ended(&self) -> bool {
+        self.watch.has_ended
     }
 
     /// Takes a heartbeat of the back end.
@@ -212,14 +233,19 @@
         let outcome = self.backend.take_report(now, report);
         if is_first && report.sequence <= FRESH_SEQUENCE {
             self.may_have_forgotten = false;
+            self.begun_at = Some(now);
         }
         match outcome {
-            ReportOutcome::Started => self.doubt_flows(now),
+            ReportOutcome::Started => {
+                self.begun_at = Some(now);
+                self.doubt_flows(now);
+            }
             ReportOutcome::Outdated => self.counters.backend_reports_outdated += 1,
             ReportOutcome::Updated => {}
         }
         if outcome != ReportOutcome::Outdated {
             self.silent_until = None;
+            self.watch.note_sign();
         }
         self.tell_change(now, &report.id);
         outcome
@@ -242,6 +268,9 @@
         let after = self.condition(now);
         let before = std::mem::replace(&mut self.told, after);
         if before != after {
+            if after == BackendCondition::Ended {
+                self.goodbye_until = Some(now + GOODBYE_LASTS);
+            }
             let (from, to) = (format!("{before:?}"), format!("{after:?}"));
             log::info!(backend = cause, from = from.as_str(), to = to.as_str(), waiting = self.waiting; "backend_changed");
             self.standing.membership.hurry(now);
@@ -268,6 +297,9 @@
     }
 
     fn condition(&self, now: Duration) -> BackendCondition {
+        if self.watch.has_ended {
+            return BackendCondition::Ended;
+        }
         if self.stopping {
             return BackendCondition::Leaving;
         }
@@ -291,6 +323,7 @@
             work_us: self.work.mean_us(),
             measured_ms_ago: self.work.measured_ms_ago(now),
             is_cold: self.backend.is_cold(now),
+            begun_ms_ago: self.begun_at.map(|at| now.saturating_sub(at).as_millis() as u32),
         }
     }
 
@@ -300,8 +333,9 @@
             Some(Message::Offer { number, service, admission, datagram }) => {
                 self.handle_offer(now, from, number, &service, admission, datagram);
             }
-            Some(Message::Forward { datagram }) => self.deliver(now, from, datagram, true),
-            Some(Message::Locate { datagram }) => self.deliver(now, from, datagram, false),
+            Some(Message::Forward { datagram }) => self.deliver(now, from, datagram),
+            Some(Message::Find { questions }) => self.handle_find(now, from, &questions),
+            Some(Message::Try { datagram }) => self.handle_try(now, from, datagram),
             Some(Message::ReadStore) => {
                 self.counters.store_errands += 1;
                 self.errand_of = Some(from);
@@ -320,8 +354,12 @@
 
     /// When [`CarriedAgent::handle_timeout`] must be called next.
     pub fn next_timeout(&self) -> Option<Duration> {
-        let changes_at = self.condition_changes_at();
-        let due = [self.flows.next_wake_up(), self.standing.membership.next_due(), changes_at];
+        let due = [
+            self.flows.next_wake_up(),
+            self.standing.membership.next_due(),
+            self.condition_changes_at(),
+            self.watch.next_question(),
+        ];
         due.into_iter().flatten().min()
     }
 
@@ -335,6 +373,7 @@
             self.breaker.wake(now);
             self.tell_change(now, "rested");
         }
+        self.ask_backend(now);
         for (peer, wants_reply) in self.standing.membership.take_due(now) {
             self.send_heartbeat(now, peer, wants_reply);
         }
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -25,12 +25,16 @@
         if let Some(id) = self.flows.find(&flow) {
             match self.flows.get_mut(id).map(|flow| &mut flow.body) {
                 // A copy, perhaps through another balancer: the back end answers it again.
-                Some(body) if matches!(body.phase, Phase::Offered { .. } | Phase::Answered) => {
+                Some(body) if body.awaits_opening_of(&segment) => {
                     body.balancer = from;
                     self.set_phase(now, id, Phase::Offered { number });
                     self.outputs.push_back(Output::ToBackend(datagram));
                     return;
                 }
+                // A copy that comes late, through a balancer that is behind: the flow is open.
+                Some(body) if body.was_opened_by(&segment) => {
+                    return self.tell_placed(now, from, number);
+                }
                 // The caller uses its port again.
                 _ => self.remove(id),
             }
@@ -39,11 +43,19 @@
             return self.decline(now, from, number, &flow, reason);
         }
         self.counters.offers_taken += 1;
-        let id = self.flows.insert(flow, CarriedFlow::new(now, from, Phase::Resting));
+        let mut body = CarriedFlow::new(now, from, Phase::Resting);
+        body.opened_with = Some(segment.sequence);
+        let id = self.flows.insert(flow, body);
         self.set_phase(now, id, Phase::Offered { number });
         self.outputs.push_back(Output::ToBackend(datagram));
     }
 
+    /// Tells a balancer that the flow of its offer lives here.
+    pub(super) fn tell_placed(&mut self, now: Duration, to: SocketAddrV4, number: u64) {
+        let message = Message::Placed { number, report: self.report(now) };
+        self.outputs.push_back(Output::ToPeer { to, message });
+    }
+
     pub(super) fn refusal(
         &self,
         now: Duration,
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -1,17 +1,12 @@
 //! Packets of flows, to the back end and from it.
 
 use super::*;
+use crate::message::Word;
 
 impl<F: SegmentFormat> CarriedAgent<F> {
-    /// Passes a caller's packet to the back end when its flow lives here. A forwarded packet goes
-    /// back to the balancer when it does not; a located one was sent to others as well.
-    pub(super) fn deliver(
-        &mut self,
-        now: Duration,
-        from: SocketAddrV4,
-        datagram: Vec<u8>,
-        forwarded: bool,
-    ) {
+    /// Passes a caller's packet to the back end when its flow lives here, or may live here as far
+    /// as this agent knows; otherwise it goes back to the balancer.
+    pub(super) fn deliver(&mut self, now: Duration, from: SocketAddrV4, datagram: Vec<u8>) {
         let Ok(segment) = self.format.parse(&datagram) else {
             self.counters.packets_malformed += 1;
             return;
@@ -20,13 +15,22 @@
         let id = match self.flows.find(&flow) {
             Some(id) => id,
             None if self.may_have_forgotten(now, &flow) => self.start_trial(now, flow, from),
-            None => return self.pass_back(from, datagram, forwarded),
+            None => return self.pass_back(from, datagram),
         };
         let Some(entry) = self.flows.get_mut(id) else { return };
         if !entry.body.acknowledges_here(&segment) {
-            return self.pass_back(from, datagram, forwarded);
+            return self.pass_back(from, datagram);
+        }
+        if self.watch.has_ended {
+            return self.refuse_ended(from, id, &segment, datagram);
         }
         entry.body.balancer = from;
+        if segment.acknowledges {
+            entry.body.caller_acknowledges = Some(segment.acknowledgement);
+        }
+        if segment.payload_bytes > 0 {
+            self.watch.note_packet(now);
+        }
         let is_trial = entry.body.phase == Phase::Tried;
         if entry.body.begins_request(&segment) {
             self.tell_request(from, &flow, &datagram);
@@ -35,9 +39,6 @@
         self.outputs.push_back(Output::ToBackend(datagram));
         if !is_trial {
             self.follow_caller(now, id, &segment);
-            if !forwarded {
-                self.tell_held(from, &flow);
-            }
         }
     }
 
@@ -51,17 +52,9 @@
         }
     }
 
-    pub(super) fn pass_back(&mut self, to: SocketAddrV4, datagram: Vec<u8>, forwarded: bool) {
+    pub(super) fn pass_back(&mut self, to: SocketAddrV4, datagram: Vec<u8>) {
         self.counters.packets_not_held += 1;
-        if forwarded {
-            let message = Message::NotHeld { datagram };
-            self.outputs.push_back(Output::ToPeer { to, message });
-        }
-    }
-
-    pub(super) fn tell_held(&mut self, to: SocketAddrV4, flow: &FlowKey) {
-        let message = Message::Held { caller: flow.caller, service: flow.service };
-        self.outputs.push_back(Output::ToPeer { to, message });
+        self.outputs.push_back(Output::ToPeer { to, message: Message::NotHeld { datagram } });
     }
 
     /// An agent that has not run for as long as a flow may last cannot know that a flow does not
@@ -125,6 +118,7 @@
         }
         self.unanswered = 0;
         self.silent_until = None;
+        self.watch.note_sign();
         let flow = segment.flow_of_answer();
         if segment.resets && self.is_trial(&flow) {
             // The back end speaks of an earlier flow between the same addresses.
@@ -133,7 +127,7 @@
         self.counters.packets_answered += 1;
         match self.flows.find(&flow) {
             Some(id) => self.follow_backend(now, id, &segment, &datagram),
-            None => self.remember(now, flow),
+            None => self.remember(now, flow, &segment),
         }
         let host = *flow.caller.ip();
         self.outputs.push_back(Output::ToCaller { host, datagram });
@@ -145,17 +139,22 @@
         known.is_some_and(|flow| flow.body.phase == Phase::Tried)
     }
 
+    /// The back end does not hold the flow of a packet that it was given on trial.
     pub(super) fn end_trial(&mut self, flow: FlowKey) {
-        if let Some(id) = self.flows.find(&flow) {
-            self.remove(id);
+        let Some(id) = self.flows.find(&flow) else { return };
+        if let Some(balancer) = self.flows.get(id).map(|flow| flow.body.balancer) {
+            self.tell_word(balancer, flow, Word::Absent);
         }
+        self.remove(id);
         self.remember_foreign(flow);
     }
 
     /// A flow that the back end speaks of and this agent has forgotten.
-    pub(super) fn remember(&mut self, now: Duration, flow: FlowKey) {
+    pub(super) fn remember(&mut self, now: Duration, flow: FlowKey, segment: &Segment) {
         let me = self.settings.node.address;
-        let id = self.flows.insert(flow, CarriedFlow::new(now, me, Phase::Resting));
+        let mut body = CarriedFlow::new(now, me, Phase::Resting);
+        body.backend_end = Some(segment.end());
+        let id = self.flows.insert(flow, body);
         self.set_phase(now, id, Phase::Resting);
     }
 
@@ -169,12 +168,12 @@
         let Some(flow) = self.flows.get_mut(id) else { return };
         let is_early = flow.body.is_ahead_of_answer(segment);
         flow.body.backend_end = Some(segment.end());
+        flow.body.backend_left |= segment.finishes || segment.resets;
         let (balancer, phase, since) = (flow.body.balancer, flow.body.phase, flow.body.since);
         let (key, caller_left) = (flow.key, flow.body.caller_left);
         match phase {
             Phase::Offered { number } if segment.opens => {
-                let message = Message::Placed { number, report: self.report(now) };
-                self.outputs.push_back(Output::ToPeer { to: balancer, message });
+                self.tell_placed(now, balancer, number);
                 self.latency.handshake.observe(now.saturating_sub(since));
                 self.set_phase(now, id, Phase::Answered);
             }
@@ -195,7 +194,7 @@
             }
             Phase::Overdue if segment.payload_bytes > 0 => self.set_phase(now, id, Phase::Resting),
             Phase::Tried => {
-                self.tell_held(balancer, &key);
+                self.tell_word(balancer, key, Word::Held);
                 self.set_phase(now, id, Phase::Resting);
             }
             _ => {}
@@ -208,23 +207,35 @@
     /// The back end did not take a packet.
     pub(super) fn handle_returned(&mut self, now: Duration, segment: &Segment, datagram: Vec<u8>) {
         self.counters.packets_returned += 1;
+        self.watch.note_sign();
         let flow = segment.flow();
         let Some(id) = self.flows.find(&flow) else { return };
         let Some(entry) = self.flows.get(id) else { return };
         let (balancer, phase) = (entry.body.balancer, entry.body.phase);
-        self.remove(id);
         match phase {
             Phase::Offered { number } if segment.is_opening() => {
+                self.remove(id);
                 self.decline(now, balancer, number, &flow, DeclineReason::Returned);
             }
-            Phase::Tried => self.remember_foreign(flow),
+            // A packet of an earlier flow between the same addresses, which came back late, or of
+            // one that the back end has ended.
+            Phase::Offered { .. } | Phase::Closing => {}
+            _ if entry.body.backend_left => {}
+            _ if !entry.body.acknowledges_here(segment) => {}
+            _ if entry.body.is_open_here(segment) => {
+                self.remove(id);
+                self.remember_foreign(flow);
+                self.tell_over(balancer, segment, "lost_by_backend");
+            }
+            Phase::Tried => self.end_trial(flow),
             _ => {
                 log::warn!(
                     flow = flow_name(&flow).as_str(), balancer:% = balancer;
                     "packet_returned_by_backend"
                 );
+                self.remove(id);
                 self.remember_foreign(flow);
-                self.pass_back(balancer, datagram, true);
+                self.pass_back(balancer, datagram);
             }
         }
     }
--- a/crates/carried/src/agent/phases.rs
+++ b/crates/carried/src/agent/phases.rs
@@ -4,7 +4,10 @@
 
 impl<F: SegmentFormat> CarriedAgent<F> {
     pub(super) fn set_phase(&mut self, now: Duration, id: FlowId, phase: Phase) {
-        let lasts = self.phase_lasts(phase);
+        let Some(caller_left) = self.flows.get(id).map(|flow| flow.body.caller_left) else {
+            return;
+        };
+        let lasts = self.phase_lasts(phase, caller_left);
         let Some(flow) = self.flows.get_mut(id) else { return };
         let before = std::mem::replace(&mut flow.body.phase, phase);
         flow.body.since = now;
@@ -12,14 +15,16 @@
         self.flows.wake_by(id, Some(now + lasts));
     }
 
-    pub(super) fn phase_lasts(&self, phase: Phase) -> Duration {
+    pub(super) fn phase_lasts(&self, phase: Phase, caller_left: bool) -> Duration {
         match phase {
             Phase::Offered { .. } => OPENING_PATIENCE,
             Phase::Answered => HANDSHAKE_PATIENCE,
             Phase::Waiting { in_system } => self.overdue_after(in_system),
             Phase::Overdue => WAITING_PATIENCE,
             Phase::Resting | Phase::Tried => self.idle_timeout(),
-            Phase::Closing => CLOSING_LASTS,
+            Phase::Closing if caller_left => CLOSING_LASTS,
+            // The caller may not have heard of the end, and is not to be told that nobody knows it.
+            Phase::Closing => self.idle_timeout(),
         }
     }
 
@@ -44,7 +49,7 @@
     pub(super) fn wake(&mut self, now: Duration, id: FlowId) {
         let Some(flow) = self.flows.get(id) else { return };
         let phase = flow.body.phase;
-        let ends_at = flow.body.since + self.phase_lasts(phase);
+        let ends_at = flow.body.since + self.phase_lasts(phase, flow.body.caller_left);
         if now < ends_at {
             return self.flows.wake_by(id, Some(ends_at));
         }
--- a/crates/carried/src/balancer/established.rs
+++ b/crates/carried/src/balancer/established.rs
@@ -17,29 +17,22 @@
         }
         let idle = self.idle_timeout();
         let finishes = segment.finishes || segment.resets;
-        if let Some(agent) = self.flows.touch(now, idle, &flow, finishes) {
-            self.counters.packets_forwarded += 1;
-            let message = Message::Forward { datagram: datagram.to_vec() };
-            self.outputs.push_back(Output::ToPeer { to: agent, message });
-            return;
+        match self.flows.touch(now, idle, &flow, finishes) {
+            // Whatever it held is over.
+            Some(agent) if self.is_gone(now, &agent) => self.flows.remove(&flow, agent),
+            Some(agent) => return self.forward(agent, datagram),
+            None => {}
         }
-        self.locate(&flow, datagram, None);
+        self.look_up(now, segment, datagram, None);
     }
 
-    pub(super) fn locate(&mut self, flow: &FlowKey, datagram: &[u8], except: Option<SocketAddrV4>) {
-        self.counters.packets_located += 1;
-        let agents = self.locator.choose(&self.pool, &self.routes, &flow.service, except);
-        log::info!(
-            flow = flow_name(flow).as_str(), agents = agents.len(),
-            configuration = self.standing.configuration.version; "flow_located"
-        );
-        for to in agents {
-            let message = Message::Locate { datagram: datagram.to_vec() };
-            self.outputs.push_back(Output::ToPeer { to, message });
-        }
+    fn forward(&mut self, to: SocketAddrV4, datagram: &[u8]) {
+        self.counters.packets_forwarded += 1;
+        let message = Message::Forward { datagram: datagram.to_vec() };
+        self.outputs.push_back(Output::ToPeer { to, message });
     }
 
-    pub(super) fn handle_not_held(&mut self, from: SocketAddrV4, datagram: &[u8]) {
+    pub(super) fn handle_not_held(&mut self, now: Duration, from: SocketAddrV4, datagram: &[u8]) {
         self.counters.packets_not_held += 1;
         let Ok(segment) = self.format.parse(datagram) else {
             self.counters.packets_malformed += 1;
@@ -50,11 +43,8 @@
         self.flows.remove(&flow, from);
         match self.flows.agent(&flow) {
             // Found meanwhile, while packets were still under way to the wrong agent.
-            Some(agent) => {
-                let message = Message::Forward { datagram: datagram.to_vec() };
-                self.outputs.push_back(Output::ToPeer { to: agent, message });
-            }
-            None => self.locate(&flow, datagram, Some(from)),
+            Some(agent) => self.forward(agent, datagram),
+            None => self.look_up(now, &segment, datagram, Some(from)),
         }
     }
 }
--- /dev/null
+++ b/crates/carried/src/balancer/lookups.rs
@@ -0,0 +1,431 @@
+//! Flows that this balancer does not remember: found, waited for, or told to be over.
+//!
+//! Invariants:
+//! - A packet whose holder is not known is given to a back end only when no agent that could be
+//!   asked holds its flow, and then only beside agents that may have forgotten it.
+//! - A caller is told that its flow is over only when every agent known has said that the flow does
+//!   not live there, or has said good-bye, or has answered nobody for very long. While any of
+//!   them may hold it, or while agents may be there that this balancer has not heard of, it waits.
+
+use super::*;
+use crate::lookup::{FIRST_BATCH, Lookup, MOST_TRIALS, Said};
+use crate::message::{FlowQuestion, FlowWord, MOST_FLOWS_ASKED, Word};
+use crate::rank::Ranking;
+
+/// Most searches under way; packets of further flows are left to their callers' repetitions.
+const MOST_LOOKUPS: usize = 4_096;
+/// Agents are asked about one flow, at most; where there are more, nobody is told that its flow is
+/// over: the question would cost more than the wait.
+const MOST_ASKED: usize = 512;
+/// An agent that has said nothing for so long has ended, whatever it held. Longer than planned
+/// restarts, freezes and cuts last: what a cut holder holds lives.
+const GONE_AFTER: Duration = Duration::from_secs(15);
+/// Heartbeats that such an agent missed at least.
+const GONE_INTERVALS: u32 = 4;
+/// A balancer that could not read the list of nodes has heard of all of them after so long.
+const ACQUAINTED_AFTER: Duration = Duration::from_secs(5);
+/// Where everything restarts at once, back ends start within so long of each other.
+const RESTART_SPREAD: Duration = Duration::from_secs(5);
+/// Agents that must have restarted with their back ends before that is believed of all.
+const LEAST_RESTARTED: usize = 2;
+/// Agents that live have been heard so long after this process started, where all restarted.
+const RESTART_GRACE: Duration = Duration::from_millis(300);
+/// A caller that was told is remembered for so long.
+const TOLD_LASTS: Duration = Duration::from_secs(3);
+/// A caller that was told is told again when it repeats its packet after so long.
+const TOLD_AGAIN_AFTER: Duration = Duration::from_millis(50);
+
+/// What this balancer must have seen before it may say that nobody holds a flow.
+#[derive(Debug, Default)]
+pub(super) struct Acquaintance {
+    /// It has read the list of nodes, which names every node that was entered before.
+    has_list: bool,
+    /// Silence counts from here: before, the process had not started or stood still.
+    since: Duration,
+}
+
+impl Acquaintance {
+    pub(super) fn note_list(&mut self) {
+        self.has_list = true;
+    }
+
+    pub(super) fn note_standstill(&mut self, now: Duration) {
+        self.since = now;
+    }
+
+    fn is_enough(&self, now: Duration) -> bool {
+        self.has_list || now >= ACQUAINTED_AFTER
+    }
+}
+
+impl<F: SegmentFormat> CarriedBalancer<F> {
+    /// A packet of a flow that this balancer does not remember; `not_at` has sent it back.
+    pub(super) fn look_up(
+        &mut self,
+        now: Duration,
+        segment: &Segment,
+        datagram: &[u8],
+        not_at: Option<SocketAddrV4>,
+    ) {
+        self.counters.packets_located += 1;
+        let flow = segment.flow();
+        let number = match self.lookups.number_of(&flow) {
+            Some(number) => {
+                let Some(lookup) = self.lookups.get_mut(number) else { return };
+                lookup.add(now, segment, datagram);
+                number
+            }
+            None if self.lookups.len() >= MOST_LOOKUPS => {
+                self.counters.lookups_passed_over += 1;
+                return;
+            }
+            None => {
+                self.counters.lookups_started += 1;
+                self.lookups.start(now, flow, Lookup::new(now, *segment, datagram))
+            }
+        };
+        let Some(lookup) = self.lookups.get_mut(number) else { return };
+        if let Some(agent) = not_at {
+            lookup.note(agent, Said::Absent(now));
+        }
+        if lookup.ended_at.is_some_and(|at| now.saturating_sub(at) >= TOLD_AGAIN_AFTER) {
+            return self.tell_over(now, number);
+        }
+        self.advance_lookup(now, number);
+    }
+
+    /// Takes a search as far as it goes without another word from an agent.
+    fn advance_lookup(&mut self, now: Duration, number: u64) {
+        let Some(lookup) = self.lookups.get(number) else { return };
+        if lookup.ended_at.is_some() {
+            return self.lookups.wake_at(number, now + TOLD_LASTS);
+        }
+        if let Some(until) = lookup.awaits_until(now) {
+            return self.lookups.wake_at(number, until);
+        }
+        let batch = self.next_batch(now, number);
+        if !batch.is_empty() {
+            return self.ask(now, number, batch);
+        }
+        if self.try_unsure(now, number) {
+            return;
+        }
+        if self.nobody_holds(now, number) {
+            return self.tell_over(now, number);
+        }
+        let Some(lookup) = self.lookups.get(number) else { return };
+        let next_ask = lookup.next_ask;
+        self.lookups.wake_at(number, next_ask.max(now));
+    }
+
+    /// The agents to ask next: those of the services that the address stands or stood for, in the
+    /// flow's ranking, then all others, since an address may have stood for a service that this
+    /// process never knew.
+    fn next_batch(&self, now: Duration, number: u64) -> Vec<SocketAddrV4> {
+        let Some(lookup) = self.lookups.get(number) else { return Vec::new() };
+        let asked = lookup.all_said().count();
+        let most = (FIRST_BATCH << lookup.batches.min(8)).min(MOST_ASKED.saturating_sub(asked));
+        let flow = lookup.segment.flow();
+        let ranking = Ranking::of(&flow);
+        let holders: Vec<&str> = self.routes.holders(&flow.service).collect();
+        let rank = |agent: SocketAddrV4| {
+            let service = self.pool.view(&agent).map(|view| view.report.service.as_str());
+            let is_holder = service.is_some_and(|service| holders.contains(&service));
+            (!is_holder, ranking.rank(&agent), agent)
+        };
+        let is_open =
+            |agent: &SocketAddrV4| lookup.said(agent).is_none() && !self.is_gone(now, agent);
+        let mut ranked: Vec<_> = self.agents_known().filter(is_open).map(rank).collect();
+        ranked.sort_unstable();
+        // Those that cannot hold the flow, as far as is known, are asked once the others have said no.
+        let holders_left = ranked.iter().filter(|(is_other, _, _)| !is_other).count();
+        if holders_left > 0 {
+            ranked.truncate(holders_left);
+        }
+        ranked.truncate(most);
+        ranked.into_iter().map(|(_, _, agent)| agent).collect()
+    }
+
+    fn ask(&mut self, now: Duration, number: u64, agents: Vec<SocketAddrV4>) {
+        let Some(lookup) = self.lookups.get_mut(number) else { return };
+        lookup.batches += 1;
+        let question = question(lookup);
+        self.counters.lookup_questions += agents.len() as u64;
+        for to in agents {
+            lookup.note(to, Said::Asked(now));
+            self.questions.add(now, to, question);
+        }
+        self.lookups.wake_at(number, now + crate::lookup::WORD_PATIENCE);
+    }
+
+    /// Sends the questions that have gathered, if it is time.
+    pub(super) fn send_questions(&mut self, now: Duration) {
+        for (to, questions) in self.questions.take_due(now) {
+            for part in questions.chunks(MOST_FLOWS_ASKED) {
+                let message = Message::Find { questions: part.to_vec() };
+                self.outputs.push_back(Output::ToPeer { to, message });
+            }
+        }
+    }
+
+    /// Gives a packet to back ends whose agents may have forgotten the flow; `false` when there are
+    /// none, or none may be tried.
+    fn try_unsure(&mut self, now: Duration, number: u64) -> bool {
+        let Some(lookup) = self.lookups.get(number) else { return false };
+        let Some(datagram) = lookup.trial_packet().cloned() else { return false };
+        let unsure = lookup.all_said().filter(|(_, word)| **word == Said::Unsure);
+        let mut unsure: Vec<SocketAddrV4> = unsure.map(|(agent, _)| *agent).collect();
+        let is_complete = self.others_deny(now, lookup);
+        if !is_complete {
+            unsure.truncate(MOST_TRIALS.saturating_sub(lookup.trials));
+        }
+        if unsure.is_empty() {
+            return false;
+        }
+        let Some(lookup) = self.lookups.get_mut(number) else { return false };
+        lookup.trials += unsure.len();
+        self.counters.lookup_trials += unsure.len() as u64;
+        log::info!(
+            flow = flow_name(&lookup.segment.flow()).as_str(), agents = unsure.len(), is_complete;
+            "flow_tried"
+        );
+        for to in unsure {
+            lookup.note(to, Said::Tried(now));
+            let message = Message::Try { datagram: datagram.clone() };
+            self.outputs.push_back(Output::ToPeer { to, message });
+        }
+        self.lookups.wake_at(number, now + crate::lookup::TRIAL_PATIENCE);
+        true
+    }
+
+    /// Whether every agent known has said that the flow does not live there, or may be unsure.
+    fn others_deny(&self, now: Duration, lookup: &Lookup) -> bool {
+        let denies = |agent: &SocketAddrV4| match lookup.said(agent) {
+            Some(Said::Absent(_) | Said::Unsure | Said::Tried(_)) => true,
+            Some(Said::Asked(_)) | None => self.is_gone(now, agent),
+        };
+        self.agents_known().all(|agent| denies(&agent))
+    }
+
+    fn nobody_holds(&self, now: Duration, number: u64) -> bool {
+        let Some(lookup) = self.lookups.get(number) else { return false };
+        let is_asked_enough = lookup.has_answer() && self.pool.len() <= MOST_ASKED;
+        let denies = |agent: &SocketAddrV4| {
+            matches!(lookup.said(agent), Some(Said::Absent(_))) || self.is_gone(now, agent)
+        };
+        lookup.demands_answer()
+            && is_asked_enough
+            && self.acquaintance.is_enough(now)
+            && self.agents_known().all(|agent| denies(&agent))
+    }
+
+    /// Every agent that this balancer has heard of, be it by hearsay.
+    fn agents_known(&self) -> impl Iterator<Item = SocketAddrV4> {
+        let peers = self.standing.membership.peers();
+        let agents = peers.filter(|(_, peer)| peer.role == NodeRole::Agent);
+        agents.map(|(address, _)| *address)
+    }
+
+    /// Whether an agent holds no flow any more: its back end has ended, or it has answered nobody
+    /// for so long that it will not come back.
+    pub(super) fn is_gone(&self, now: Duration, agent: &SocketAddrV4) -> bool {
+        let view = self.pool.view(agent);
+        if view.is_some_and(AgentView::has_ended) {
+            return true;
+        }
+        if view.is_none() && now >= RESTART_GRACE && self.has_all_restarted(now) {
+            return true;
+        }
+        let since = self.acquaintance.since;
+        let asked_in_vain = self.pool.view(agent).and_then(|view| view.in_vain_since());
+        let in_vain = asked_in_vain.map(|asked_at| now.saturating_sub(asked_at.max(since)));
+        let last_word = match self.pool.view(agent) {
+            Some(view) => view.heard_at(),
+            None => self.standing.membership.last_word(agent).unwrap_or(now),
+        };
+        let silence = now.saturating_sub(last_word.max(since));
+        let interval = self.standing.membership.interval();
+        silence >= GONE_AFTER.max(interval * GONE_INTERVALS)
+            || in_vain.is_some_and(|in_vain| in_vain >= GONE_AFTER)
+    }
+
+    /// Whether the whole system, back ends included, started about when this process did: no flow
+    /// of before lives, and nodes that have not come back held none since.
+    fn has_all_restarted(&self, now: Duration) -> bool {
+        let views = self.pool.iter().filter(|(_, view)| !view.has_ended());
+        let is_new = |view: &AgentView| view.began_after(now, RESTART_SPREAD);
+        let (new, heard) = views
+            .fold((0, 0), |(new, heard), (_, view)| (new + usize::from(is_new(view)), heard + 1));
+        let known = self.agents_known().count();
+        new == heard && heard >= LEAST_RESTARTED && 2 * heard >= known
+    }
+
+    /// Tells the caller that its flow is over.
+    fn tell_over(&mut self, now: Duration, number: u64) {
+        let Some(lookup) = self.lookups.get_mut(number) else { return };
+        let segment = lookup.segment;
+        if !lookup.demands_answer() {
+            return;
+        }
+        let is_first = lookup.ended_at.replace(now).is_none();
+        lookup.take_waiting();
+        let age = now.saturating_sub(lookup.started);
+        if is_first {
+            self.latency.verdict.observe(age);
+            self.counters.flows_told_over += 1;
+        }
+        let Some(lookup) = self.lookups.get(number) else { return };
+        log::warn!(
+            flow = flow_name(&segment.flow()).as_str(), reason = "nobody_holds",
+            age_ms = age.as_millis() as u64, said = self.describe_said(now, lookup).as_str(),
+            configuration = self.standing.configuration.version; "flow_reset"
+        );
+        let datagram = self.format.reset(&segment);
+        self.outputs.push_back(Output::ToCaller { host: *segment.source.ip(), datagram });
+        self.lookups.wake_at(number, now + TOLD_LASTS);
+    }
+
+    /// Who said what, and how long ago; those that denied as one.
+    fn describe_said(&self, now: Duration, lookup: &Lookup) -> String {
+        let absent = lookup.all_said().filter_map(|(_, said)| match said {
+            Said::Absent(at) => Some(now.saturating_sub(*at).as_millis()),
+            _ => None,
+        });
+        let (denials, oldest) =
+            absent.fold((0, 0), |(count, oldest), age| (count + 1, oldest.max(age)));
+        let others = self.agents_known().filter_map(|agent| match lookup.said(&agent) {
+            Some(Said::Absent(_)) => None,
+            _ => Some(format!(",{}:gone", agent.ip())),
+        });
+        format!("absent:{denials}:{oldest}ms{}", others.collect::<String>())
+    }
+
+    /// An agent holds a flow.
+    pub(super) fn handle_held(&mut self, now: Duration, from: SocketAddrV4, flow: FlowKey) {
+        if !self.pool.note_alive(&from) {
+            self.counters.answers_unexpected += 1;
+            return;
+        }
+        self.flows.insert(now, self.idle_timeout(), flow, from);
+        let Some(number) = self.lookups.number_of(&flow) else { return };
+        let Some(mut lookup) = self.lookups.finish(number) else { return };
+        self.counters.lookups_found += 1;
+        self.latency.lookup.observe(now.saturating_sub(lookup.started));
+        for datagram in lookup.take_waiting() {
+            self.counters.packets_forwarded += 1;
+            let message = Message::Forward { datagram };
+            self.outputs.push_back(Output::ToPeer { to: from, message });
+        }
+    }
+
+    /// An agent has said what it knows of flows.
+    pub(super) fn handle_found(&mut self, now: Duration, from: SocketAddrV4, words: &[FlowWord]) {
+        self.pool.note_alive(&from);
+        for FlowWord { flow, word } in words {
+            match word {
+                Word::Held => self.handle_held(now, from, (*flow).into()),
+                Word::Absent => self.handle_not_here(now, from, (*flow).into(), Said::Absent(now)),
+                Word::Unsure => self.handle_not_here(now, from, (*flow).into(), Said::Unsure),
+                // It is asked again in a moment.
+                Word::Early => {}
+            }
+        }
+    }
+
+    /// An agent does not know a flow.
+    fn handle_not_here(&mut self, now: Duration, from: SocketAddrV4, flow: FlowKey, said: Said) {
+        let number = self.lookups.number_of(&flow);
+        let lookup = number.and_then(|number| Some((number, self.lookups.get_mut(number)?)));
+        let Some((number, lookup)) = lookup.filter(|(_, lookup)| lookup.said(&from).is_some())
+        else {
+            self.counters.answers_unexpected += 1;
+            return;
+        };
+        // It has a packet on trial; what becomes of that is still to come.
+        let is_tried = matches!(lookup.said(&from), Some(Said::Tried(_)));
+        if !(is_tried && said == Said::Unsure) {
+            lookup.note(from, said);
+        }
+        self.advance_lookup(now, number);
+    }
+
+    /// An agent has told the caller that its flow is over.
+    pub(super) fn handle_ended(&mut self, from: SocketAddrV4, flow: FlowKey) {
+        if !self.pool.note_alive(&from) {
+            self.counters.answers_unexpected += 1;
+            return;
+        }
+        self.counters.flows_ended += 1;
+        self.flows.remove(&flow, from);
+        if let Some(number) = self.lookups.number_of(&flow) {
+            self.lookups.finish(number);
+        }
+    }
+
+    pub(super) fn wake_lookup(&mut self, now: Duration, number: u64) {
+        let Some(lookup) = self.lookups.get(number) else { return };
+        if lookup.is_over(now) {
+            self.lookups.finish(number);
+            return;
+        }
+        let is_settled = lookup.ended_at.is_some() || lookup.awaits_until(now).is_some();
+        if !is_settled && lookup.next_ask <= now && self.next_batch(now, number).is_empty() {
+            self.ask_again(now, number);
+        }
+        self.advance_lookup(now, number);
+    }
+
+    /// Asks those again that have not settled the matter.
+    fn ask_again(&mut self, now: Duration, number: u64) {
+        let Some(lookup) = self.lookups.get_mut(number) else { return };
+        lookup.note_asked_again(now);
+        let agents = lookup.unsettled(now);
+        let question = question(lookup);
+        for (agent, asked_at) in lookup.silent() {
+            self.pool.note_in_vain(&agent, asked_at);
+        }
+        self.counters.lookup_questions += agents.len() as u64;
+        for to in agents {
+            self.questions.add(now, to, question);
+        }
+    }
+}
+
+/// The question whether the searched flow lives at an agent.
+fn question(lookup: &Lookup) -> FlowQuestion {
+    let Segment { acknowledges, acknowledgement, .. } = lookup.segment;
+    let acknowledged = acknowledges.then_some(acknowledgement);
+    FlowQuestion { flow: lookup.segment.flow().into(), acknowledged }
+}
+
+/// Time between two rounds of questions: those of many flows share their messages.
+const ROUND: Duration = Duration::from_millis(4);
+
+/// Questions that wait for the next round, by the agent that they go to.
+#[derive(Debug, Default)]
+pub(super) struct Questions {
+    by_agent: BTreeMap<SocketAddrV4, Vec<FlowQuestion>>,
+    last_round: Option<Duration>,
+    next_round: Option<Duration>,
+}
+
+impl Questions {
+    fn add(&mut self, now: Duration, to: SocketAddrV4, question: FlowQuestion) {
+        let soonest = self.last_round.map_or(now, |last| now.max(last + ROUND));
+        self.next_round.get_or_insert(soonest);
+        self.by_agent.entry(to).or_default().push(question);
+    }
+
+    pub(super) fn next_round(&self) -> Option<Duration> {
+        self.next_round
+    }
+
+    fn take_due(&mut self, now: Duration) -> BTreeMap<SocketAddrV4, Vec<FlowQuestion>> {
+        if self.next_round.is_none_or(|next| now < next) {
+            return BTreeMap::new();
+        }
+        self.next_round = None;
+        self.last_round = Some(now);
+        std::mem::take(&mut self.by_agent)
+    }
+}
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -3,30 +3,34 @@
 //! Invariants:
 //! - A caller is reset only when nothing of its flow has run: every agent asked has declined, or has
 //!   stayed silent for longer than a caller needs to go on.
-//! - A packet of an open flow goes only to the agent that holds it, or to agents that drop it unless
-//!   they do; no choice by hash or load is made for it.
+//! - A packet of an open flow goes only to the agent that holds it, or on trial to agents that may
+//!   have forgotten it; no choice by hash or load is made for it.
 //! - A configuration with a lower version never replaces one with a higher version.
 
 mod errands;
 mod established;
 mod fence;
+mod lookups;
 mod openings;
 
 use self::errands::Errands;
 use self::fence::Fence;
+use self::lookups::{Acquaintance, Questions};
 use crate::configuration::{CarriedConfiguration, RoutingTable};
 use crate::counters::CarriedBalancerCounters;
 use crate::flow_cache::FlowCache;
 use crate::latency::BalancerLatency;
-use crate::locating::Locator;
+use crate::lookup::Lookup;
 use crate::membership::{Membership, Node};
 use crate::message::{
     Admission, DeclineReason, Heartbeat, LoadReport, Message, NodeRole, Snapshot,
 };
 use crate::opening::{Answer, Asked, Opening, Openings};
 use crate::output::Output;
+use crate::pending::Pending;
 use crate::plain_format::PlainFormat;
 use crate::pool::Pool;
+use crate::rank::Ranking;
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use crate::standing::Standing;
 use crate::view::{AgentView, Distance};
@@ -34,7 +38,7 @@
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -100,7 +104,9 @@
     pool: Pool,
     flows: FlowCache,
     openings: Openings,
-    locator: Locator,
+    lookups: Pending<Lookup>,
+    questions: Questions,
+    acquaintance: Acquaintance,
     errands: Errands,
     fence: Fence,
     random: ChaCha8Rng,
@@ -121,7 +127,9 @@
             pool: Pool::default(),
             flows: FlowCache::default(),
             openings: Openings::new(random.random()),
-            locator: Locator::default(),
+            lookups: Pending::new(random.random()),
+            questions: Questions::default(),
+            acquaintance: Acquaintance::default(),
             errands: Errands::default(),
             fence: Fence::default(),
             random,
@@ -161,19 +169,22 @@
 
     /// What this node gives to whoever asks.
     pub fn snapshot(&self) -> Snapshot {
-        self.standing.snapshot()
+        let has_ended =
+            |agent: &SocketAddrV4| self.pool.view(agent).is_some_and(AgentView::has_ended);
+        self.standing.snapshot(|address| !has_ended(address))
     }
 
     /// Takes a node's snapshot.
     pub fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
-        self.learn_members(now, &snapshot.members);
+        self.standing.learn(now, &snapshot.members);
         if let Some(configuration) = snapshot.configuration {
             self.adopt(now, configuration);
         }
     }
 
-    /// Learns of nodes by hearsay.
+    /// Takes the list of nodes that the shared store holds.
     pub fn learn_members(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
+        self.acquaintance.note_list();
         self.standing.learn(now, members);
     }
 
@@ -213,12 +224,9 @@
             Some(Message::Declined { number, reason, report }) => {
                 self.handle_declined(now, from, number, reason, report);
             }
-            Some(Message::Held { caller, service }) => {
-                let transport = loftdrift_wire::Transport::Tcp;
-                let flow = FlowKey { caller, service, transport };
-                self.flows.insert(now, self.idle_timeout(), flow, from);
-            }
-            Some(Message::NotHeld { datagram }) => self.handle_not_held(from, &datagram),
+            Some(Message::Found { words }) => self.handle_found(now, from, &words),
+            Some(Message::Ended { flow }) => self.handle_ended(from, flow.into()),
+            Some(Message::NotHeld { datagram }) => self.handle_not_held(now, from, &datagram),
             Some(Message::Heartbeat(heartbeat)) => self.handle_heartbeat(now, from, heartbeat),
             _ => self.counters.messages_malformed += 1,
         }
@@ -258,6 +266,8 @@
     pub fn next_timeout(&self) -> Option<Duration> {
         let due = [
             self.openings.next_wake_up(),
+            self.lookups.next_wake_up(),
+            self.questions.next_round(),
             self.standing.membership.next_due(),
             self.errands.next(),
         ];
@@ -269,6 +279,10 @@
         while let Some(number) = self.openings.pop_due(now) {
             self.wake_opening(now, number);
         }
+        while let Some(number) = self.lookups.pop_due(now) {
+            self.wake_lookup(now, number);
+        }
+        self.send_questions(now);
         for (peer, wants_reply) in self.standing.membership.take_due(now) {
             self.send_heartbeat(peer, wants_reply);
         }
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -9,6 +9,10 @@
             return;
         }
         let flow = segment.flow();
+        if let Some(number) = self.lookups.number_of(&flow) {
+            // The caller uses its port again: what was searched for is over.
+            self.lookups.finish(number);
+        }
         if let Some(number) = self.openings.number_of(&flow) {
             self.openings.note_copy(now, number, segment.acknowledgement);
             return;
@@ -83,7 +87,8 @@
             let mut next = None;
             if opening.asked_in_round() < most {
                 let noise = || random.random::<f64>();
-                next = self.pool.best(now, interval, &opening.service, may_ask, noise);
+                let ranking = Ranking::of(&opening.flow());
+                next = self.pool.best(now, interval, &opening.service, ranking, may_ask, noise);
             }
             if let Some(agent) = next {
                 return self.offer(now, number, agent);
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -13,8 +13,22 @@
         packets_without_route,
         /// Packets sent to the agent where their flow lives.
         packets_forwarded,
-        /// Packets sent to every agent that may hold their flow.
+        /// Packets of flows that are not remembered.
         packets_located,
+        /// Flows that agents were asked for.
+        lookups_started,
+        /// Packets dropped because too many flows are searched for.
+        lookups_passed_over,
+        /// Flows that an agent held.
+        lookups_found,
+        /// Agents asked whether a flow lives there.
+        lookup_questions,
+        /// Packets given on trial to back ends whose agents may have forgotten their flow.
+        lookup_trials,
+        /// Flows that nobody holds, whose callers were told.
+        flows_told_over,
+        /// Flows of which an agent has told the caller that they are over.
+        flows_ended,
         /// Packets that an agent returned because their flow does not live there.
         packets_not_held,
         /// Flows asked for.
@@ -109,6 +123,10 @@
         packets_returned,
         /// Packets whose flow does not live here.
         packets_not_held,
+        /// Questions whether a flow lives here.
+        lookups_received,
+        /// Flows that the back end has lost, whose callers were told.
+        flows_reset,
         /// Packets dropped because they do not decode.
         packets_malformed,
         /// Packets of flows that this agent has forgotten, left to the back end to judge.
@@ -123,6 +141,10 @@
         backend_reports_outdated,
         /// Times that the back end fell silent.
         backend_silences,
+        /// Questions whether anybody listens at the back end's port.
+        backend_probes,
+        /// Times that the back end's process was found to have ended.
+        backend_ends,
         /// Configurations put in force.
         configurations_adopted,
         /// Configurations refused because they are not newer.
--- a/crates/carried/src/latency.rs
+++ b/crates/carried/src/latency.rs
@@ -11,6 +11,10 @@
     pub(crate) opening: Histogram,
     /// Offers that it took.
     pub(crate) offers: Histogram,
+    /// From a packet of a flow that is not remembered until an agent holds it.
+    pub(crate) lookup: Histogram,
+    /// From a packet of a flow until its caller is told that nobody holds it.
+    pub(crate) verdict: Histogram,
 }
 
 impl Default for BalancerLatency {
@@ -22,6 +26,14 @@
                 "From a caller's opening packet until an agent has placed the flow.",
             ),
             offers: Histogram::counts("opening_offers", "Offers until a flow was placed."),
+            lookup: Histogram::seconds(
+                "lookup_seconds",
+                "From a packet of a flow that is not remembered until an agent holds it.",
+            ),
+            verdict: Histogram::seconds(
+                "flow_over_seconds",
+                "From a packet of a flow that nobody holds until its caller is told.",
+            ),
         }
     }
 }
@@ -29,7 +41,8 @@
 impl BalancerLatency {
     /// All of them.
     pub fn histograms(&self) -> Vec<Histogram> {
-        vec![self.offer.clone(), self.opening.clone(), self.offers.clone()]
+        let BalancerLatency { offer, opening, offers, lookup, verdict } = self.clone();
+        vec![offer, opening, offers, lookup, verdict]
     }
 }
 
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -16,26 +16,28 @@
 mod flow_cache;
 mod latency;
 mod load;
-mod locating;
+mod lookup;
 mod membership;
 mod message;
 mod opening;
 mod output;
+mod pending;
 mod plain_format;
 mod pool;
+mod rank;
 mod segment;
 mod standing;
 mod view;
 
-pub use agent::{CarriedAgent, CarriedAgentSettings};
+pub use agent::{CarriedAgent, CarriedAgentSettings, ProbeOutcome};
 pub use backend::{BackendReport, ReportOutcome};
 pub use balancer::{CarriedBalancer, CarriedBalancerSettings};
 pub use configuration::{CarriedConfiguration, Part, Route, ServiceSettings};
 pub use counters::{CarriedAgentCounters, CarriedBalancerCounters};
 pub use membership::{Membership, Node, Peer};
 pub use message::{
-    Admission, BackendCondition, DeclineReason, Heartbeat, LoadReport, MAX_MESSAGE_BYTES, Message,
-    NodeRole, Snapshot,
+    Admission, BackendCondition, DeclineReason, FlowName, FlowQuestion, FlowWord, Heartbeat,
+    LoadReport, MAX_MESSAGE_BYTES, MOST_FLOWS_ASKED, Message, NodeRole, Snapshot, Word,
 };
 pub use output::Output;
 pub use plain_format::PlainFormat;
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -198,6 +198,11 @@
         self.peers.contains_key(address)
     }
 
+    /// When a node was heard last, or heard of first.
+    pub(crate) fn last_word(&self, address: &SocketAddrV4) -> Option<Duration> {
+        self.peers.get(address).map(|peer| peer.heard_at.unwrap_or(peer.known_since))
+    }
+
     /// How many nodes are known.
     pub(crate) fn len(&self) -> usize {
         self.peers.len()
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -43,6 +43,8 @@
     Leaving,
     /// It fails what it is asked and rests.
     Failing,
+    /// Its process has ended: it holds no flow.
+    Ended,
 }
 
 /// An agent's load, as only it knows it.
@@ -63,6 +65,8 @@
     pub measured_ms_ago: u32,
     /// The back end is still slow from its start.
     pub is_cold: bool,
+    /// Milliseconds since the back end's start, if this process of the agent has run ever since.
+    pub begun_ms_ago: Option<u32>,
 }
 
 /// Why an agent does not take a flow.
@@ -93,6 +97,49 @@
     }
 }
 
+/// A flow, as the packets of its caller name it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct FlowName {
+    /// The flow's caller.
+    pub caller: SocketAddrV4,
+    /// The address that the caller dialled.
+    pub service: SocketAddrV4,
+}
+
+/// The question whether a flow lives at an agent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct FlowQuestion {
+    /// The flow.
+    pub flow: FlowName,
+    /// What its caller's last packet acknowledges.
+    pub acknowledged: Option<u32>,
+}
+
+/// What an agent knows of a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub enum Word {
+    /// It lives here.
+    Held,
+    /// It does not live here: the agent knows every flow of its back end.
+    Absent,
+    /// The agent does not know it; an earlier process of the agent may have placed it.
+    Unsure,
+    /// The agent has not heard of its back end yet and will know soon.
+    Early,
+}
+
+/// An agent's word about a flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct FlowWord {
+    /// The flow.
+    pub flow: FlowName,
+    /// What the agent knows of it.
+    pub word: Word,
+}
+
+/// Most flows that one message asks for or answers about; it stays below [`MAX_MESSAGE_BYTES`].
+pub const MOST_FLOWS_ASKED: usize = 64;
+
 /// What nodes tell each other without being asked.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Heartbeat {
@@ -147,17 +194,26 @@
         /// The packet.
         datagram: Vec<u8>,
     },
-    /// Balancer to agent: deliver the packet if its flow lives there, otherwise drop it.
-    Locate {
+    /// Balancer to agent: do these flows live there?
+    Find {
+        /// At most [`MOST_FLOWS_ASKED`].
+        questions: Vec<FlowQuestion>,
+    },
+    /// Agent to balancer: what it knows of flows that it was asked for, or that were tried.
+    Found {
+        /// A word for each.
+        words: Vec<FlowWord>,
+    },
+    /// Balancer to agent: a packet of a flow that an earlier process of the agent may have placed;
+    /// the back end is to tell.
+    Try {
         /// The packet.
         datagram: Vec<u8>,
     },
-    /// Agent to balancer: the flow of a located packet lives here.
-    Held {
-        /// The flow's caller.
-        caller: SocketAddrV4,
-        /// The address that the caller dialled.
-        service: SocketAddrV4,
+    /// Agent to balancer: the flow lived here and is over; its caller has been told.
+    Ended {
+        /// The flow.
+        flow: FlowName,
     },
     /// Agent to balancer: the flow of a forwarded packet does not live here.
     NotHeld {
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -5,9 +5,9 @@
 //! is passed over and may still place the flow: two answers to a caller are harmless, none is not.
 
 use crate::message::{Admission, DeclineReason};
+use crate::pending::Pending;
 use crate::segment::Segment;
 use loftdrift_wire::FlowKey;
-use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -71,7 +71,6 @@
     pub(crate) wants_queue: bool,
     /// No back end of the service is there but ones that fail.
     pub(crate) is_last_resort: bool,
-    wake_at: Duration,
 }
 
 impl Opening {
@@ -163,12 +162,9 @@
 }
 
 /// All openings under way.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Openings {
-    by_flow: HashMap<FlowKey, u64>,
-    by_number: HashMap<u64, Opening>,
-    wake_ups: BTreeSet<(Duration, u64)>,
-    last_number: u64,
+    pending: Pending<Opening>,
     /// Openings under way that were kept at least once.
     held: usize,
 }
@@ -180,15 +176,15 @@
     /// Numbers its openings from `first` on: an answer to an earlier process of the balancer must
     /// not be taken for one to this process.
     pub(crate) fn new(first: u64) -> Self {
-        Openings { last_number: first, ..Openings::default() }
+        Openings { pending: Pending::new(first), held: 0 }
     }
 
     pub(crate) fn is_full(&self) -> bool {
-        self.by_number.len() >= MOST_OPENINGS
+        self.pending.len() >= MOST_OPENINGS
     }
 
     pub(crate) fn number_of(&self, flow: &FlowKey) -> Option<u64> {
-        self.by_flow.get(flow).copied()
+        self.pending.number_of(flow)
     }
 
     pub(crate) fn start(
@@ -199,8 +195,6 @@
         service: String,
         aim: Duration,
     ) -> u64 {
-        self.last_number = self.last_number.wrapping_add(1);
-        let number = self.last_number;
         let opening = Opening {
             segment,
             datagram,
@@ -214,16 +208,16 @@
             asked: Vec::new(),
             wants_queue: false,
             is_last_resort: false,
-            wake_at: now,
         };
-        self.by_flow.insert(segment.flow(), number);
-        self.wake_ups.insert((now, number));
-        self.by_number.insert(number, opening);
-        number
+        self.pending.start(now, segment.flow(), opening)
     }
 
     pub(crate) fn get(&self, number: u64) -> Option<&Opening> {
-        self.by_number.get(&number)
+        self.pending.get(number)
+    }
+
+    pub(crate) fn get_mut(&mut self, number: u64) -> Option<&mut Opening> {
+        self.pending.get_mut(number)
     }
 
     /// How many under way were kept at least once.
@@ -233,51 +227,37 @@
 
     /// Keeps an opening until its next wake-up; `true` the first time.
     pub(crate) fn hold(&mut self, number: u64) -> bool {
-        let Some(opening) = self.by_number.get_mut(&number) else { return false };
+        let Some(opening) = self.pending.get_mut(number) else { return false };
         opening.is_held = true;
         let is_first = !std::mem::replace(&mut opening.was_held, true);
         self.held += usize::from(is_first);
         is_first
     }
 
-    pub(crate) fn get_mut(&mut self, number: u64) -> Option<&mut Opening> {
-        self.by_number.get_mut(&number)
-    }
-
     /// A copy of the opening packet came.
     pub(crate) fn note_copy(&mut self, now: Duration, number: u64, copy: u32) {
-        if let Some(opening) = self.by_number.get_mut(&number) {
+        if let Some(opening) = self.pending.get_mut(number) {
             opening.copied_at = now;
             opening.copy = copy;
         }
     }
 
     pub(crate) fn finish(&mut self, number: u64) -> Option<Opening> {
-        let opening = self.by_number.remove(&number)?;
-        self.wake_ups.remove(&(opening.wake_at, number));
-        self.by_flow.remove(&opening.flow());
+        let opening = self.pending.finish(number)?;
         self.held -= usize::from(opening.was_held);
         Some(opening)
     }
 
     pub(crate) fn wake_at(&mut self, number: u64, at: Duration) {
-        let Some(opening) = self.by_number.get_mut(&number) else { return };
-        self.wake_ups.remove(&(opening.wake_at, number));
-        opening.wake_at = at;
-        self.wake_ups.insert((at, number));
+        self.pending.wake_at(number, at);
     }
 
     pub(crate) fn next_wake_up(&self) -> Option<Duration> {
-        self.wake_ups.first().map(|(at, _)| *at)
+        self.pending.next_wake_up()
     }
 
     /// Takes an opening whose wake-up has come.
     pub(crate) fn pop_due(&mut self, now: Duration) -> Option<u64> {
-        let (at, number) = *self.wake_ups.first()?;
-        if at > now {
-            return None;
-        }
-        self.wake_ups.pop_first();
-        Some(number)
+        self.pending.pop_due(now)
     }
 }
--- a/crates/carried/src/output.rs
+++ b/crates/carried/src/output.rs
@@ -24,6 +24,8 @@
     },
     /// Read the configuration in the shared store once; only an agent does.
     ReadStore,
+    /// Find out whether anybody listens at the back end's port; only an agent does.
+    ProbeBackend,
     /// Fetch a snapshot from a node whose configuration is newer.
     FetchSnapshot {
         /// The node.
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -4,6 +4,7 @@
 //! to them. A wrong choice costs a decline, never a wrong placement: the agent decides.
 
 use crate::message::LoadReport;
+use crate::rank::Ranking;
 use crate::view::{AgentView, Distance, Typical};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
@@ -14,9 +15,9 @@
 
 /// How far chance may move a cost, as a share of it.
 const NOISE_SHARE: f64 = 0.1;
-/// About so many agents, drawn by chance, are compared in a larger service: balancers that know the
-/// same do not all choose the same.
-const SAMPLE: f64 = 8.0;
+/// So many agents, the first in the flow's ranking, are compared in a larger service: balancers that
+/// know the same do not all choose the same, and each can tell later where a flow may live.
+const SAMPLE: usize = 8;
 
 /// The agents of all services.
 #[derive(Debug, Default)]
@@ -57,6 +58,19 @@
         self.agents.get_mut(agent).is_some_and(AgentView::note_unanswered)
     }
 
+    /// An agent said something; `false` when it is not known.
+    pub(crate) fn note_alive(&mut self, agent: &AgentId) -> bool {
+        let view = self.agents.get_mut(agent);
+        view.map(AgentView::note_alive).is_some()
+    }
+
+    /// An agent has not answered a question that was asked then.
+    pub(crate) fn note_in_vain(&mut self, agent: &AgentId, asked_at: Duration) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.note_in_vain(asked_at);
+        }
+    }
+
     pub(crate) fn forget(&mut self, keep: impl Fn(&AgentId) -> bool) {
         self.agents.retain(|agent, _| keep(agent));
         for agents in self.by_service.values_mut() {
@@ -89,27 +103,30 @@
     }
 
     /// The best agent to offer a new flow of `service` to, among those that `may_ask` names.
-    /// `noise` gives numbers from 0 to 1: they draw the sample and break ties.
+    /// `noise` gives numbers from 0 to 1: they break ties.
     pub(crate) fn best(
         &self,
         now: Duration,
         interval: Duration,
         service: &str,
+        ranking: Ranking,
         may_ask: impl Fn(&AgentId, &AgentView) -> bool,
         mut noise: impl FnMut() -> f64,
     ) -> Option<AgentId> {
         let alive = || self.accepting(service).filter(|(_, view)| !view.is_suspect(now, interval));
-        let candidates = || alive().filter(|(agent, view)| may_ask(agent, view));
-        let share = SAMPLE / candidates().count() as f64;
         let typical = Typical::of(alive().map(|(_, view)| view));
-        // One in the sample goes before any that is not.
-        let rank = |(agent, view): (&AgentId, &AgentView)| {
-            let is_left_out = noise() >= share;
-            let cost = view.cost(now, &typical) * (1.0 + NOISE_SHARE * noise());
-            (is_left_out, cost, *agent)
-        };
-        let least = candidates().map(rank).min_by(|a, b| (a.0.cmp(&b.0)).then(a.1.total_cmp(&b.1)));
-        least.map(|(_, _, agent)| agent)
+        let candidates = alive().filter(|(agent, view)| may_ask(agent, view));
+        let mut candidates: Vec<_> =
+            candidates.map(|(agent, view)| (ranking.rank(agent), agent, view)).collect();
+        if candidates.len() > SAMPLE {
+            candidates.select_nth_unstable_by_key(SAMPLE - 1, |(rank, _, _)| *rank);
+            candidates.truncate(SAMPLE);
+        }
+        let cost = |view: &AgentView| view.cost(now, &typical);
+        let costs = candidates
+            .into_iter()
+            .map(|(_, agent, view)| (cost(view) * (1.0 + NOISE_SHARE * noise()), *agent));
+        costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, agent)| agent)
     }
 
     /// A suspect agent of a service that last said that it takes new flows: the last resort.
--- /dev/null
+++ b/crates/carried/src/rank.rs
@@ -0,0 +1,33 @@
+//! The order in which the agents of a service come for a flow.
+//!
+//! Every balancer works out the same order from the flow's addresses and the agents' alone: new
+//! flows are placed near its head, so a balancer that does not remember a flow asks there first.
+
+use loftdrift_wire::FlowKey;
+use loftdrift_wire::flow_hash;
+use std::net::SocketAddrV4;
+
+/// Odd multipliers of the finishing steps, from the public-domain generator SplitMix64.
+const MIX: [u64; 2] = [0xbf58_476d_1ce4_e5b9, 0x94d0_49bb_1331_11eb];
+
+/// Ranks agents for one flow.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ranking(u64);
+
+impl Ranking {
+    pub(crate) fn of(flow: &FlowKey) -> Self {
+        Ranking(flow_hash(flow))
+    }
+
+    /// An agent's rank; the lowest comes first.
+    pub(crate) fn rank(self, agent: &SocketAddrV4) -> u64 {
+        let address = u64::from(agent.ip().to_bits()) << 16 | u64::from(agent.port());
+        mix(self.0 ^ mix(address))
+    }
+}
+
+fn mix(mut bits: u64) -> u64 {
+    bits = (bits ^ (bits >> 30)).wrapping_mul(MIX[0]);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(MIX[1]);
+    bits ^ (bits >> 31)
+}
--- a/crates/carried/src/segment.rs
+++ b/crates/carried/src/segment.rs
@@ -1,5 +1,6 @@
 //! One packet of a carried flow, as far as the cores need to know it.
 
+use crate::message::FlowName;
 use loftdrift_wire::{FlowKey, Transport};
 use std::net::SocketAddrV4;
 use thiserror::Error;
@@ -114,3 +115,16 @@
 pub fn flow_name(flow: &FlowKey) -> String {
     format!("{}>{}", flow.caller, flow.service)
 }
+
+impl From<FlowName> for FlowKey {
+    fn from(name: FlowName) -> Self {
+        let FlowName { caller, service } = name;
+        FlowKey { caller, service, transport: Transport::Tcp }
+    }
+}
+
+impl From<FlowKey> for FlowName {
+    fn from(key: FlowKey) -> Self {
+        FlowName { caller: key.caller, service: key.service }
+    }
+}
--- a/crates/carried/src/standing.rs
+++ b/crates/carried/src/standing.rs
@@ -44,10 +44,11 @@
         }
     }
 
-    /// The configuration in force and every node known, itself included.
-    pub(crate) fn snapshot(&self) -> Snapshot {
+    /// The configuration in force and every node known that may live, itself included.
+    pub(crate) fn snapshot(&self, may_live: impl Fn(&SocketAddrV4) -> bool) -> Snapshot {
         let me = self.membership.me();
-        let peers = self.membership.peers().map(|(address, peer)| (*address, peer.role));
+        let peers = self.membership.peers().filter(|(address, _)| may_live(address));
+        let peers = peers.map(|(address, peer)| (*address, peer.role));
         let is_known = self.configuration.version > 0;
         Snapshot {
             configuration: is_known.then(|| self.configuration.clone()),
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -91,6 +91,8 @@
     placed_since: u32,
     /// Offers in a row that it did not answer.
     unanswered: u32,
+    /// When the first question was asked that it has not answered, nor anything since.
+    in_vain_since: Option<Duration>,
 }
 
 impl AgentView {
@@ -102,6 +104,7 @@
             accepts_since: None,
             placed_since: 0,
             unanswered: 0,
+            in_vain_since: None,
         }
     }
 
@@ -113,6 +116,24 @@
         self.accepts_since = self.is_accepting().then(|| self.accepts_since.unwrap_or(now));
         self.placed_since = 0;
         self.unanswered = 0;
+        self.in_vain_since = None;
+    }
+
+    /// Takes any other word of the agent: it lives.
+    pub(crate) fn note_alive(&mut self) {
+        self.in_vain_since = None;
+    }
+
+    /// A question that was asked then has had no answer.
+    pub(crate) fn note_in_vain(&mut self, asked_at: Duration) {
+        if self.heard_at <= asked_at {
+            self.in_vain_since.get_or_insert(asked_at);
+        }
+    }
+
+    /// Since when it has answered nothing that it was asked.
+    pub(crate) fn in_vain_since(&self) -> Option<Duration> {
+        self.in_vain_since
     }
 
     pub(crate) fn note_offer(&mut self) {
@@ -129,6 +150,20 @@
         self.report.condition == BackendCondition::Accepting
     }
 
+    /// Whether its back end's process has ended.
+    pub(crate) fn has_ended(&self) -> bool {
+        self.report.condition == BackendCondition::Ended
+    }
+
+    /// Whether its back end started after this process did, or no more than `spread` before it,
+    /// and its agent has run ever since.
+    pub(crate) fn began_after(&self, now: Duration, spread: Duration) -> bool {
+        self.report.begun_ms_ago.is_some_and(|milliseconds| {
+            let age = Duration::from_millis(u64::from(milliseconds)) + self.age(now);
+            age <= now + spread
+        })
+    }
+
     /// Whether new flows are taken, be it as a last resort.
     pub(crate) fn may_fail(&self) -> bool {
         self.is_accepting() || self.report.condition == BackendCondition::Failing
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use loftdrift_carried::{Admission, CarriedAgent, DeclineReason, Message, Output, Segment};
+use loftdrift_carried::{Admission, CarriedAgent, DeclineReason, Message, Output, Segment, Word};
 use std::time::Duration;
 use support::*;
 
@@ -110,10 +110,17 @@
     agent.handle_backend(milliseconds(10), packet(&finish));
     outputs(&mut agent);
     // The caller uses its port again for a flow at another back end, with other numbers.
-    let elsewhere = Message::Locate { datagram: packet(&data(1, 900, 3_000_000_000)) }.encode();
+    let elsewhere = find(1, 3_000_000_000);
     agent.handle_peer(milliseconds(20), balancer_address(), &elsewhere);
-    assert_eq!(outputs(&mut agent), []);
-    let here = Message::Locate { datagram: packet(&data(1, 110, 502)) }.encode();
+    assert_eq!(outputs(&mut agent), [says(1, Word::Absent)]);
+    let packet_elsewhere = packet(&data(1, 900, 3_000_000_000));
+    let forwarded = Message::Forward { datagram: packet_elsewhere.clone() }.encode();
+    agent.handle_peer(milliseconds(20), balancer_address(), &forwarded);
+    let not_held = Message::NotHeld { datagram: packet_elsewhere };
+    assert_eq!(outputs(&mut agent), [to_balancer(not_held)]);
+    agent.handle_peer(milliseconds(21), balancer_address(), &find(1, 502));
+    assert_eq!(outputs(&mut agent), [says(1, Word::Held)]);
+    let here = Message::Forward { datagram: packet(&data(1, 110, 502)) }.encode();
     agent.handle_peer(milliseconds(21), balancer_address(), &here);
     assert_eq!(sent_to_backend(&outputs(&mut agent)), 1);
 }
@@ -122,31 +129,31 @@
 fn a_trial_of_a_forgotten_flow_resets_nobody() {
     let mut agent = agent(false);
     agent.take_report(milliseconds(0), &report("one", 40, true));
-    let located = Message::Locate { datagram: packet(&data(1, 101, 501)) }.encode();
-    agent.handle_peer(milliseconds(1), balancer_address(), &located);
+    agent.handle_peer(milliseconds(1), balancer_address(), &find(1, 501));
+    assert_eq!(outputs(&mut agent), [says(1, Word::Unsure)], "no packet is given yet");
+    let tried = Message::Try { datagram: packet(&data(1, 101, 501)) }.encode();
+    agent.handle_peer(milliseconds(1), balancer_address(), &tried);
     assert_eq!(sent_to_backend(&outputs(&mut agent)), 1);
     let reset = Segment { resets: true, ..answer(1, 501) };
     agent.handle_backend(milliseconds(2), packet(&reset));
-    let after = outputs(&mut agent);
-    assert!(!after.iter().any(|output| matches!(output, Output::ToCaller { .. })), "{after:?}");
-    agent.handle_peer(milliseconds(3), balancer_address(), &located);
-    assert_eq!(sent_to_backend(&outputs(&mut agent)), 0, "tried once");
+    assert_eq!(outputs(&mut agent), [says(1, Word::Absent)], "and no caller is reset");
+    agent.handle_peer(milliseconds(3), balancer_address(), &tried);
+    assert_eq!(outputs(&mut agent), [says(1, Word::Absent)], "tried once");
 }
 
 #[test]
 fn a_packet_that_the_back_end_returns_goes_back_as_its_sender_wrote_it() {
-    let mut agent = agent(true);
-    agent.take_report(milliseconds(0), &report("one", 1, true));
-    open(&mut agent, milliseconds(1), 1, 500);
-    let datagram = packet(&data(1, 101, 501));
+    let mut agent = agent(false);
+    agent.take_report(milliseconds(0), &report("one", 40, true));
+    // Known from the back end's own packet only, which says nothing of what it holds now.
+    let datagram = packet(&Segment { acknowledges: false, ..data(1, 101, 0) });
+    agent.handle_backend(milliseconds(1), packet(&answer(1, 500)));
     let forwarded = Message::Forward { datagram: datagram.clone() }.encode();
     agent.handle_peer(milliseconds(2), balancer_address(), &forwarded);
     outputs(&mut agent);
-    let returned = packet(&Segment { returned: true, ..data(1, 101, 501) });
+    let returned = packet(&Segment { returned: true, acknowledges: false, ..data(1, 101, 0) });
     agent.handle_backend(milliseconds(3), returned);
-    let to = balancer_address();
-    let expected = Output::ToPeer { to, message: Message::NotHeld { datagram } };
-    assert_eq!(outputs(&mut agent), [expected]);
+    assert_eq!(outputs(&mut agent), [to_balancer(Message::NotHeld { datagram })]);
 }
 
 #[test]
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -4,7 +4,7 @@
 
 use loftdrift_carried::{
     BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason, LoadReport, Message,
-    NodeRole, Output, PlainFormat, Segment,
+    NodeRole, Output, PlainFormat, Segment, Word,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -19,6 +19,7 @@
         work_us: 20_000,
         measured_ms_ago: 0,
         is_cold: false,
+        begun_ms_ago: None,
     }
 }
 
@@ -53,7 +54,7 @@
     outputs
         .iter()
         .filter_map(|output| match output {
-            Output::ToPeer { to, message: Message::Locate { .. } } => Some(*to),
+            Output::ToPeer { to, message: Message::Find { .. } } => Some(*to),
             _ => None,
         })
         .collect()
@@ -116,7 +117,7 @@
     let mut balancer = balancer(1);
     tell(&mut balancer, milliseconds(0), 9, load("sheets", 0));
     // A wrong memory: the flow is believed to live at an agent of another service.
-    let held = Message::Held { caller: caller(1), service: service_address() };
+    let held = found(1, Word::Held);
     balancer.handle_peer(milliseconds(1), agent_address(9), &held.encode());
     let copy = Segment { acknowledgement: 1, ..opening(1) };
     balancer.handle_caller(milliseconds(2), &packet(&copy));
@@ -142,25 +143,32 @@
 fn a_packet_of_an_open_flow_without_memory_asks_every_agent_and_is_never_reset() {
     let mut balancer = balancer(3);
     balancer.handle_caller(milliseconds(1), &packet(&data(1, 101, 501)));
+    balancer.handle_timeout(milliseconds(1));
     let outputs = outputs_of(&mut balancer);
     assert_eq!(located(&outputs).len(), 3);
     assert!(!has_reset(&outputs));
-    let held = Message::Held { caller: caller(1), service: service_address() };
+    let held = found(1, Word::Held);
     balancer.handle_peer(milliseconds(2), agent_address(2), &held.encode());
+    let forwarded = |sequence| {
+        let datagram = packet(&data(1, sequence, 501));
+        Output::ToPeer { to: agent_address(2), message: Message::Forward { datagram } }
+    };
+    assert_eq!(outputs_of(&mut balancer), [forwarded(101)], "what waited goes there");
     balancer.handle_caller(milliseconds(3), &packet(&data(1, 111, 501)));
-    let datagram = packet(&data(1, 111, 501));
-    let expected = Output::ToPeer { to: agent_address(2), message: Message::Forward { datagram } };
-    assert_eq!(outputs_of(&mut balancer), [expected]);
+    assert_eq!(outputs_of(&mut balancer), [forwarded(111)]);
 }
 
 #[test]
 fn a_packet_that_an_agent_does_not_hold_is_located_among_the_others() {
     let mut balancer = balancer(3);
-    let held = Message::Held { caller: caller(1), service: service_address() };
+    let held = found(1, Word::Held);
     balancer.handle_peer(milliseconds(1), agent_address(2), &held.encode());
     let not_held = Message::NotHeld { datagram: packet(&data(1, 101, 501)) };
     balancer.handle_peer(milliseconds(2), agent_address(2), &not_held.encode());
-    assert_eq!(located(&outputs_of(&mut balancer)), [agent_address(1), agent_address(3)]);
+    balancer.handle_timeout(milliseconds(2));
+    let mut asked = located(&outputs_of(&mut balancer));
+    asked.sort();
+    assert_eq!(asked, [agent_address(1), agent_address(3)]);
 }
 
 #[test]
--- a/crates/carried/tests/breaker.rs
+++ b/crates/carried/tests/breaker.rs
@@ -18,7 +18,16 @@
 
 /// Asks for a flow; its request is sent when it is taken.
 fn ask(agent: &mut CarriedAgent, now: Duration, port: u16) -> Option<DeclineReason> {
-    agent.handle_peer(now, balancer_address(), &offer(1, port, Admission::FreeSlot));
+    // Each flow of a port begins with a number of its own, as a caller's do.
+    let sequence = agent.counters(now).offers_received as u32;
+    let opening = Segment { sequence, ..opening(port) };
+    let message = Message::Offer {
+        number: 1,
+        service: SERVICE.to_owned(),
+        admission: Admission::FreeSlot,
+        datagram: packet(&opening),
+    };
+    agent.handle_peer(now, balancer_address(), &message.encode());
     if let Some(reason) = declined(&outputs(agent)) {
         return Some(reason);
     }
--- a/crates/carried/tests/fence.rs
+++ b/crates/carried/tests/fence.rs
@@ -95,7 +95,7 @@
     assert!(
         located
             .iter()
-            .any(|output| matches!(output, Output::ToPeer { message: Message::Locate { .. }, .. }))
+            .any(|output| matches!(output, Output::ToPeer { message: Message::Find { .. }, .. }))
     );
     assert_eq!(offers_of(&mut balancer, RESUMED + milliseconds(100), 1), 0);
     // All agents are suspect by then, which asks the last one heard.
--- /dev/null
+++ b/crates/carried/tests/lookups.rs
@@ -0,0 +1,401 @@
+//! Flows that a balancer does not remember: found by asking, waited for, or told to be over.
+
+mod support;
+
+use loftdrift_carried::{
+    BackendCondition, CarriedBalancer, LoadReport, Message, NodeRole, Output, Segment, Word,
+};
+use std::collections::HashSet;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use support::*;
+
+/// A flow's packet, as all tests here send it.
+fn request() -> Segment {
+    data(1, 101, 501)
+}
+
+fn load() -> LoadReport {
+    LoadReport {
+        service: SERVICE.to_owned(),
+        condition: BackendCondition::Accepting,
+        capacity: 4,
+        ..LoadReport::default()
+    }
+}
+
+/// A balancer that knows `agents` agents and has read the list of nodes.
+fn acquainted(agents: u8) -> CarriedBalancer {
+    let mut balancer = new_balancer(1);
+    let list: Vec<_> = (1..=agents).map(|agent| (agent_address(agent), NodeRole::Agent)).collect();
+    balancer.learn_members(milliseconds(0), &list);
+    for agent in 1..=agents {
+        tell(&mut balancer, milliseconds(0), agent, load());
+    }
+    outputs_of(&mut balancer);
+    balancer
+}
+
+fn asked(outputs: &[Output]) -> Vec<SocketAddrV4> {
+    let asked = outputs.iter().filter_map(|output| match output {
+        Output::ToPeer { to, message: Message::Find { .. } } => Some(*to),
+        _ => None,
+    });
+    asked.collect()
+}
+
+fn tried(outputs: &[Output]) -> Vec<SocketAddrV4> {
+    let tried = outputs.iter().filter_map(|output| match output {
+        Output::ToPeer { to, message: Message::Try { .. } } => Some(*to),
+        _ => None,
+    });
+    tried.collect()
+}
+
+fn forwarded(outputs: &[Output]) -> Vec<SocketAddrV4> {
+    let forwarded = outputs.iter().filter_map(|output| match output {
+        Output::ToPeer { to, message: Message::Forward { .. } } => Some(*to),
+        _ => None,
+    });
+    forwarded.collect()
+}
+
+fn resets(outputs: &[Output]) -> usize {
+    outputs.iter().filter(|output| matches!(output, Output::ToCaller { .. })).count()
+}
+
+/// What a balancer does once nothing more comes in for a moment.
+fn settle(balancer: &mut CarriedBalancer, now: Duration) -> Vec<Output> {
+    let until = now + milliseconds(8);
+    while let Some(at) = balancer.next_timeout().filter(|at| *at <= until) {
+        balancer.handle_timeout(at.max(now));
+    }
+    outputs_of(balancer)
+}
+
+/// Gives a packet of a caller to a balancer.
+fn receive(balancer: &mut CarriedBalancer, now: Duration, segment: &Segment) -> Vec<Output> {
+    balancer.handle_caller(now, &packet(segment));
+    settle(balancer, now)
+}
+
+fn say(
+    balancer: &mut CarriedBalancer,
+    now: Duration,
+    agent: SocketAddrV4,
+    word: Word,
+) -> Vec<Output> {
+    balancer.handle_peer(now, agent, &found(1, word).encode());
+    settle(balancer, now)
+}
+
+/// Answers every question with what `word` says of the agent, until nobody is asked any more; gives
+/// all outputs.
+fn answer_all(
+    balancer: &mut CarriedBalancer,
+    now: Duration,
+    word: impl Fn(SocketAddrV4) -> Option<Word>,
+) -> Vec<Output> {
+    let mut all = Vec::new();
+    let mut now = now;
+    let mut open = settle(balancer, now);
+    while !open.is_empty() {
+        now += milliseconds(8);
+        all.extend(open.iter().cloned());
+        let mut next = Vec::new();
+        for agent in asked(&open) {
+            if let Some(said) = word(agent) {
+                next.extend(say(balancer, now, agent, said));
+            }
+        }
+        open = next;
+    }
+    all
+}
+
+#[test]
+fn a_flow_that_every_agent_denies_is_told_to_be_over_at_the_last_answer() {
+    let mut balancer = acquainted(20);
+    let mut open = asked(&receive(&mut balancer, milliseconds(1), &request()));
+    assert_eq!(open.len(), 16, "the first batch");
+    let mut said = 0;
+    while let Some(agent) = open.pop() {
+        let outputs = say(&mut balancer, milliseconds(3), agent, Word::Absent);
+        said += 1;
+        open.extend(asked(&outputs));
+        assert_eq!(resets(&outputs), usize::from(said == 20), "after {said}");
+    }
+    assert_eq!(balancer.counters(milliseconds(3)).flows_told_over, 1);
+    // The reset was lost: the repetition is answered at once.
+    balancer.handle_caller(milliseconds(203), &packet(&request()));
+    assert_eq!(resets(&outputs_of(&mut balancer)), 1);
+}
+
+#[test]
+fn nobody_is_told_while_one_agent_has_not_answered() {
+    let mut balancer = acquainted(7);
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    let silent = agent_address(3);
+    let deny = |agent| (agent != silent).then_some(Word::Absent);
+    let outputs = answer_all(&mut balancer, milliseconds(3), deny);
+    assert_eq!(resets(&outputs), 0);
+    // Cut off or frozen: what it holds lives. The others go on sending heartbeats.
+    for at in (100..14_000).step_by(100) {
+        for agent in (1..=7).filter(|agent| agent_address(*agent) != silent) {
+            tell(&mut balancer, milliseconds(at), agent, load());
+        }
+        if at % 1_000 == 0 {
+            balancer.handle_caller(milliseconds(at), &packet(&request()));
+        }
+        balancer.handle_timeout(milliseconds(at));
+        let outputs = answer_all(&mut balancer, milliseconds(at), deny);
+        assert_eq!(resets(&outputs), 0, "after {at} ms");
+    }
+    let held = found(1, Word::Held);
+    balancer.handle_peer(milliseconds(14_000), silent, &held.encode());
+    assert!(!forwarded(&outputs_of(&mut balancer)).is_empty(), "found once it is back");
+}
+
+#[test]
+fn an_agent_that_said_good_bye_holds_up_no_answer() {
+    let mut balancer = acquainted(7);
+    let ended = LoadReport { condition: BackendCondition::Ended, ..load() };
+    tell(&mut balancer, milliseconds(1), 3, ended);
+    balancer.handle_caller(milliseconds(2), &packet(&request()));
+    let outputs = answer_all(&mut balancer, milliseconds(3), |_| Some(Word::Absent));
+    assert!(!asked(&outputs).contains(&agent_address(3)));
+    assert_eq!(resets(&outputs), 1);
+    let known: Vec<_> = balancer.snapshot().members;
+    assert!(known.iter().all(|(address, _)| *address != agent_address(3)), "and is told to nobody");
+}
+
+#[test]
+fn an_agent_known_by_hearsay_only_may_hold_the_flow() {
+    let mut balancer = acquainted(3);
+    balancer.learn_members(milliseconds(1), &[(agent_address(9), NodeRole::Agent)]);
+    balancer.handle_caller(milliseconds(2), &packet(&request()));
+    let deny = |agent| (agent != agent_address(9)).then_some(Word::Absent);
+    let outputs = answer_all(&mut balancer, milliseconds(3), deny);
+    assert!(asked(&outputs).contains(&agent_address(9)));
+    assert_eq!(resets(&outputs), 0);
+}
+
+#[test]
+fn a_balancer_that_has_not_read_the_list_tells_nobody_for_seconds() {
+    let mut balancer = new_balancer(1);
+    for agent in 1..=3 {
+        tell(&mut balancer, milliseconds(0), agent, load());
+    }
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    let outputs = answer_all(&mut balancer, milliseconds(3), |_| Some(Word::Absent));
+    assert_eq!(resets(&outputs), 0, "there may be others");
+    for agent in 1..=3 {
+        tell(&mut balancer, milliseconds(5_100), agent, load());
+    }
+    balancer.handle_caller(milliseconds(5_100), &packet(&request()));
+    let outputs = answer_all(&mut balancer, milliseconds(5_101), |_| Some(Word::Absent));
+    assert_eq!(resets(&outputs), 1);
+}
+
+#[test]
+fn a_packet_is_given_to_no_back_end_before_all_that_know_have_denied() {
+    let mut balancer = acquainted(7);
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    let unsure = agent_address(2);
+    let word = |agent| match agent == unsure {
+        true => Some(Word::Unsure),
+        false => Some(Word::Absent),
+    };
+    let outputs = answer_all(&mut balancer, milliseconds(3), word);
+    assert_eq!(tried(&outputs), [unsure]);
+    assert_eq!(forwarded(&outputs), []);
+    assert_eq!(resets(&outputs), 0, "its back end is to tell");
+    let outputs = say(&mut balancer, milliseconds(4), unsure, Word::Absent);
+    assert_eq!(resets(&outputs), 1);
+}
+
+#[test]
+fn while_the_holder_may_be_one_that_cannot_be_asked_two_trials_are_all() {
+    let mut balancer = acquainted(7);
+    let silent = agent_address(7);
+    let word = |agent| (agent != silent).then_some(Word::Unsure);
+    let mut given = HashSet::new();
+    let mut trials = 0;
+    for at in (1..3_900).step_by(20) {
+        if at % 200 == 1 {
+            balancer.handle_caller(milliseconds(at), &packet(&request()));
+        }
+        balancer.handle_timeout(milliseconds(at));
+        let outputs = answer_all(&mut balancer, milliseconds(at), word);
+        let now_tried = tried(&outputs);
+        trials += now_tried.len();
+        given.extend(now_tried);
+        assert_eq!(resets(&outputs), 0);
+    }
+    assert_eq!((trials, given.len()), (2, 2));
+}
+
+#[test]
+fn an_agent_that_has_not_heard_of_its_back_end_is_asked_again_and_given_nothing() {
+    let mut balancer = acquainted(3);
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    let early = |agent| match agent == agent_address(1) {
+        true => Some(Word::Early),
+        false => Some(Word::Absent),
+    };
+    let outputs = answer_all(&mut balancer, milliseconds(3), early);
+    assert_eq!((tried(&outputs).len(), resets(&outputs)), (0, 0));
+    balancer.handle_timeout(milliseconds(50));
+    let outputs = answer_all(&mut balancer, milliseconds(51), |_| Some(Word::Absent));
+    assert_eq!(asked(&outputs), [agent_address(1)]);
+    assert_eq!(resets(&outputs), 1);
+}
+
+#[test]
+fn after_a_restart_of_everything_nodes_that_do_not_come_back_hold_up_no_answer() {
+    let restarted = LoadReport { begun_ms_ago: Some(100), ..load() };
+    let mut balancer = acquainted(0);
+    balancer.learn_members(milliseconds(10), &[(agent_address(9), NodeRole::Agent)]);
+    for agent in 1..=3 {
+        tell(&mut balancer, milliseconds(100), agent, restarted.clone());
+    }
+    balancer.handle_caller(milliseconds(120), &packet(&request()));
+    let deny = |agent| (agent != agent_address(9)).then_some(Word::Absent);
+    assert_eq!(resets(&answer_all(&mut balancer, milliseconds(121), deny)), 0);
+    balancer.handle_caller(milliseconds(320), &packet(&request()));
+    assert_eq!(resets(&answer_all(&mut balancer, milliseconds(321), deny)), 1);
+}
+
+#[test]
+fn one_back_end_of_before_and_not_everything_has_restarted() {
+    let restarted = LoadReport { begun_ms_ago: Some(100), ..load() };
+    let mut balancer = acquainted(0);
+    balancer.learn_members(milliseconds(10), &[(agent_address(9), NodeRole::Agent)]);
+    tell(&mut balancer, milliseconds(100), 1, restarted.clone());
+    tell(&mut balancer, milliseconds(100), 2, restarted);
+    tell(&mut balancer, milliseconds(100), 3, LoadReport { begun_ms_ago: Some(9_000), ..load() });
+    balancer.handle_caller(milliseconds(400), &packet(&request()));
+    let deny = |agent| (agent != agent_address(9)).then_some(Word::Absent);
+    assert_eq!(resets(&answer_all(&mut balancer, milliseconds(401), deny)), 0);
+}
+
+#[test]
+fn packets_that_ask_for_nothing_are_never_reset() {
+    let finish = Segment { finishes: true, payload_bytes: 0, ..request() };
+    let acknowledgement = Segment { payload_bytes: 0, ..request() };
+    for segment in [finish, acknowledgement, Segment { finishes: true, ..request() }] {
+        let mut balancer = acquainted(3);
+        balancer.handle_caller(milliseconds(1), &packet(&segment));
+        let outputs = answer_all(&mut balancer, milliseconds(3), |_| Some(Word::Absent));
+        assert_eq!(asked(&outputs).len(), 3);
+        assert_eq!(resets(&outputs), 0, "{segment:?}");
+    }
+}
+
+#[test]
+fn words_of_strangers_and_words_that_were_not_asked_for_change_nothing() {
+    let mut balancer = acquainted(1);
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    outputs_of(&mut balancer);
+    let stranger = address("10.9.9.9:7720");
+    for message in [found(1, Word::Held), Message::Ended { flow: flow_named(1) }] {
+        balancer.handle_peer(milliseconds(2), stranger, &message.encode());
+        assert_eq!(outputs_of(&mut balancer), []);
+    }
+    assert_eq!(resets(&say(&mut balancer, milliseconds(2), stranger, Word::Absent)), 0);
+    balancer.handle_peer(milliseconds(2), agent_address(1), &found(2, Word::Absent).encode());
+    assert_eq!(outputs_of(&mut balancer), []);
+    assert_eq!(balancer.counters(milliseconds(2)).answers_unexpected, 4);
+}
+
+#[test]
+fn a_port_that_is_used_again_ends_the_search_of_before() {
+    let mut balancer = acquainted(3);
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    outputs_of(&mut balancer);
+    balancer.handle_caller(milliseconds(2), &packet(&opening(1)));
+    for agent in 1..=3 {
+        let agent = agent_address(agent);
+        assert_eq!(resets(&say(&mut balancer, milliseconds(3), agent, Word::Absent)), 0);
+    }
+}
+
+#[test]
+fn packets_wait_for_the_answer_and_go_out_in_their_order() {
+    let mut balancer = acquainted(3);
+    let parts: Vec<Vec<u8>> = (0..40).map(|part| packet(&data(1, 101 + 10 * part, 501))).collect();
+    for part in &parts {
+        balancer.handle_caller(milliseconds(1), part);
+    }
+    outputs_of(&mut balancer);
+    let held = found(1, Word::Held);
+    balancer.handle_peer(milliseconds(2), agent_address(2), &held.encode());
+    let sent: Vec<Vec<u8>> = outputs_of(&mut balancer)
+        .into_iter()
+        .filter_map(|output| match output {
+            Output::ToPeer { message: Message::Forward { datagram }, .. } => Some(datagram),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(sent, parts[..16], "as many as a caller has under way");
+}
+
+/// The agent that an opening is offered to first.
+fn first_offered(balancer: &mut CarriedBalancer, port: u16) -> SocketAddrV4 {
+    balancer.handle_caller(milliseconds(1), &packet(&opening(port)));
+    offers(&outputs_of(balancer))[0].0
+}
+
+#[test]
+fn wherever_one_balancer_places_a_flow_another_one_asks_first() {
+    const AGENTS: u8 = 200;
+    let mut places = acquainted(AGENTS);
+    for port in 1..=100 {
+        let placed_at = first_offered(&mut places, port);
+        let mut searches = acquainted(AGENTS);
+        searches.handle_caller(milliseconds(1), &packet(&data(port, 101, 501)));
+        searches.handle_timeout(milliseconds(1));
+        let first_batch = asked(&outputs_of(&mut searches));
+        assert_eq!(first_batch.len(), 16);
+        assert!(first_batch.contains(&placed_at), "flow {port}");
+    }
+}
+
+#[test]
+fn where_there_are_too_many_to_ask_nobody_is_told_and_questions_stay_bounded() {
+    let mut balancer = new_balancer(1);
+    let agent = |number: u16| {
+        let [high, low] = number.to_be_bytes();
+        SocketAddrV4::new([10, 3, high, low].into(), 7720)
+    };
+    let list: Vec<_> = (0..3_400).map(|number| (agent(number), NodeRole::Agent)).collect();
+    balancer.learn_members(milliseconds(0), &list);
+    for (address, _) in &list {
+        hear_load(&mut balancer, milliseconds(0), *address, load());
+    }
+    outputs_of(&mut balancer);
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    let outputs = answer_all(&mut balancer, milliseconds(2), |_| Some(Word::Absent));
+    assert_eq!(asked(&outputs).len(), 512);
+    assert_eq!(resets(&outputs), 0);
+}
+
+#[test]
+fn questions_about_many_flows_share_their_messages() {
+    let mut balancer = acquainted(3);
+    // The first goes out at once, the others wait for the next round.
+    receive(&mut balancer, milliseconds(1), &data(1_000, 101, 501));
+    for port in 1..=100 {
+        balancer.handle_caller(milliseconds(3), &packet(&data(port, 101, 501)));
+    }
+    balancer.handle_timeout(milliseconds(3));
+    assert_eq!(asked(&outputs_of(&mut balancer)), []);
+    balancer.handle_timeout(milliseconds(5));
+    let outputs = outputs_of(&mut balancer);
+    assert_eq!(asked(&outputs).len(), 6, "two messages an agent");
+    for output in outputs {
+        if let Output::ToPeer { message, .. } = output {
+            assert!(message.encode().len() <= loftdrift_carried::MAX_MESSAGE_BYTES);
+        }
+    }
+}
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -3,8 +3,9 @@
 
 use loftdrift_carried::{
     Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer,
-    CarriedBalancerSettings, CarriedConfiguration, DeclineReason, Heartbeat, LoadReport, Message,
-    Node, NodeRole, Output, Part, PlainFormat, Route, Segment, ServiceSettings,
+    CarriedBalancerSettings, CarriedConfiguration, DeclineReason, FlowName, FlowQuestion, FlowWord,
+    Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Route, Segment,
+    ServiceSettings, Word,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -130,6 +131,16 @@
 
 /// Has an agent tell a balancer its load.
 pub fn tell(balancer: &mut CarriedBalancer, now: Duration, agent: u8, report: LoadReport) {
+    hear_load(balancer, now, agent_address(agent), report);
+}
+
+/// Has the agent at an address tell a balancer its load.
+pub fn hear_load(
+    balancer: &mut CarriedBalancer,
+    now: Duration,
+    agent: SocketAddrV4,
+    report: LoadReport,
+) {
     let heartbeat = Heartbeat {
         role: NodeRole::Agent,
         zone: "a".to_owned(),
@@ -139,7 +150,7 @@
         report: Some(report),
         wants_reply: false,
     };
-    balancer.handle_peer(now, agent_address(agent), &Message::Heartbeat(heartbeat).encode());
+    balancer.handle_peer(now, agent, &Message::Heartbeat(heartbeat).encode());
 }
 
 pub fn outputs_of(balancer: &mut CarriedBalancer) -> Vec<Output> {
@@ -163,3 +174,29 @@
     balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
     balancer
 }
+
+/// A flow from [`caller`] to [`service_address`].
+pub fn flow_named(port: u16) -> FlowName {
+    FlowName { caller: caller(port), service: service_address() }
+}
+
+/// The question whether a flow lives at an agent.
+pub fn find(port: u16, acknowledged: u32) -> Vec<u8> {
+    let acknowledged = Some(acknowledged);
+    let questions = vec![FlowQuestion { flow: flow_named(port), acknowledged }];
+    Message::Find { questions }.encode()
+}
+
+pub fn to_balancer(message: Message) -> Output {
+    Output::ToPeer { to: balancer_address(), message }
+}
+
+/// An agent's word about a flow.
+pub fn found(port: u16, word: Word) -> Message {
+    Message::Found { words: vec![FlowWord { flow: flow_named(port), word }] }
+}
+
+/// An agent's word about a flow, as it goes out.
+pub fn says(port: u16, word: Word) -> Output {
+    to_balancer(found(port, word))
+}
--- a/crates/lab/src/carried/world/backends.rs
+++ b/crates/lab/src/carried/world/backends.rs
@@ -115,4 +115,24 @@
         }
         self.settle(node);
     }
+
+    /// An agent's attempt to connect to its back end.
+    pub(super) fn probed(&mut self, agent: usize, starts: u64) {
+        let node = self.settings.balancers + agent;
+        if self.nodes[node].starts != starts {
+            return;
+        }
+        if let Some(thaw) = self.thaw(node) {
+            return self.events.push(thaw, Event::Probed { agent, starts });
+        }
+        let outcome = match self.backends[agent].is_alive {
+            true => ProbeOutcome::MayLive,
+            false => ProbeOutcome::Refused,
+        };
+        let own = self.nodes[node].own_time(self.now);
+        if let Some(core) = self.nodes[node].agent() {
+            core.take_probe(own, outcome);
+        }
+        self.settle(node);
+    }
 }
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -13,8 +13,8 @@
 use crate::queue::EventQueue;
 use loftdrift_carried::{
     CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings,
-    CarriedConfiguration, Node, NodeRole, Output, Part, PlainFormat, Route, SegmentFormat,
-    ServiceSettings,
+    CarriedConfiguration, Node, NodeRole, Output, Part, PlainFormat, ProbeOutcome, Route,
+    SegmentFormat, ServiceSettings,
 };
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
@@ -98,6 +98,7 @@
     Thaw { node: usize, starts: u64 },
     ReadStore { agent: usize, starts: u64 },
     GiveSnapshot { from: usize, to: usize, starts: u64 },
+    Probed { agent: usize, starts: u64 },
     Start { node: usize },
     Fault(CarriedFault),
     LossEnds,
@@ -206,6 +207,7 @@
             Event::Thaw { node, starts } => self.resume(node, starts),
             Event::ReadStore { agent, starts } => self.read_store(agent, starts),
             Event::GiveSnapshot { from, to, starts } => self.give_snapshot(from, to, starts),
+            Event::Probed { agent, starts } => self.probed(agent, starts),
             Event::Start { node } => self.start(node),
             Event::Fault(fault) => self.fault(fault),
             Event::LossEnds => self.loss = 0.0,
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -84,6 +84,12 @@
                     let from = self.nodes[node].address;
                     self.send_peer(from, to, message.encode());
                 }
+                Output::ProbeBackend => {
+                    let agent = node - self.settings.balancers;
+                    let starts = self.nodes[node].starts;
+                    let at = self.now + Duration::from_micros(60);
+                    self.events.push(at, Event::Probed { agent, starts });
+                }
                 Output::FetchSnapshot { from } => self.fetch(node, from),
                 Output::ReadStore => {
                     let starts = self.nodes[node].starts;
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -3,7 +3,8 @@
 use crate::command::{Measures, NodeStatus};
 use crate::core::Core;
 use loftdrift_carried::{
-    BackendReport, CarriedAgent, CarriedConfiguration, NodeRole, Output, SegmentFormat, Snapshot,
+    BackendReport, CarriedAgent, CarriedConfiguration, NodeRole, Output, ProbeOutcome,
+    SegmentFormat, Snapshot,
 };
 use loftdrift_counters::CounterSet;
 use std::net::SocketAddrV4;
@@ -66,11 +67,12 @@
         Measures { samples, histograms: self.agent.histograms() }
     }
 
-    fn status(&self, _now: Duration) -> NodeStatus {
+    fn status(&self, now: Duration) -> NodeStatus {
         let asks = !self.agent.knows_backend();
         NodeStatus {
             is_ready: true,
-            is_drained: self.agent.is_drained(),
+            is_drained: self.agent.is_drained(now),
+            has_ended: self.agent.has_ended(),
             configuration: self.agent.configuration_version(),
             health_path: self.agent.health_path().filter(|_| asks).map(str::to_owned),
         }
@@ -95,4 +97,8 @@
     fn take_health(&mut self, now: Duration, is_healthy: bool) {
         self.agent.take_health(now, is_healthy);
     }
+
+    fn take_probe(&mut self, now: Duration, outcome: ProbeOutcome) {
+        self.agent.take_probe(now, outcome);
+    }
 }
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -70,6 +70,7 @@
         NodeStatus {
             is_ready: self.balancer.is_ready(now),
             is_drained: now.saturating_sub(self.last_packet) > QUIET,
+            has_ended: false,
             configuration: self.balancer.configuration_version(),
             health_path: None,
         }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,6 +1,6 @@
 //! What tasks say to the one that owns the core, and what that one publishes.
 
-use loftdrift_carried::{BackendReport, CarriedConfiguration, NodeRole, Snapshot};
+use loftdrift_carried::{BackendReport, CarriedConfiguration, NodeRole, ProbeOutcome, Snapshot};
 use loftdrift_counters::{Histogram, Sample};
 use std::net::SocketAddrV4;
 use tokio::sync::oneshot;
@@ -24,6 +24,8 @@
     Departure(String, oneshot::Sender<()>),
     /// The back end's answer about its health.
     Health(bool),
+    /// What became of an attempt to connect to the back end.
+    Probed(ProbeOutcome),
     /// Whether the shared store answers this node.
     StoreAnswers(bool),
     /// Take nothing new.
@@ -46,6 +48,8 @@
     pub is_ready: bool,
     /// Nothing that a planned stop would cut is left.
     pub is_drained: bool,
+    /// What the node stood beside has ended: it does not come back here.
+    pub has_ended: bool,
     /// Version of the configuration in force.
     pub configuration: u64,
     /// Path of the health page of the back end, while its health should be asked for.
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,7 +1,9 @@
 //! What the shell needs of a core, whatever its role.
 
 use crate::command::{Measures, NodeStatus};
-use loftdrift_carried::{BackendReport, CarriedConfiguration, NodeRole, Output, Snapshot};
+use loftdrift_carried::{
+    BackendReport, CarriedConfiguration, NodeRole, Output, ProbeOutcome, Snapshot,
+};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -36,4 +38,6 @@
     fn take_departure(&mut self, _now: Duration, _id: &str) {}
     /// A back end's health.
     fn take_health(&mut self, _now: Duration, _is_healthy: bool) {}
+    /// What became of an attempt to connect to the back end.
+    fn take_probe(&mut self, _now: Duration, _outcome: ProbeOutcome) {}
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod interface;
 mod metrics;
 mod pace;
+mod probe;
 mod registration;
 mod reloading;
 mod run;
--- /dev/null
+++ b/crates/node/src/probe.rs
@@ -0,0 +1,29 @@
+//! Finds out whether anybody listens at the back end's port.
+
+use crate::command::Command;
+use loftdrift_carried::ProbeOutcome;
+use std::io::ErrorKind;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+/// A port on the same machine refuses at once; one that says nothing may be behind a full queue.
+const TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Tries to connect whenever the core asks for it.
+pub(crate) async fn answer(
+    mut questions: mpsc::Receiver<SocketAddrV4>,
+    commands: mpsc::Sender<Command>,
+) {
+    while let Some(backend) = questions.recv().await {
+        let connected = tokio::time::timeout(TIMEOUT, TcpStream::connect(backend)).await;
+        let outcome = match connected {
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => ProbeOutcome::Refused,
+            _ => ProbeOutcome::MayLive,
+        };
+        if commands.send(Command::Probed(outcome)).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -7,7 +7,7 @@
 use crate::pace::Pace;
 use crate::shared_store::{Lease, Member, SharedStore, StoreFailure};
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 /// How long the entry outlives its node. Long: it is only read by nodes that start, which find out
 /// for themselves who answers.
@@ -16,13 +16,21 @@
 const RENEWALS: u32 = 3;
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+/// A node that leaves for good waits so long for the store to take its entry away.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Keeps the entry until nobody listens.
-pub(crate) async fn keep(store: impl SharedStore, member: Member, commands: mpsc::Sender<Command>) {
+/// Keeps the entry until nobody listens, and publishes the lease that it stands under.
+pub(crate) async fn keep(
+    store: impl SharedStore,
+    member: Member,
+    commands: mpsc::Sender<Command>,
+    held: watch::Sender<Option<Lease>>,
+) {
     let mut pace = Pace::new(FIRST_PAUSE, LONGEST_PAUSE);
     while !commands.is_closed() {
         match enter(&store, &member, &commands).await {
             Ok(lease) => {
+                held.send_replace(Some(lease));
                 pace.reset();
                 renew(&store, lease, &mut pace).await;
             }
@@ -35,6 +43,14 @@
     }
 }
 
+/// Takes the entry of a node away that leaves for good: whoever starts later need not wait for it.
+pub(crate) async fn leave(store: impl SharedStore, lease: Option<Lease>) {
+    if let Some(lease) = lease {
+        // Left to the lease's end where the store does not answer.
+        let _ = tokio::time::timeout(LEAVE_TIMEOUT, store.end_lease(lease)).await;
+    }
+}
+
 async fn enter(
     store: &impl SharedStore,
     member: &Member,
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -11,7 +11,8 @@
 use crate::shared_store::{Member, SharedStore};
 use crate::shell::Shell;
 use crate::{
-    configuration_follower, health, registration, reloading, snapshots, stopping, store_reader,
+    configuration_follower, health, probe, registration, reloading, snapshots, stopping,
+    store_reader,
 };
 use anyhow::{Context, Result};
 use http_body_util::{BodyExt, Limited};
@@ -33,6 +34,7 @@
 const COMMAND_QUEUE: usize = 64;
 const FETCH_QUEUE: usize = 1;
 const READING_QUEUE: usize = 1;
+const PROBE_QUEUE: usize = 1;
 /// Largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024;
 /// A node whose command queue is not served for so long refuses the request.
@@ -127,6 +129,7 @@
         let (status_sender, status) = watch::channel(NodeStatus::default());
         let (fetches, fetch_queue) = mpsc::channel(FETCH_QUEUE);
         let (readings, reading_queue) = mpsc::channel(READING_QUEUE);
+        let (probes, probe_queue) = mpsc::channel(PROBE_QUEUE);
         let listener = bind_tcp("snapshots", settings.node.address).await?;
         let shell = Shell {
             core,
@@ -137,9 +140,11 @@
             status: status_sender,
             fetches,
             readings,
+            probes,
         };
         let mut tasks = JoinSet::new();
         tasks.spawn(shell.run());
+        tasks.spawn(probe::answer(probe_queue, commands.clone()));
         tasks.spawn(snapshots::give(listener, commands.clone()));
         tasks.spawn(snapshots::fetch_named(fetch_queue, commands.clone()));
         tasks.spawn(snapshots::fetch_from_seeds(settings.seeds.clone(), commands.clone()));
@@ -161,7 +166,9 @@
         let store_meter = store.meter();
         let reading = store_reader::read(store.clone(), self.readings, self.commands.clone());
         self.tasks.spawn(reading);
-        self.tasks.spawn(registration::keep(store, member, self.commands.clone()));
+        let (lease, held) = watch::channel(None);
+        let registering = registration::keep(store.clone(), member, self.commands.clone(), lease);
+        self.tasks.spawn(registering);
         for address in [settings.readiness, control].into_iter().flatten() {
             let listener = bind_tcp("requests", address).await?;
             self.tasks.spawn(serve_requests(
@@ -177,8 +184,13 @@
             let (commands, store) = (self.commands.clone(), store_meter);
             self.tasks.spawn(Metrics { role, commands, store }.serve(address));
         }
+        let status = self.status.clone();
         let outcome =
             stopping::stopped(settings.stop_grace, is_balancer, self.commands, self.status).await?;
+        if status.borrow().has_ended {
+            let lease = *held.borrow();
+            registration::leave(store, lease).await;
+        }
         log::info!(outcome; "stopped");
         Ok(())
     }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -38,6 +38,7 @@
     pub(crate) status: watch::Sender<NodeStatus>,
     pub(crate) fetches: mpsc::Sender<SocketAddrV4>,
     pub(crate) readings: mpsc::Sender<()>,
+    pub(crate) probes: mpsc::Sender<SocketAddrV4>,
 }
 
 impl<C: Core> Shell<C> {
@@ -118,6 +119,7 @@
             Command::Learn(members) => self.core.learn(now, &members),
             Command::TakeSnapshot(snapshot) => self.core.take_snapshot(now, snapshot),
             Command::Health(is_healthy) => self.core.take_health(now, is_healthy),
+            Command::Probed(outcome) => self.core.take_probe(now, outcome),
             Command::StoreAnswers(answers) => self.core.note_store(now, answers),
             Command::Drain => self.core.drain(now),
             // Whoever asked and did not wait needs no answer.
@@ -153,6 +155,11 @@
                 }
                 // One reading serves all who ask meanwhile.
                 Output::ReadStore => drop(self.readings.try_send(())),
+                // One that finds no place is asked for again.
+                Output::ProbeBackend => {
+                    let backend = self.core.backend();
+                    backend.map(|backend| self.probes.try_send(backend));
+                }
                 // One that is not fetched now is named again by the next heartbeat.
                 Output::FetchSnapshot { from } => drop(self.fetches.try_send(from)),
             }
--- a/crates/steering/src/hash.rs
+++ b/crates/steering/src/hash.rs
@@ -1,27 +1,12 @@
 //! Hashes that every node computes alike.
 
-use loftdrift_wire::FlowKey;
 use siphasher::sip::SipHasher13;
 use std::hash::Hasher;
 
 /// Keys of the hash: fixed, as all nodes must agree; balance does not rest on their secrecy, since
 /// tours choose by load.
-const FLOW_KEYS: (u64, u64) = (0x6c6f_6674_6472_6966, 0x7466_6c6f_7773_0001);
 const SCORE_KEYS: (u64, u64) = (0x6c6f_6674_6472_6966, 0x7473_636f_7265_0001);
 
-/// The flow's hash, the same on every node.
-pub fn flow_hash(flow: &FlowKey) -> u64 {
-    let mut hasher = SipHasher13::new_with_keys(FLOW_KEYS.0, FLOW_KEYS.1);
-    let addresses =
-        (u64::from(flow.caller.ip().to_bits()) << 32) | u64::from(flow.service.ip().to_bits());
-    let ports = (u64::from(flow.caller.port()) << 32)
-        | (u64::from(flow.service.port()) << 16)
-        | flow.transport as u64;
-    hasher.write_u64(addresses);
-    hasher.write_u64(ports);
-    hasher.finish()
-}
-
 /// A back end's rendezvous score in a bucket; the highest come first.
 pub(crate) fn rendezvous_score(bucket: usize, backend: u16) -> u64 {
     let mut hasher = SipHasher13::new_with_keys(SCORE_KEYS.0, SCORE_KEYS.1);
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -32,6 +32,6 @@
 mod map;
 mod service;
 
-pub use hash::flow_hash;
+pub use loftdrift_wire::flow_hash;
 pub use map::SteeringMap;
 pub use service::{MAX_HOPS, ServiceTable};
--- a/crates/steering/src/service.rs
+++ b/crates/steering/src/service.rs
@@ -1,8 +1,8 @@
 //! One service's steering table.
 
 use crate::buckets::{best_members, bucket_count};
-use crate::hash::flow_hash;
 use loftdrift_configuration::{Member, Service, Site, SiteShift};
+use loftdrift_wire::flow_hash;
 use loftdrift_wire::{
     BackendId, Candidate, CandidateList, FlowCookie, FlowKey, MAX_CANDIDATES, ServiceId,
     SteeringMode, SteeringOption,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,11 +6,13 @@
 //! never panic.
 
 mod cookie;
+mod flow_hash;
 mod geneve;
 mod inner;
 mod steering_option;
 
 pub use cookie::{FlowCookie, NO_COOKIE};
+pub use flow_hash::flow_hash;
 pub use geneve::{
     ECHO_BYTES, Echo, EchoKind, GENEVE_HEADER_BYTES, GeneveError, GenevePacket, MAX_VNI,
     STEERING_OPTION_TYPE, encode_packet, write_header,
