--- a/crates/carried/tests/fence.rs
+++ b/crates/carried/tests/fence.rs
@@ -91,6 +91,7 @@
 fn without_any_word_the_fence_is_short_and_open_flows_go_on() {
     let mut balancer = balancer();
     balancer.handle_caller(RESUMED, &packet(&data(7, 101, 501)));
+    balancer.handle_timeout(RESUMED);
     let located = outputs_of(&mut balancer);
     assert!(
         located
