Use a zone's own back ends until their slots are used

Hypothesis: a way is worth a share of a request's work; own slots are used first, waiting still drives flows elsewhere. Change: 0.7 of the service's typical work; in large services as many of the own zone are compared as of all others, and look-ups ask in that order first.

Failed try, reverted: an agent that said it is full is not asked until a slot is likely (half of the mean time).

--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -10,6 +10,7 @@
 use super::*;
 use crate::lookup::{FIRST_BATCH, Lookup, MOST_TRIALS, Said};
 use crate::message::{FlowQuestion, FlowWord, MOST_FLOWS_ASKED, Word};
+use crate::pool::SAMPLE;
 use crate::rank::Ranking;
 
 /// Most searches under way; packets of further flows are left to their callers' repetitions.
@@ -119,7 +120,7 @@
     }
 
     /// The agents to ask next: those of the services that the address stands or stood for, in the
-    /// flow's ranking, then all others, since an address may have stood for a service that this
+    /// flow's ranking and as new flows are placed, then all others, since an address may have stood for a service that this
     /// process never knew.
     fn next_batch(&self, now: Duration, number: u64) -> Vec<SocketAddrV4> {
         let Some(lookup) = self.lookups.get(number) else { return Vec::new() };
@@ -129,21 +130,26 @@
         let ranking = Ranking::of(&flow);
         let holders: Vec<&str> = self.routes.holders(&flow.service).collect();
         let rank = |agent: SocketAddrV4| {
-            let service = self.pool.view(&agent).map(|view| view.report.service.as_str());
-            let is_holder = service.is_some_and(|service| holders.contains(&service));
-            (!is_holder, ranking.rank(&agent), agent)
+            let view = self.pool.view(&agent);
+            let is_holder =
+                view.is_some_and(|view| holders.contains(&view.report.service.as_str()));
+            let is_near = view.is_some_and(|view| view.distance == Distance::SameZone);
+            (!is_holder, !is_near, ranking.rank(&agent), agent)
         };
         let is_open =
             |agent: &SocketAddrV4| lookup.said(agent).is_none() && !self.is_gone(now, agent);
         let mut ranked: Vec<_> = self.agents_known().filter(is_open).map(rank).collect();
         ranked.sort_unstable();
         // Those that cannot hold the flow, as far as is known, are asked once the others have said no.
-        let holders_left = ranked.iter().filter(|(is_other, _, _)| !is_other).count();
+        let holders_left = ranked.iter().filter(|(is_other, ..)| !is_other).count();
         if holders_left > 0 {
             ranked.truncate(holders_left);
         }
+        // Where the balancers of this zone place the flow first, then where all others do.
+        let near = ranked.iter().filter(|(_, is_far, ..)| !is_far).count();
+        ranked[near.min(SAMPLE)..].sort_unstable_by_key(|(_, _, rank, _)| *rank);
         ranked.truncate(most);
-        ranked.into_iter().map(|(_, _, agent)| agent).collect()
+        ranked.into_iter().map(|(.., agent)| agent).collect()
     }
 
     fn ask(&mut self, now: Duration, number: u64, agents: Vec<SocketAddrV4>) {
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -15,9 +15,10 @@
 
 /// How far chance may move a cost, as a share of it.
 const NOISE_SHARE: f64 = 0.1;
-/// So many agents, the first in the flow's ranking, are compared in a larger service: balancers that
-/// know the same do not all choose the same, and each can tell later where a flow may live.
-const SAMPLE: usize = 8;
+/// So many agents, the first in the flow's ranking, are compared in a larger service, and as many of
+/// the balancer's own zone: balancers that know the same do not all choose the same, and each can
+/// tell later where a flow may live.
+pub(crate) const SAMPLE: usize = 8;
 
 /// The agents of all services.
 #[derive(Debug, Default)]
@@ -116,12 +117,9 @@
         let alive = || self.accepting(service).filter(|(_, view)| !view.is_suspect(now, interval));
         let typical = Typical::of(alive().map(|(_, view)| view));
         let candidates = alive().filter(|(agent, view)| may_ask(agent, view));
-        let mut candidates: Vec<_> =
+        let candidates: Vec<_> =
             candidates.map(|(agent, view)| (ranking.rank(agent), agent, view)).collect();
-        if candidates.len() > SAMPLE {
-            candidates.select_nth_unstable_by_key(SAMPLE - 1, |(rank, _, _)| *rank);
-            candidates.truncate(SAMPLE);
-        }
+        let candidates = sample(candidates);
         let cost = |view: &AgentView| view.cost(now, &typical);
         let costs = candidates
             .into_iter()
@@ -184,3 +182,23 @@
         self.agents.values().filter(|view| view.is_suspect(now, interval)).count()
     }
 }
+
+/// An agent with its rank for a flow.
+type Ranked<'a> = (u64, &'a AgentId, &'a AgentView);
+
+/// The first of the own zone, and the first of all others.
+fn sample(candidates: Vec<Ranked<'_>>) -> Vec<Ranked<'_>> {
+    let is_near = |(_, _, view): &Ranked<'_>| view.distance == Distance::SameZone;
+    let (near, far): (Vec<_>, Vec<_>) = candidates.into_iter().partition(is_near);
+    let mut sample = first(near);
+    sample.extend(first(far));
+    sample
+}
+
+fn first(mut candidates: Vec<Ranked<'_>>) -> Vec<Ranked<'_>> {
+    if candidates.len() > SAMPLE {
+        candidates.select_nth_unstable_by_key(SAMPLE - 1, |(rank, _, _)| *rank);
+        candidates.truncate(SAMPLE);
+    }
+    candidates
+}
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -18,7 +18,10 @@
 const JUST_COME: Duration = Duration::from_millis(1_500);
 /// A back end that is cold is taken to be so much slower.
 const COLD_FACTOR: f64 = 1.6;
-/// A way to another zone is worth so much, in seconds of waiting.
+/// A way to another zone is worth as much waiting as this share of a request's work: bytes between
+/// zones are dear, and a zone's own back ends are used until their slots are.
+const OTHER_ZONE_WORK: f64 = 0.7;
+/// A way to another zone takes so long, in seconds.
 const OTHER_ZONE_SECONDS: f64 = 0.002;
 /// A way to another region, in seconds of waiting.
 const OTHER_REGION_SECONDS: f64 = 0.04;
@@ -44,11 +47,12 @@
 }
 
 impl Distance {
-    fn seconds(self) -> f64 {
+    /// What the way is worth where a request takes `work` seconds.
+    fn seconds(self, work: f64) -> f64 {
         match self {
             Distance::SameZone => 0.0,
-            Distance::OtherZone => OTHER_ZONE_SECONDS,
-            Distance::OtherRegion => OTHER_REGION_SECONDS,
+            Distance::OtherZone => OTHER_ZONE_SECONDS + OTHER_ZONE_WORK * work,
+            Distance::OtherRegion => OTHER_REGION_SECONDS + OTHER_ZONE_WORK * work,
         }
     }
 }
@@ -233,7 +237,7 @@
         let crowding = with_new.max(1.0);
         // Among back ends with a free slot the emptier one is better: its load is less likely to
         // have grown since.
-        work * self.slowness() * (crowding + with_new) + self.distance.seconds()
+        work * self.slowness() * (crowding + with_new) + self.distance.seconds(typical.work)
     }
 }
 
--- a/crates/carried/tests/choice.rs
+++ b/crates/carried/tests/choice.rs
@@ -104,3 +104,42 @@
     }
     assert!(asked.len() <= 3, "{asked:?}");
 }
+
+/// A balancer of zone `a` with agents of two zones: numbers up to `near` are of its own zone.
+fn two_zones(near: u8, all: u8, waiting: impl Fn(u8) -> u16) -> CarriedBalancer {
+    let mut balancer = new_balancer(1);
+    for agent in 1..=all {
+        let zone = if agent <= near { "a" } else { "b" };
+        let report = load(waiting(agent), WORK_US);
+        tell_from_zone(&mut balancer, milliseconds(10), agent, zone, report);
+    }
+    balancer
+}
+
+#[test]
+fn a_zones_own_back_ends_are_used_while_they_have_slots_to_spare() {
+    for waiting in 0..=2 {
+        let mut balancer = two_zones(2, 8, |agent| if agent <= 2 { waiting } else { 0 });
+        let chosen = first_offer(&mut balancer, milliseconds(10), 1).0;
+        let own = [agent_address(1), agent_address(2)];
+        assert!(own.contains(&chosen), "{waiting} of 4 slots are used: {chosen}");
+    }
+    for waiting in [5, 6, 8] {
+        let mut balancer = two_zones(2, 8, |agent| if agent <= 2 { waiting } else { 0 });
+        let chosen = first_offer(&mut balancer, milliseconds(10), 1).0;
+        assert_ne!(chosen, agent_address(1), "{waiting} wait before 4 slots");
+        assert_ne!(chosen, agent_address(2), "{waiting} wait before 4 slots");
+    }
+}
+
+#[test]
+fn in_a_large_service_a_zones_own_back_ends_are_among_those_compared() {
+    // One in twenty is of the balancer's zone: of eight of all, most samples would hold none.
+    let mut balancer = two_zones(10, 200, |_| 0);
+    for port in 1..=100 {
+        let (chosen, number) = first_offer(&mut balancer, milliseconds(10), port);
+        assert!((1..=10).any(|agent| agent_address(agent) == chosen), "flow {port} to {chosen}");
+        let message = Message::Placed { number, report: load(0, WORK_US) };
+        balancer.handle_peer(milliseconds(10), chosen, &message.encode());
+    }
+}
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -134,23 +134,38 @@
     hear_load(balancer, now, agent_address(agent), report);
 }
 
-/// Has the agent at an address tell a balancer its load.
-pub fn hear_load(
+/// Has an agent of a zone tell a balancer its load.
+pub fn tell_from_zone(
     balancer: &mut CarriedBalancer,
     now: Duration,
-    agent: SocketAddrV4,
+    agent: u8,
+    zone: &str,
     report: LoadReport,
 ) {
-    let heartbeat = Heartbeat {
+    let message = heartbeat(zone, report);
+    balancer.handle_peer(now, agent_address(agent), &message.encode());
+}
+
+fn heartbeat(zone: &str, report: LoadReport) -> Message {
+    Message::Heartbeat(Heartbeat {
         role: NodeRole::Agent,
-        zone: "a".to_owned(),
+        zone: zone.to_owned(),
         region: "r".to_owned(),
         incarnation: 1,
         configuration: 1,
         report: Some(report),
         wants_reply: false,
-    };
-    balancer.handle_peer(now, agent, &Message::Heartbeat(heartbeat).encode());
+    })
+}
+
+/// Has the agent at an address tell a balancer its load.
+pub fn hear_load(
+    balancer: &mut CarriedBalancer,
+    now: Duration,
+    agent: SocketAddrV4,
+    report: LoadReport,
+) {
+    balancer.handle_peer(now, agent, &heartbeat("a", report).encode());
 }
 
 pub fn outputs_of(balancer: &mut CarriedBalancer) -> Vec<Output> {
