Try back ends a few at a time, the likeliest first

Change: two back ends first, the balancer's own zone before others, then twice as many as were tried; an agent whose back end answered for its health is no longer early. A packet on trial is not told as a request's arrival.

--- a/crates/carried/src/agent/finding.rs
+++ b/crates/carried/src/agent/finding.rs
@@ -51,7 +51,7 @@
         if !self.may_have_forgotten(now, flow) {
             return Word::Absent;
         }
-        let is_early = !self.backend.has_reported() && now < FIRST_REPORT_PATIENCE;
+        let is_early = !self.knows_backend() && now < FIRST_REPORT_PATIENCE;
         if is_early { Word::Early } else { Word::Unsure }
     }
 
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -32,7 +32,7 @@
             self.watch.note_packet(now);
         }
         let is_trial = entry.body.phase == Phase::Tried;
-        if entry.body.begins_request(&segment) {
+        if !is_trial && entry.body.begins_request(&segment) {
             self.tell_request(from, &flow, &datagram);
         }
         self.counters.packets_delivered += 1;
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -8,7 +8,7 @@
 //!   them may hold it, or while agents may be there that this balancer has not heard of, it waits.
 
 use super::*;
-use crate::lookup::{FIRST_BATCH, Lookup, MOST_TRIALS, Said};
+use crate::lookup::{FIRST_BATCH, FIRST_TRIALS, Lookup, MOST_TRIAL_ROUNDS, MOST_TRIALS, Said};
 use crate::message::{FlowQuestion, FlowWord, MOST_FLOWS_ASKED, Word};
 use crate::pool::SAMPLE;
 use crate::rank::Ranking;
@@ -133,8 +133,7 @@
             let view = self.pool.view(&agent);
             let is_holder =
                 view.is_some_and(|view| holders.contains(&view.report.service.as_str()));
-            let is_near = view.is_some_and(|view| view.distance == Distance::SameZone);
-            (!is_holder, !is_near, ranking.rank(&agent), agent)
+            (!is_holder, !self.is_near(&agent), ranking.rank(&agent), agent)
         };
         let is_open =
             |agent: &SocketAddrV4| lookup.said(agent).is_none() && !self.is_gone(now, agent);
@@ -174,26 +173,28 @@
         }
     }
 
-    /// Gives a packet to back ends whose agents may have forgotten the flow; `false` when there are
-    /// none, or none may be tried.
+    /// Gives a packet to back ends whose agents may have forgotten the flow, the likeliest first;
+    /// `false` when there are none, or none may be tried.
     fn try_unsure(&mut self, now: Duration, number: u64) -> bool {
         let Some(lookup) = self.lookups.get(number) else { return false };
         let Some(datagram) = lookup.trial_packet().cloned() else { return false };
-        let unsure = lookup.all_said().filter(|(_, word)| **word == Said::Unsure);
+        let most = match self.others_deny(now, lookup) {
+            true => FIRST_TRIALS << lookup.trials.min(MOST_TRIAL_ROUNDS),
+            false => MOST_TRIALS.saturating_sub(lookup.trials),
+        };
+        let ranking = Ranking::of(&lookup.segment.flow());
+        let unsure = lookup.all_said().filter(|(_, said)| **said == Said::Unsure);
         let mut unsure: Vec<SocketAddrV4> = unsure.map(|(agent, _)| *agent).collect();
-        let is_complete = self.others_deny(now, lookup);
-        if !is_complete {
-            unsure.truncate(MOST_TRIALS.saturating_sub(lookup.trials));
-        }
+        unsure.sort_unstable_by_key(|agent| (!self.is_near(agent), ranking.rank(agent)));
+        unsure.truncate(most);
         if unsure.is_empty() {
             return false;
         }
         let Some(lookup) = self.lookups.get_mut(number) else { return false };
         lookup.trials += unsure.len();
         self.counters.lookup_trials += unsure.len() as u64;
-        log::info!(
-            flow = flow_name(&lookup.segment.flow()).as_str(), agents = unsure.len(), is_complete;
-            "flow_tried"
+        log::debug!(
+            flow = flow_name(&lookup.segment.flow()).as_str(), agents = unsure.len(); "flow_tried"
         );
         for to in unsure {
             lookup.note(to, Said::Tried(now));
@@ -204,6 +205,10 @@
         true
     }
 
+    fn is_near(&self, agent: &SocketAddrV4) -> bool {
+        self.pool.view(agent).is_some_and(|view| view.distance == Distance::SameZone)
+    }
+
     /// Whether every agent known has said that the flow does not live there, or may be unsure.
     fn others_deny(&self, now: Duration, lookup: &Lookup) -> bool {
         let denies = |agent: &SocketAddrV4| match lookup.said(agent) {
--- a/crates/carried/src/lookup.rs
+++ b/crates/carried/src/lookup.rs
@@ -20,6 +20,10 @@
 /// Back ends that get a packet which may not be theirs, while the holder may be one that cannot be
 /// asked now.
 pub(crate) const MOST_TRIALS: usize = 2;
+/// Back ends that are tried at once at first; with each one that was tried their number doubles.
+pub(crate) const FIRST_TRIALS: usize = 2;
+/// Doublings after which their number grows no more.
+pub(crate) const MOST_TRIAL_ROUNDS: usize = 6;
 /// First pause before those that have not answered are asked again; it doubles up to the last.
 const FIRST_PAUSE: Duration = Duration::from_millis(40);
 const LAST_PAUSE: Duration = Duration::from_millis(640);
@@ -52,7 +56,7 @@
     said: BTreeMap<SocketAddrV4, Said>,
     /// Batches asked so far.
     pub(crate) batches: u32,
-    /// Trials while the holder may be one that cannot be asked; at most [`MOST_TRIALS`].
+    /// Back ends tried; at most [`MOST_TRIALS`] while the holder may be one that cannot be asked.
     pub(crate) trials: usize,
     pauses: u32,
     /// When those that have not settled the matter are asked again.
--- a/crates/carried/tests/lookups.rs
+++ b/crates/carried/tests/lookups.rs
@@ -399,3 +399,21 @@
         }
     }
 }
+
+#[test]
+fn back_ends_of_agents_that_may_have_forgotten_are_tried_a_few_at_a_time() {
+    let mut balancer = acquainted(12);
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    let outputs = answer_all(&mut balancer, milliseconds(3), |_| Some(Word::Unsure));
+    let first = tried(&outputs);
+    assert_eq!(first.len(), 2);
+    let mut open = first;
+    let mut all = 0;
+    while let Some(agent) = open.pop() {
+        all += 1;
+        let outputs = say(&mut balancer, milliseconds(5), agent, Word::Absent);
+        assert_eq!(resets(&outputs), usize::from(all == 12), "after {all}");
+        open.extend(tried(&outputs));
+    }
+    assert_eq!(all, 12);
+}
