Play long flows in the lab; judge no flow by what was said of its port's earlier one

The lab had one request a flow; the new workload keeps flows.

Change: a search serves packets of one flow only, by the numbers of both ends, and for 1.5 s; trials count on. Everything has restarted only where back ends began at most 0.8 s before the balancer and half of the agents were heard within 0.2 s of their start.

--- a/crates/carried/src/agent/flow.rs
+++ b/crates/carried/src/agent/flow.rs
@@ -1,6 +1,6 @@
 //! One flow, as far as its packets tell.
 
-use crate::segment::Segment;
+use crate::segment::{LARGEST_WINDOW, Segment};
 use loftdrift_wire::FlowKey;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -140,5 +140,3 @@
 
 /// Sequence numbers that an opening packet takes.
 const OPENING_NUMBERS: i32 = 1;
-/// Further apart, in bytes, are no two packets of one flow that are under way.
-const LARGEST_WINDOW: u32 = 1 << 18;
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -25,8 +25,11 @@
 const GONE_INTERVALS: u32 = 4;
 /// A balancer that could not read the list of nodes has heard of all of them after so long.
 const ACQUAINTED_AFTER: Duration = Duration::from_secs(5);
-/// Where everything restarts at once, back ends start within so long of each other.
-const RESTART_SPREAD: Duration = Duration::from_secs(5);
+/// Where everything restarts at once, back ends start no longer than this before this process:
+/// flows that opened in between may live at agents that were not heard since.
+const RESTART_SPREAD: Duration = Duration::from_millis(800);
+/// A balancer that nothing cuts off hears an agent so soon after both have started.
+const PROMPT: Duration = Duration::from_millis(200);
 /// Agents that must have restarted with their back ends before that is believed of all.
 const LEAST_RESTARTED: usize = 2;
 /// Agents that live have been heard so long after this process started, where all restarted.
@@ -70,20 +73,9 @@
     ) {
         self.counters.packets_located += 1;
         let flow = segment.flow();
-        let number = match self.lookups.number_of(&flow) {
-            Some(number) => {
-                let Some(lookup) = self.lookups.get_mut(number) else { return };
-                lookup.add(now, segment, datagram);
-                number
-            }
-            None if self.lookups.len() >= MOST_LOOKUPS => {
-                self.counters.lookups_passed_over += 1;
-                return;
-            }
-            None => {
-                self.counters.lookups_started += 1;
-                self.lookups.start(now, flow, Lookup::new(now, *segment, datagram))
-            }
+        let Some(number) = self.search(now, flow, segment, datagram) else {
+            self.counters.lookups_passed_over += 1;
+            return;
         };
         let Some(lookup) = self.lookups.get_mut(number) else { return };
         if let Some(agent) = not_at {
@@ -95,6 +87,33 @@
         self.advance_lookup(now, number);
     }
 
+    /// The search that a packet belongs to, which now holds the packet; `None` when there are too
+    /// many.
+    fn search(
+        &mut self,
+        now: Duration,
+        flow: FlowKey,
+        segment: &Segment,
+        datagram: &[u8],
+    ) -> Option<u64> {
+        let known = self.lookups.number_of(&flow);
+        let lookup = known.and_then(|number| self.lookups.get_mut(number));
+        if let Some(lookup) = lookup.filter(|lookup| lookup.serves(now, segment)) {
+            lookup.add(now, segment, datagram);
+            return known;
+        }
+        let before = known.and_then(|number| self.lookups.finish(number));
+        if self.lookups.len() >= MOST_LOOKUPS {
+            return None;
+        }
+        self.counters.lookups_started += 1;
+        let mut lookup = Lookup::new(now, *segment, datagram);
+        if let Some(before) = before.filter(|before| before.segment.is_near(segment)) {
+            lookup.trials = before.trials;
+        }
+        Some(self.lookups.start(now, flow, lookup))
+    }
+
     /// Takes a search as far as it goes without another word from an agent.
     fn advance_lookup(&mut self, now: Duration, number: u64) {
         let Some(lookup) = self.lookups.get(number) else { return };
@@ -263,12 +282,14 @@
     /// Whether the whole system, back ends included, started about when this process did: no flow
     /// of before lives, and nodes that have not come back held none since.
     fn has_all_restarted(&self, now: Duration) -> bool {
-        let views = self.pool.iter().filter(|(_, view)| !view.has_ended());
-        let is_new = |view: &AgentView| view.began_after(now, RESTART_SPREAD);
-        let (new, heard) = views
-            .fold((0, 0), |(new, heard), (_, view)| (new + usize::from(is_new(view)), heard + 1));
-        let known = self.agents_known().count();
-        new == heard && heard >= LEAST_RESTARTED && 2 * heard >= known
+        let views = || self.pool.iter().map(|(_, view)| view).filter(|view| !view.has_ended());
+        let heard = views().count();
+        let is_prompt = |view: &&AgentView| view.was_heard_within(PROMPT);
+        let prompt = views().filter(is_prompt).count();
+        views().all(|view| view.began_after(now, RESTART_SPREAD))
+            && heard >= LEAST_RESTARTED
+            && 2 * prompt >= heard
+            && 2 * heard >= self.agents_known().count()
     }
 
     /// Tells the caller that its flow is over.
--- a/crates/carried/src/lookup.rs
+++ b/crates/carried/src/lookup.rs
@@ -1,8 +1,9 @@
 //! The search for the agent that holds a flow which this balancer does not remember.
 //!
 //! Agents are asked by the flow's addresses; its packets wait here meanwhile. The first ones in the
-//! flow's ranking are asked first, the others follow in growing batches. What an agent says stays
-//! true for as long as the search lasts: the flow opened before it began.
+//! flow's ranking are asked first, the others follow in growing batches. What an agent has said holds
+//! for this one flow, which opened before the search began, and no longer than a caller may take to
+//! use its port again.
 
 use crate::segment::Segment;
 use std::collections::BTreeMap;
@@ -29,6 +30,8 @@
 const LAST_PAUSE: Duration = Duration::from_millis(640);
 /// Doublings after which the pause grows no more.
 const MOST_PAUSES: u32 = 8;
+/// What agents have said holds for so long: a port may be used again meanwhile.
+const SAID_LASTS: Duration = Duration::from_millis(1_500);
 /// A search ends so long after the caller's last packet.
 const LASTS: Duration = Duration::from_secs(4);
 
@@ -81,6 +84,12 @@
         }
     }
 
+    /// Whether the search still serves a packet: it is of the same flow and not of another one
+    /// between the same addresses, and what was said so far is not old.
+    pub(crate) fn serves(&self, now: Duration, segment: &Segment) -> bool {
+        self.segment.is_near(segment) && now.saturating_sub(self.started) < SAID_LASTS
+    }
+
     /// Another packet of the flow came.
     pub(crate) fn add(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
         self.last_packet = now;
--- a/crates/carried/src/segment.rs
+++ b/crates/carried/src/segment.rs
@@ -62,12 +62,26 @@
         self.sequence.wrapping_add(u32::from(self.payload_bytes))
     }
 
+    /// Whether two packets between the same addresses can be of one flow: both ends' numbers are
+    /// near each other.
+    pub fn is_near(&self, other: &Segment) -> bool {
+        let is_known = self.acknowledges && other.acknowledges;
+        let is_near = |one: u32, other: u32| {
+            one.wrapping_sub(other).cast_signed().unsigned_abs() <= LARGEST_WINDOW
+        };
+        is_near(self.sequence, other.sequence)
+            && (!is_known || is_near(self.acknowledgement, other.acknowledgement))
+    }
+
     /// Whether the packet asks for a new flow.
     pub fn is_opening(&self) -> bool {
         self.opens && !self.acknowledges
     }
 }
 
+/// Further apart, in bytes, are no two packets of one flow that are under way.
+pub(crate) const LARGEST_WINDOW: u32 = 1 << 18;
+
 /// Why a datagram is no packet of a carried flow.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum SegmentError {
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -89,6 +89,8 @@
     pub(crate) report: LoadReport,
     pub(crate) distance: Distance,
     heard_at: Duration,
+    /// When it was heard first.
+    first_heard: Duration,
     /// Since when it has said that it takes new flows; `None` while it does not.
     accepts_since: Option<Duration>,
     /// Flows offered there since the report.
@@ -105,6 +107,7 @@
             report: LoadReport::default(),
             distance: Distance::OtherZone,
             heard_at: now,
+            first_heard: now,
             accepts_since: None,
             placed_since: 0,
             unanswered: 0,
@@ -159,6 +162,13 @@
         self.report.condition == BackendCondition::Ended
     }
 
+    /// When its back end started, seen from this process's start, where its agent has run ever
+    /// since; nothing below 0 is told from 0.
+    fn began_at(&self) -> Option<Duration> {
+        let before = Duration::from_millis(u64::from(self.report.begun_ms_ago?));
+        Some(self.heard_at.saturating_sub(before))
+    }
+
     /// Whether its back end started after this process did, or no more than `spread` before it,
     /// and its agent has run ever since.
     pub(crate) fn began_after(&self, now: Duration, spread: Duration) -> bool {
@@ -168,6 +178,11 @@
         })
     }
 
+    /// Whether it was heard as soon as both had started.
+    pub(crate) fn was_heard_within(&self, delay: Duration) -> bool {
+        self.began_at().is_some_and(|at| self.first_heard <= at + delay)
+    }
+
     /// Whether new flows are taken, be it as a last resort.
     pub(crate) fn may_fail(&self) -> bool {
         self.is_accepting() || self.report.condition == BackendCondition::Failing
--- a/crates/carried/tests/lookups.rs
+++ b/crates/carried/tests/lookups.rs
@@ -266,6 +266,34 @@
     assert_eq!(resets(&answer_all(&mut balancer, milliseconds(321), deny)), 1);
 }
 
+#[test]
+fn a_balancer_that_was_cut_off_at_its_start_waits_for_who_was_not_heard() {
+    let restarted = LoadReport { begun_ms_ago: Some(900), ..load() };
+    let mut balancer = acquainted(0);
+    balancer.learn_members(milliseconds(10), &[(agent_address(9), NodeRole::Agent)]);
+    // All started together; the agents are heard 0.9 s later, one of them not any more.
+    for agent in 1..=3 {
+        tell(&mut balancer, milliseconds(900), agent, restarted.clone());
+    }
+    balancer.handle_caller(milliseconds(950), &packet(&request()));
+    let deny = |agent| (agent != agent_address(9)).then_some(Word::Absent);
+    assert_eq!(resets(&answer_all(&mut balancer, milliseconds(951), deny)), 0);
+}
+
+#[test]
+fn a_balancer_that_started_later_than_the_rest_waits_for_who_was_not_heard() {
+    // Everything restarted three seconds ago, this balancer again just now.
+    let restarted = LoadReport { begun_ms_ago: Some(3_000), ..load() };
+    let mut balancer = acquainted(0);
+    balancer.learn_members(milliseconds(10), &[(agent_address(9), NodeRole::Agent)]);
+    for agent in 1..=3 {
+        tell(&mut balancer, milliseconds(100), agent, restarted.clone());
+    }
+    balancer.handle_caller(milliseconds(800), &packet(&request()));
+    let deny = |agent| (agent != agent_address(9)).then_some(Word::Absent);
+    assert_eq!(resets(&answer_all(&mut balancer, milliseconds(801), deny)), 0);
+}
+
 #[test]
 fn one_back_end_of_before_and_not_everything_has_restarted() {
     let restarted = LoadReport { begun_ms_ago: Some(100), ..load() };
@@ -320,6 +348,34 @@
     }
 }
 
+#[test]
+fn what_was_said_of_a_port_s_earlier_flow_is_not_said_of_its_next() {
+    for age in [20, 2_500] {
+        let mut balancer = acquainted(3);
+        balancer.handle_caller(milliseconds(1), &packet(&request()));
+        let outputs = answer_all(&mut balancer, milliseconds(2), |_| Some(Word::Absent));
+        assert_eq!(resets(&outputs), 1);
+        // The next flow opened through another balancer; its back end's numbers are others.
+        let next = data(1, 77_000_000, 2_000_000_000);
+        balancer.handle_caller(milliseconds(40 + age), &packet(&next));
+        let outputs = answer_all(&mut balancer, milliseconds(40 + age), |agent| {
+            (agent != agent_address(2)).then_some(Word::Absent)
+        });
+        assert_eq!(asked(&outputs).len(), 3, "all are asked anew");
+        assert_eq!(resets(&outputs), 0);
+    }
+}
+
+#[test]
+fn words_are_asked_for_anew_once_they_are_old() {
+    let mut balancer = acquainted(3);
+    balancer.handle_caller(milliseconds(1), &packet(&request()));
+    answer_all(&mut balancer, milliseconds(2), |_| Some(Word::Absent));
+    balancer.handle_caller(milliseconds(1_600), &packet(&request()));
+    let outputs = answer_all(&mut balancer, milliseconds(1_600), |_| Some(Word::Absent));
+    assert_eq!((asked(&outputs).len(), resets(&outputs)), (3, 1));
+}
+
 #[test]
 fn packets_wait_for_the_answer_and_go_out_in_their_order() {
     let mut balancer = acquainted(3);
--- a/crates/flow/src/table.rs
+++ b/crates/flow/src/table.rs
@@ -86,9 +86,11 @@
         slot.flow.as_mut().filter(|_| slot.generation == id.generation())
     }
 
-    /// Every flow in the table.
+    /// Every flow in the table, in the order of their identities.
     pub fn ids(&self) -> Vec<FlowId> {
-        self.by_key.values().copied().collect()
+        let mut ids: Vec<FlowId> = self.by_key.values().copied().collect();
+        ids.sort_unstable();
+        ids
     }
 
     /// Adds a flow whose addresses no other one has.
--- a/crates/lab/src/carried/backend.rs
+++ b/crates/lab/src/carried/backend.rs
@@ -20,11 +20,32 @@
 
 #[derive(Debug)]
 struct Flow {
+    /// The back end's first number.
     sequence: u32,
     stage: Stage,
+    /// The request under way or answered last.
     request: Vec<u8>,
+    /// Where the answer to it begins, behind the first number.
+    answer_from: u32,
+    /// The caller's next number.
+    next: u32,
+    /// The number of its opening packet.
+    opened_with: u32,
 }
 
+impl Flow {
+    /// Takes another request of the same flow.
+    fn begin(&mut self, segment: &Segment, packet: &[u8]) {
+        self.answer_from += self.request.len() as u32;
+        self.request = PlainFormat::data(packet).to_vec();
+        self.next = segment.end();
+        self.stage = Stage::Working;
+    }
+}
+
+/// A caller whose requests begin so keeps its flow for further ones.
+pub(super) const LONG: &[u8] = b"long";
+
 /// What a packet made a back end do.
 #[derive(Debug, Default)]
 pub(super) struct Reaction {
@@ -32,6 +53,8 @@
     pub(super) packets: Vec<Vec<u8>>,
     /// The opening packet of a flow was taken.
     pub(super) took_flow: bool,
+    /// A packet showed that the flow is open here.
+    pub(super) has_flow: bool,
     /// Work on these flows' requests begins.
     pub(super) began: Vec<FlowKey>,
 }
@@ -98,9 +121,14 @@
             reaction.packets.push(returned(&segment, packet));
             return reaction;
         };
-        if segment.payload_bytes > 0 && flow.stage == Stage::Opened {
-            flow.stage = Stage::Working;
-            flow.request = PlainFormat::data(packet).to_vec();
+        reaction.has_flow = true;
+        let is_new = match flow.stage {
+            Stage::Opened => true,
+            Stage::Working => false,
+            Stage::Answered => segment.sequence == flow.next,
+        };
+        if segment.payload_bytes > 0 && is_new {
+            flow.begin(&segment, packet);
             let said = match self.failing {
                 Some(FailureMode::Fail) => PlainFormat::FAILED,
                 Some(FailureMode::Refuse) => PlainFormat::REFUSED,
@@ -110,13 +138,14 @@
             if !said.is_empty() {
                 flow.stage = Stage::Answered;
                 flow.request = said.to_vec();
-                reaction.packets.push(answer(&key, flow));
+                reaction.packets.push(answer(&key, flow, true));
                 return reaction;
             }
             self.queue.push_back(key);
             reaction.began = self.begin();
         } else if segment.payload_bytes > 0 && flow.stage == Stage::Answered {
-            reaction.packets.push(answer(&key, flow));
+            let ends = self.is_leaving || !flow.request.starts_with(LONG);
+            reaction.packets.push(answer(&key, flow, ends));
         }
         reaction
     }
@@ -128,7 +157,8 @@
         packet: &[u8],
         reaction: &mut Reaction,
     ) {
-        if let Some(flow) = self.flows.get(&key).filter(|flow| flow.stage == Stage::Opened) {
+        let known = self.flows.get(&key).filter(|flow| flow.opened_with == segment.sequence);
+        if let Some(flow) = known {
             reaction.packets.push(syn_ack(&key, flow.sequence));
             return;
         }
@@ -138,7 +168,15 @@
         }
         self.next_sequence = self.next_sequence.wrapping_add(0x1000_0001);
         let sequence = self.next_sequence;
-        self.flows.insert(key, Flow { sequence, stage: Stage::Opened, request: Vec::new() });
+        let flow = Flow {
+            sequence,
+            stage: Stage::Opened,
+            request: Vec::new(),
+            answer_from: 0,
+            next: 0,
+            opened_with: segment.sequence,
+        };
+        self.flows.insert(key, flow);
         reaction.took_flow = true;
         reaction.packets.push(syn_ack(&key, sequence));
     }
@@ -165,7 +203,9 @@
         self.busy = self.busy.saturating_sub(1);
         if let Some(flow) = self.flows.get_mut(key) {
             flow.stage = Stage::Answered;
-            reaction.packets.push(answer(key, flow));
+            // One that leaves closes each flow after its next answer.
+            let ends = self.is_leaving || !flow.request.starts_with(LONG);
+            reaction.packets.push(answer(key, flow, ends));
         }
         reaction.began = self.begin();
         reaction
@@ -174,7 +214,8 @@
 
 /// Whether a packet is of the flow: it acknowledges what the flow has sent.
 fn holds(flow: &Flow, segment: &Segment) -> bool {
-    segment.acknowledgement.wrapping_sub(flow.sequence) <= flow.request.len() as u32
+    let sent = flow.answer_from + flow.request.len() as u32;
+    segment.acknowledgement.wrapping_sub(flow.sequence) <= sent
 }
 
 fn returned(segment: &Segment, packet: &[u8]) -> Vec<u8> {
@@ -187,8 +228,9 @@
 }
 
 /// An answer repeats its request's bytes, so that a caller knows its own.
-fn answer(key: &FlowKey, flow: &Flow) -> Vec<u8> {
+fn answer(key: &FlowKey, flow: &Flow, finishes: bool) -> Vec<u8> {
     let head = Segment::between(key.service, key.caller);
-    let segment = Segment { acknowledges: true, finishes: true, sequence: flow.sequence, ..head };
+    let sequence = flow.sequence.wrapping_add(flow.answer_from);
+    let segment = Segment { acknowledges: true, finishes, sequence, ..head };
     PlainFormat::write(&segment, &flow.request)
 }
--- a/crates/lab/src/carried/caller.rs
+++ b/crates/lab/src/carried/caller.rs
@@ -9,6 +9,11 @@
 const REPEAT_AFTER: Duration = Duration::from_millis(200);
 const DEADLINE: Duration = Duration::from_secs(4);
 const TRIES: u32 = 3;
+/// Further from what the caller has acknowledged, a reset is not of its flow.
+const RESET_WINDOW: u32 = 76_800;
+/// Between two requests of a caller that keeps its flow.
+const PAUSES: [Duration; 3] =
+    [Duration::from_millis(300), Duration::from_millis(900), Duration::from_millis(2_300)];
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CallerState {
@@ -19,6 +24,10 @@
     Open {
         sequence: u32,
     },
+    /// Open there, with the last request answered; another one follows after a pause.
+    Resting {
+        sequence: u32,
+    },
     Served,
     Refused,
     /// The back end said that it failed.
@@ -48,6 +57,13 @@
     tries: u32,
     repeats: u32,
     number: u64,
+    /// Requests still to come on the same flow.
+    rounds_left: u32,
+    round: u32,
+    /// Bytes sent on the flow before the request under way.
+    sent: u32,
+    /// Flows asked for so far.
+    flows: u32,
     /// When the state under way wants to be woken.
     wakes_at: Duration,
 }
@@ -58,6 +74,7 @@
         number: u64,
         address: SocketAddrV4,
         service: SocketAddrV4,
+        rounds: u32,
     ) -> Self {
         Caller {
             service,
@@ -68,17 +85,35 @@
             tries: 1,
             repeats: 0,
             number,
+            rounds_left: rounds - 1,
+            round: 0,
+            sent: 0,
+            flows: 0,
             wakes_at: now,
         }
     }
 
     pub(super) fn is_over(&self) -> bool {
-        !matches!(self.state, CallerState::Opening { .. } | CallerState::Open { .. })
+        matches!(
+            self.state,
+            CallerState::Served | CallerState::Refused | CallerState::Failed | CallerState::Lost
+        )
     }
 
     /// The try's identity, which is also the request's bytes.
     fn request(&self) -> Vec<u8> {
-        format!("request {} try {}", self.number, self.tries).into_bytes()
+        let kind = if self.keeps_flow() { "long" } else { "request" };
+        format!("{kind} {} round {} try {}", self.number, self.round, self.tries).into_bytes()
+    }
+
+    /// The first number of the flow under way, far from those of other flows of the same port.
+    fn first_number(&self) -> u32 {
+        (self.number as u32).wrapping_mul(0x9e37_79b9).wrapping_add(self.flows * 0x0100_0193)
+    }
+
+    /// Whether its requests share a flow.
+    fn keeps_flow(&self) -> bool {
+        self.round > 0 || self.rounds_left > 0
     }
 
     /// Does what is due at `now`; a wake-up that was meant for an earlier state does nothing.
@@ -86,12 +121,21 @@
         if self.is_over() || now < self.wakes_at {
             return CallerStep::default();
         }
+        if let CallerState::Resting { sequence } = self.state {
+            self.begin_round(now);
+            self.state = CallerState::Open { sequence };
+        }
         if now.saturating_sub(self.asked_at) >= DEADLINE {
             self.state = CallerState::Lost;
             return CallerStep::default();
         }
         match self.state {
-            CallerState::Opening { copies } => self.send_opening(now, copies),
+            CallerState::Opening { copies } => {
+                if copies == 0 {
+                    self.try_started = now;
+                }
+                self.send_opening(now, copies)
+            }
             CallerState::Open { sequence } => self.send_request(now, sequence),
             _ => CallerStep::default(),
         }
@@ -107,7 +151,8 @@
             return self.wait_until(self.try_started + OPENING_LASTS, None);
         }
         let head = Segment::between(self.address, self.service);
-        let segment = Segment { opens: true, acknowledgement: copies as u32, ..head };
+        let sequence = self.first_number();
+        let segment = Segment { opens: true, sequence, acknowledgement: copies as u32, ..head };
         self.state = CallerState::Opening { copies: copies + 1 };
         let next = COPIES_AFTER_MS.get(copies).map(|ms| Duration::from_millis(*ms));
         let wakes_at = self.try_started + next.unwrap_or(OPENING_LASTS);
@@ -121,8 +166,9 @@
 
     fn send_request(&mut self, now: Duration, sequence: u32) -> CallerStep {
         let head = Segment::between(self.address, self.service);
+        let own = self.first_number().wrapping_add(self.sent);
         let segment =
-            Segment { acknowledges: true, sequence: 1, acknowledgement: sequence, ..head };
+            Segment { acknowledges: true, sequence: own, acknowledgement: sequence, ..head };
         let pause = REPEAT_AFTER * 2_u32.pow(self.repeats.min(3));
         self.repeats += 1;
         self.wait_until(now + pause, Some(PlainFormat::write(&segment, &self.request())))
@@ -136,17 +182,23 @@
         next_address: SocketAddrV4,
     ) -> CallerStep {
         let Ok(segment) = PlainFormat.parse(packet) else { return CallerStep::default() };
+        if segment.resets && !self.heeds(&segment) {
+            return CallerStep::default();
+        }
         match self.state {
             CallerState::Opening { .. } if segment.resets => self.try_again(now, next_address),
             CallerState::Opening { .. } if segment.opens => {
                 self.state = CallerState::Open { sequence: segment.sequence };
                 self.send_request(now, segment.sequence)
             }
-            CallerState::Open { .. } if segment.resets => {
-                self.state = CallerState::Lost;
-                CallerStep { was_broken: true, ..CallerStep::default() }
+            CallerState::Open { .. } | CallerState::Resting { .. } if segment.resets => {
+                let step = self.lose_flow(now, next_address);
+                CallerStep { was_broken: true, ..step }
             }
-            CallerState::Open { sequence } if segment.payload_bytes > 0 => {
+            // Any other is the answer of before once more.
+            CallerState::Open { sequence }
+                if segment.payload_bytes > 0 && segment.sequence == sequence =>
+            {
                 let data = PlainFormat::data(packet);
                 if data == PlainFormat::FAILED || data == PlainFormat::REFUSED {
                     self.state = CallerState::Failed;
@@ -155,6 +207,9 @@
                 if data != self.request() {
                     return CallerStep { was_mixed: true, ..CallerStep::default() };
                 }
+                if self.rounds_left > 0 {
+                    return self.rest(now, &segment, next_address);
+                }
                 self.state = CallerState::Served;
                 self.send_end(sequence.wrapping_add(u32::from(segment.payload_bytes)))
             }
@@ -162,20 +217,82 @@
         }
     }
 
+    /// Whether a reset is near what the caller has acknowledged; any will do before that.
+    fn heeds(&self, reset: &Segment) -> bool {
+        match self.state {
+            CallerState::Open { sequence } | CallerState::Resting { sequence } => {
+                let distance = reset.sequence.wrapping_sub(sequence).cast_signed();
+                distance.unsigned_abs() <= RESET_WINDOW
+            }
+            _ => true,
+        }
+    }
+
+    /// Waits before the next request, on the same flow unless the back end has ended it.
+    fn rest(&mut self, now: Duration, segment: &Segment, next_address: SocketAddrV4) -> CallerStep {
+        let pause = PAUSES[self.number as usize % PAUSES.len()];
+        let sequence = segment.end();
+        let acknowledgement = self.send_acknowledgement(sequence, segment.finishes);
+        self.sent += self.request().len() as u32;
+        self.state = CallerState::Resting { sequence };
+        if segment.finishes {
+            self.begin_round(now + pause);
+            self.open_anew(next_address);
+        }
+        self.wait_until(now + pause, Some(acknowledgement))
+    }
+
+    fn begin_round(&mut self, now: Duration) {
+        self.asked_at = now;
+        self.rounds_left -= 1;
+        self.round += 1;
+        self.tries = 1;
+        self.repeats = 0;
+    }
+
+    fn open_anew(&mut self, address: SocketAddrV4) {
+        self.address = address;
+        self.flows += 1;
+        self.sent = 0;
+        self.state = CallerState::Opening { copies: 0 };
+    }
+
+    /// The flow was reset: a caller that keeps its flow repeats the request on another one.
+    fn lose_flow(&mut self, now: Duration, address: SocketAddrV4) -> CallerStep {
+        if !self.keeps_flow() {
+            self.state = CallerState::Lost;
+            return CallerStep::default();
+        }
+        if matches!(self.state, CallerState::Resting { .. }) {
+            self.begin_round(self.wakes_at);
+            self.open_anew(address);
+            return self.wait_until(self.wakes_at, None);
+        }
+        self.sent = 0;
+        self.repeats = 0;
+        self.try_again(now, address)
+    }
+
+    fn send_acknowledgement(&self, acknowledgement: u32, finishes: bool) -> Vec<u8> {
+        let head = Segment::between(self.address, self.service);
+        let segment = Segment { acknowledges: true, finishes, acknowledgement, ..head };
+        PlainFormat::write(&segment, &[])
+    }
+
     fn try_again(&mut self, now: Duration, address: SocketAddrV4) -> CallerStep {
         if self.tries == TRIES {
             self.state = CallerState::Refused;
             return CallerStep::default();
         }
         self.tries += 1;
+        self.flows += 1;
         self.address = address;
         self.try_started = now;
         self.send_opening(now, 0)
     }
 
     fn send_end(&self, acknowledgement: u32) -> CallerStep {
-        let head = Segment::between(self.address, self.service);
-        let segment = Segment { acknowledges: true, finishes: true, acknowledgement, ..head };
-        CallerStep { packet: Some(PlainFormat::write(&segment, &[])), ..CallerStep::default() }
+        let packet = Some(self.send_acknowledgement(acknowledgement, true));
+        CallerStep { packet, ..CallerStep::default() }
     }
 }
--- a/crates/lab/src/carried/fault.rs
+++ b/crates/lab/src/carried/fault.rs
@@ -22,6 +22,8 @@
     KillAgent(usize, Duration),
     /// Every process of the system is killed.
     KillAll(Duration),
+    /// Everything loses power, back ends included.
+    PowerOff(Duration),
     /// A balancer stands still.
     FreezeBalancer(usize, Duration),
     /// An agent stands still.
--- a/crates/lab/src/carried/random_days.rs
+++ b/crates/lab/src/carried/random_days.rs
@@ -30,7 +30,7 @@
     let balancer = random.random_range(0..balancers);
     let agent = random.random_range(0..agents);
     let lasts = Duration::from_millis(random.random_range(SHORTEST_MS..LONGEST_MS));
-    match random.random_range(0..15) {
+    match random.random_range(0..16) {
         0 => CarriedFault::KillBalancer(balancer, lasts),
         1 => CarriedFault::KillAgent(agent, lasts),
         2 => CarriedFault::KillAll(lasts / 4),
@@ -44,6 +44,7 @@
         10 => CarriedFault::MoveRoute,
         11 => CarriedFault::ReplaceBackend(agent),
         12 => CarriedFault::RefuseBalancers(lasts),
+        14 => CarriedFault::PowerOff(lasts / 4),
         13 => {
             let modes = [FailureMode::Fail, FailureMode::Refuse, FailureMode::Hang];
             CarriedFault::FailBackend(agent, modes[random.random_range(0..modes.len())], lasts)
--- a/crates/lab/src/carried/world/backends.rs
+++ b/crates/lab/src/carried/world/backends.rs
@@ -62,15 +62,25 @@
         if reaction.took_flow {
             self.judge_taken(agent, packet);
         }
+        if reaction.has_flow {
+            self.note_holder(agent, packet);
+        }
         self.react(agent, reaction);
     }
 
+    /// A back end has shown that a flow is open there.
+    fn note_holder(&mut self, agent: usize, packet: &[u8]) {
+        if let Ok(segment) = PlainFormat.parse(packet) {
+            let start = self.backends[agent].start;
+            self.holders.insert(segment.flow(), (agent, start));
+        }
+    }
+
     /// Holds a taken flow against the rules.
     pub(super) fn judge_taken(&mut self, agent: usize, packet: &[u8]) {
         let Ok(segment) = PlainFormat.parse(packet) else { return };
         let flow = segment.flow();
         let backend = &self.backends[agent];
-        self.holders.insert(flow, (agent, backend.start));
         let is_late = backend.leaving_since.is_some_and(|since| self.now > since + BOUND);
         self.outcome.late_drains += u64::from(is_late);
         let is_first = flow.service == service_address(0);
@@ -107,7 +117,7 @@
     pub(super) fn take_from_backend(&mut self, agent: usize, packet: Vec<u8>) {
         let node = self.settings.balancers + agent;
         if let Some(thaw) = self.thaw(node) {
-            return self.events.push(thaw, Event::FromBackend { agent, packet });
+            return self.defer(node, thaw, Event::FromBackend { agent, packet });
         }
         let own = self.nodes[node].own_time(self.now);
         if let Some(core) = self.nodes[node].agent() {
--- a/crates/lab/src/carried/world/callers.rs
+++ b/crates/lab/src/carried/world/callers.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+/// Addresses of callers, all told; more than callers at any moment.
+const PORTS: u32 = 4_096;
+
 impl CarriedWorld {
     pub(super) fn ask(&mut self) {
         let pause = 1_000_000 / self.settings.requests_per_second.max(1);
@@ -16,15 +19,29 @@
         let address = self.next_address();
         let service = service_address(usize::from(self.random.random_range(0..4) == 0));
         self.by_address.insert(address, number);
-        self.callers.insert(number, Caller::new(self.now, number, address, service));
+        let every = self.settings.long_callers;
+        let is_long = every > 0 && number.is_multiple_of(every);
+        let rounds = if is_long { ROUNDS } else { 1 };
+        self.callers.insert(number, Caller::new(self.now, number, address, service, rounds));
         self.wake_caller(number);
     }
 
-    /// Callers have few ports and use them again.
+    /// Callers have few ports and use them again, once a flow is over.
     pub(super) fn next_address(&mut self) -> SocketAddrV4 {
-        self.next_port = (self.next_port + 1) % 4_096;
-        let host = Ipv4Addr::new(100, 64, 0, (self.next_port / 512) as u8);
-        SocketAddrV4::new(host, 1_024 + (self.next_port % 512) as u16)
+        loop {
+            self.next_port = (self.next_port + 1) % PORTS;
+            let host = Ipv4Addr::new(100, 64, 0, (self.next_port / 512) as u8);
+            let address = SocketAddrV4::new(host, 1_024 + (self.next_port % 512) as u16);
+            if !self.is_in_use(&address) {
+                return address;
+            }
+        }
+    }
+
+    fn is_in_use(&self, address: &SocketAddrV4) -> bool {
+        let number = self.by_address.get(address);
+        let caller = number.and_then(|number| self.callers.get(number));
+        caller.is_some_and(|caller| caller.address == *address && !caller.is_over())
     }
 
     pub(super) fn wake_caller(&mut self, number: u64) {
@@ -49,6 +66,10 @@
     pub(super) fn route(&mut self, packet: Vec<u8>) {
         let Ok(segment) = PlainFormat.parse(&packet) else { return };
         let flow = segment.flow();
+        if segment.is_opening() && segment.acknowledgement == 0 {
+            // The port's next flow: nobody holds it yet.
+            self.holders.remove(&flow);
+        }
         let balancers = 0..self.settings.balancers;
         let any_in = balancers.clone().any(|node| self.nodes[node].is_in);
         let eligible = balancers.filter(|node| self.nodes[*node].is_in || !any_in);
@@ -63,7 +84,7 @@
 
     pub(super) fn deliver_to_balancer(&mut self, node: usize, packet: Vec<u8>) {
         if let Some(thaw) = self.thaw(node) {
-            return self.events.push(thaw, Event::ToBalancer { node, packet });
+            return self.defer(node, thaw, Event::ToBalancer { node, packet });
         }
         let own = self.nodes[node].own_time(self.now);
         if let Some(balancer) = self.nodes[node].balancer() {
@@ -72,7 +93,7 @@
         self.settle(node);
     }
 
-    pub(super) fn deliver_to_caller(&mut self, packet: &[u8], from_node: usize) {
+    pub(super) fn deliver_to_caller(&mut self, packet: &[u8]) {
         let Ok(segment) = PlainFormat.parse(packet) else { return };
         let Some(number) = self.by_address.get(&segment.destination).copied() else { return };
         let address = self.next_address();
@@ -89,8 +110,8 @@
             self.by_address.insert(address, number);
             debug_assert_eq!(service, flow.service);
         }
-        let is_own_reset = from_node < self.settings.balancers;
-        if step.was_broken && is_own_reset && self.holder_lives(&flow) {
+        // Simulated back ends send none: every reset is a node's.
+        if step.was_broken && self.holder_lives(&flow) {
             self.outcome.broken_flows += 1;
         }
         self.carry_out(number, step);
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -13,6 +13,14 @@
                     self.kill(node, down);
                 }
             }
+            CarriedFault::PowerOff(down) => {
+                for node in 0..self.nodes.len() {
+                    self.kill(node, down);
+                }
+                for agent in 0..self.backends.len() {
+                    self.crash(agent, down);
+                }
+            }
             CarriedFault::FreezeBalancer(node, lasts) => self.freeze(node, lasts),
             CarriedFault::FreezeAgent(agent, lasts) => self.freeze(balancers + agent, lasts),
             CarriedFault::StopBalancer(node) => {
@@ -29,6 +37,10 @@
             }
             CarriedFault::StoreDown(lasts) => {
                 self.store_down_until = self.store_down_until.max(self.now + lasts);
+                // A change that not every node has seen is in force once the store is back.
+                if self.now < self.changed_at + BOUND {
+                    self.changed_at = self.changed_at.max(self.store_down_until);
+                }
             }
             CarriedFault::RefuseBalancers(lasts) => {
                 let until = self.now + lasts;
@@ -41,12 +53,14 @@
                 let start = self.backends[agent].start;
                 self.events.push(self.now + lasts, Event::BackendWell { agent, start });
             }
-            CarriedFault::CrashBackend(agent, down) => {
-                if self.backends[agent].is_alive {
-                    self.backends[agent].is_alive = false;
-                    self.events.push(self.now + down, Event::StartBackend { agent });
-                }
-            }
+            CarriedFault::CrashBackend(agent, down) => self.crash(agent, down),
+        }
+    }
+
+    fn crash(&mut self, agent: usize, down: Duration) {
+        if self.backends[agent].is_alive {
+            self.backends[agent].is_alive = false;
+            self.events.push(self.now + down, Event::StartBackend { agent });
         }
     }
 
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -43,8 +43,10 @@
 const LONGEST_FLOW: Duration = Duration::from_secs(60);
 const AIM_MS: u32 = 200;
 const SERVICES: [&str; 2] = ["tiles", "sheets"];
+/// Requests of a caller that keeps its flow.
+const ROUNDS: u32 = 4;
 /// Callers ask until this long before the end, so that every request comes to its end.
-const QUIET_END: Duration = Duration::from_secs(5);
+const QUIET_END: Duration = Duration::from_secs(12);
 
 /// Sizes of a simulated system.
 #[derive(Clone, Copy, Debug)]
@@ -59,6 +61,8 @@
     pub requests_per_second: u64,
     /// Time a request takes.
     pub work: Duration,
+    /// Each caller with a number that this divides keeps its flow for several requests; 0: none.
+    pub long_callers: u64,
     /// Length of the day.
     pub lasts: Duration,
     /// Seed of everything left to chance.
@@ -73,7 +77,8 @@
             slots: 4,
             requests_per_second: 200,
             work: Duration::from_millis(30),
-            lasts: Duration::from_secs(22),
+            long_callers: 4,
+            lasts: Duration::from_secs(29),
             seed: 1,
         }
     }
@@ -82,24 +87,81 @@
 enum Event {
     Ask,
     WakeCaller(u64),
-    ToBalancer { node: usize, packet: Vec<u8> },
-    ToCaller { packet: Vec<u8>, from_node: usize },
-    Peer { from: SocketAddrV4, to: SocketAddrV4, datagram: Vec<u8> },
-    WakeNode { node: usize, starts: u64 },
-    ToBackend { agent: usize, packet: Vec<u8> },
-    FromBackend { agent: usize, packet: Vec<u8> },
-    Worked { agent: usize, start: u64, flow: FlowKey },
-    BackendHeartbeat { agent: usize, start: u64 },
-    BackendGone { agent: usize, start: u64 },
-    StartBackend { agent: usize },
-    BackendWell { agent: usize, start: u64 },
+    ToBalancer {
+        node: usize,
+        packet: Vec<u8>,
+    },
+    ToCaller {
+        packet: Vec<u8>,
+    },
+    Peer {
+        from: SocketAddrV4,
+        to: SocketAddrV4,
+        datagram: Vec<u8>,
+    },
+    WakeNode {
+        node: usize,
+        starts: u64,
+    },
+    ToBackend {
+        agent: usize,
+        packet: Vec<u8>,
+    },
+    FromBackend {
+        agent: usize,
+        packet: Vec<u8>,
+    },
+    Worked {
+        agent: usize,
+        start: u64,
+        flow: FlowKey,
+    },
+    BackendHeartbeat {
+        agent: usize,
+        start: u64,
+    },
+    BackendGone {
+        agent: usize,
+        start: u64,
+    },
+    StartBackend {
+        agent: usize,
+    },
+    BackendWell {
+        agent: usize,
+        start: u64,
+    },
     Probe,
-    StoreLook { node: usize, starts: u64 },
-    Thaw { node: usize, starts: u64 },
-    ReadStore { agent: usize, starts: u64 },
-    GiveSnapshot { from: usize, to: usize, starts: u64 },
-    Probed { agent: usize, starts: u64 },
-    Start { node: usize },
+    StoreLook {
+        node: usize,
+        starts: u64,
+    },
+    Thaw {
+        node: usize,
+        starts: u64,
+    },
+    ReadStore {
+        agent: usize,
+        starts: u64,
+    },
+    GiveSnapshot {
+        from: usize,
+        to: usize,
+        starts: u64,
+    },
+    Probed {
+        agent: usize,
+        starts: u64,
+    },
+    /// What waited in a frozen node's sockets; lost where the process ends meanwhile.
+    Thawed {
+        node: usize,
+        starts: u64,
+        event: Box<Event>,
+    },
+    Start {
+        node: usize,
+    },
     Fault(CarriedFault),
     LossEnds,
 }
@@ -192,7 +254,7 @@
             Event::Ask => self.ask(),
             Event::WakeCaller(number) => self.wake_caller(number),
             Event::ToBalancer { node, packet } => self.deliver_to_balancer(node, packet),
-            Event::ToCaller { packet, from_node } => self.deliver_to_caller(&packet, from_node),
+            Event::ToCaller { packet } => self.deliver_to_caller(&packet),
             Event::Peer { from, to, datagram } => self.peer(from, to, datagram),
             Event::WakeNode { node, starts } => self.wake_node(node, starts),
             Event::ToBackend { agent, packet } => self.deliver_to_backend(agent, &packet),
@@ -208,6 +270,11 @@
             Event::ReadStore { agent, starts } => self.read_store(agent, starts),
             Event::GiveSnapshot { from, to, starts } => self.give_snapshot(from, to, starts),
             Event::Probed { agent, starts } => self.probed(agent, starts),
+            Event::Thawed { node, starts, event } => {
+                if self.nodes[node].starts == starts && self.nodes[node].core.is_some() {
+                    self.handle(*event);
+                }
+            }
             Event::Start { node } => self.start(node),
             Event::Fault(fault) => self.fault(fault),
             Event::LossEnds => self.loss = 0.0,
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -53,6 +53,12 @@
         (until > self.now).then_some(until)
     }
 
+    /// Has an event wait in the sockets of a frozen node.
+    pub(super) fn defer(&mut self, node: usize, thaw: Duration, event: Event) {
+        let starts = self.nodes[node].starts;
+        self.events.push(thaw, Event::Thawed { node, starts, event: Box::new(event) });
+    }
+
     pub(super) fn wake_node(&mut self, node: usize, starts: u64) {
         if self.nodes[node].starts != starts || self.nodes[node].wake_at != Some(self.now) {
             return;
@@ -72,7 +78,7 @@
         while let Some(output) = self.nodes[node].take_output() {
             match output {
                 Output::ToCaller { datagram: packet, .. } => {
-                    let event = Event::ToCaller { packet, from_node: node };
+                    let event = Event::ToCaller { packet };
                     self.events.push(self.now + WAY, event);
                 }
                 Output::ToBackend(packet) => {
@@ -129,7 +135,7 @@
             return;
         }
         if let Some(thaw) = self.thaw(node) {
-            return self.events.push(thaw, Event::Peer { from, to, datagram });
+            return self.defer(node, thaw, Event::Peer { from, to, datagram });
         }
         self.nodes[node].handle_peer(self.now, from, &datagram);
         self.settle(node);
--- a/crates/lab/tests/carried.rs
+++ b/crates/lab/tests/carried.rs
@@ -8,6 +8,12 @@
 use std::time::Duration;
 
 const RANDOM_DAYS: u64 = 150;
+/// Seeds of random days that once broke a rule: knowledge of a port's earlier flow was used for its
+/// next one (337, 1560, 3010, 4616); a balancer that started or was connected later than the rest
+/// took who was not heard for gone (240, 2125, 4109); faults of the lab itself (159, 1936, 3231,
+/// 4724, 4900).
+const FAILED_SEEDS: [u64; 12] =
+    [159, 240, 337, 1560, 1936, 2125, 3010, 3231, 4109, 4616, 4724, 4900];
 
 fn seconds(count: f64) -> Duration {
     Duration::from_secs_f64(count)
@@ -146,10 +152,72 @@
     assert_kept(play(&day), 0.99);
 }
 
+#[test]
+fn after_a_loss_of_all_power_callers_hear_that_their_flows_are_over() {
+    let outcome = play(&[(6.0, Fault::PowerOff(seconds(0.4)))]);
+    assert!(outcome.keeps_the_rules(), "{outcome:?}");
+    // Those that were under way and are not repeated; a caller that keeps its flow asks again.
+    assert!(outcome.lost + outcome.refused <= 40, "{outcome:?}");
+}
+
+#[test]
+fn a_back_end_that_crashed_loses_its_idle_flows_only_until_their_next_request() {
+    let day: Vec<_> = (0..4)
+        .map(|agent| (4.0 + agent as f64, Fault::CrashBackend(agent, seconds(2.0))))
+        .collect();
+    let outcome = play(&day);
+    assert!(outcome.keeps_the_rules(), "{outcome:?}");
+    assert!(outcome.lost <= 30, "{outcome:?}");
+}
+
+#[test]
+fn flows_are_found_at_any_size_of_a_service() {
+    for backends in [7, 35, 163] {
+        let settings = CarriedWorldSettings { backends, long_callers: 2, ..Default::default() };
+        // Each stop hands a quarter of the flows to balancers that have not carried them.
+        let stops = (0..4).flat_map(|node| {
+            let at = seconds(3.0 + 2.0 * node as f64);
+            [TimedFault { at, fault: Fault::StopBalancer(node) }]
+        });
+        let faults: Vec<_> = stops.collect();
+        let outcome = CarriedWorld::new(settings, &faults).run();
+        assert_eq!(outcome.served, outcome.asked, "{backends}: {outcome:?}");
+        assert_kept(outcome, 1.0);
+    }
+}
+
+#[test]
+fn flows_are_found_though_agents_and_balancers_are_killed_together() {
+    for backends in [9, 35] {
+        let settings = CarriedWorldSettings { backends, long_callers: 2, ..Default::default() };
+        let mut faults = Vec::new();
+        for agent in (0..backends).step_by(2) {
+            faults.push(TimedFault {
+                at: seconds(5.0),
+                fault: Fault::KillAgent(agent, seconds(0.3)),
+            });
+        }
+        for node in 0..3 {
+            let fault = Fault::KillBalancer(node, seconds(0.2));
+            faults.push(TimedFault { at: seconds(5.0), fault });
+        }
+        assert_kept(CarriedWorld::new(settings, &faults).run(), 0.99);
+    }
+}
+
 #[test]
 fn random_days_break_no_rule() {
+    play_random_days(1..=RANDOM_DAYS);
+}
+
+#[test]
+fn random_days_that_once_broke_a_rule_break_none() {
+    play_random_days(FAILED_SEEDS);
+}
+
+fn play_random_days(seeds: impl IntoIterator<Item = u64>) {
     let settings = CarriedWorldSettings::default();
-    for seed in 1..=RANDOM_DAYS {
+    for seed in seeds {
         let faults = random_day(seed, settings.balancers, settings.backends);
         let outcome = CarriedWorld::new(CarriedWorldSettings { seed, ..settings }, &faults).run();
         assert!(outcome.keeps_the_rules(), "seed {seed}: {outcome:?}\n{faults:#?}");
