Look among a service's agents before all others; a bench of look-ups

Questions and bytes are bounded (16, 288 B), the processor time was not. Change: agents of the address's services first, others only when those have been asked; gone ones are looked for among the first only. The agents asked and their order are the same (tests unchanged).

--- /dev/null
+++ b/crates/bench/benches/lookups.rs
@@ -0,0 +1,124 @@
+//! What a search for a flow costs a balancer against the number of agents of the service: time,
+//! questions and bytes. The slopes behind `docs/CAPACITY.md`.
+
+use loftdrift_bench::{caller_address, median, service_address, time};
+use loftdrift_carried::{
+    BackendCondition, CarriedBalancer, CarriedBalancerSettings, CarriedConfiguration, FlowWord,
+    Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Route, Segment,
+    Word,
+};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+const RUNS: usize = 5;
+const FLOWS: u64 = 200;
+const PEER_PORT: u16 = 7_720;
+const FIRST_AGENT: u32 = 0x0A02_0001;
+/// Time between two searches: longer than questions gather.
+const STEP: Duration = Duration::from_millis(10);
+
+fn agent_address(number: u32) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::from(FIRST_AGENT + number), PEER_PORT)
+}
+
+fn heartbeat() -> Message {
+    let report = LoadReport {
+        service: "service".to_owned(),
+        condition: BackendCondition::Accepting,
+        capacity: 7,
+        ..LoadReport::default()
+    };
+    Message::Heartbeat(Heartbeat {
+        role: NodeRole::Agent,
+        zone: "zone-b".to_owned(),
+        region: "region".to_owned(),
+        incarnation: 1,
+        configuration: 1,
+        report: Some(report),
+        wants_reply: false,
+    })
+}
+
+fn balancer(agents: u32) -> CarriedBalancer {
+    let node = Node {
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 1, 0, 1), PEER_PORT),
+        role: NodeRole::Balancer,
+        zone: "zone-a".to_owned(),
+        region: "region".to_owned(),
+        incarnation: 1,
+    };
+    let mut balancer = CarriedBalancer::new(CarriedBalancerSettings { node, seed: 1 }, PlainFormat);
+    let parts = vec![Part { service: "service".to_owned(), weight: 1 }];
+    let route = Route { address: service_address(0), parts, aim_ms: 250, priority: 1 };
+    let routes = vec![route];
+    let services = Vec::new();
+    let idle_timeout_ms = 15_000;
+    balancer.adopt(
+        Duration::ZERO,
+        CarriedConfiguration { version: 1, routes, services, idle_timeout_ms },
+    );
+    let message = heartbeat().encode();
+    for agent in 0..agents {
+        balancer.handle_peer(Duration::ZERO, agent_address(agent), &message);
+    }
+    while balancer.take_output().is_some() {}
+    balancer
+}
+
+#[derive(Default)]
+struct Cost {
+    questions: u64,
+    bytes: u64,
+}
+
+/// A packet of a flow that is not remembered, until one of the agents asked has answered.
+fn search(balancer: &mut CarriedBalancer, now: Duration, flow: u64, cost: &mut Cost) {
+    let head = Segment::between(caller_address(flow), service_address(0));
+    let segment = Segment { acknowledges: true, acknowledgement: 7, ..head };
+    balancer.handle_caller(now, &PlainFormat::write(&segment, b"data"));
+    balancer.handle_timeout(now);
+    let mut holder = None;
+    while let Some(output) = balancer.take_output() {
+        if let Output::ToPeer { to, message: message @ Message::Find { .. } } = output {
+            cost.questions += 1;
+            cost.bytes += message.encode().len() as u64;
+            holder = Some((to, message));
+        }
+    }
+    let Some((to, Message::Find { questions })) = holder else { return };
+    let words = questions.iter().map(|question| FlowWord { flow: question.flow, word: Word::Held });
+    let found = Message::Found { words: words.collect() };
+    balancer.handle_peer(now, to, &found.encode());
+    while balancer.take_output().is_some() {}
+}
+
+fn measure(agents: u32) {
+    let mut balancer = balancer(agents);
+    let mut cost = Cost::default();
+    let mut flow = 0;
+    let mut now = STEP;
+    let times = (0..RUNS).map(|_| {
+        let mut round = || {
+            for _ in 0..FLOWS {
+                flow += 1;
+                now += STEP;
+                search(&mut balancer, now, flow, &mut cost);
+            }
+        };
+        time(&mut round)
+    });
+    let took = median(times.collect());
+    let searches = RUNS as f64 * FLOWS as f64;
+    println!(
+        "{agents} agents: {:.1} us, {:.1} questions, {:.0} B a search",
+        took.as_secs_f64() * 1e6 / FLOWS as f64,
+        cost.questions as f64 / searches,
+        cost.bytes as f64 / searches,
+    );
+}
+
+fn main() {
+    for agents in [7, 35, 163, 3_400] {
+        measure(agents);
+    }
+}
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -138,36 +138,40 @@
         self.lookups.wake_at(number, next_ask.max(now));
     }
 
-    /// The agents to ask next: those of the services that the address stands or stood for, in the
-    /// flow's ranking and as new flows are placed, then all others, since an address may have stood for a service that this
-    /// process never knew.
+    /// The agents to ask next: those of the services that the address stands or stood for, then
+    /// all others, since an address may have stood for a service that this process never knew.
     fn next_batch(&self, now: Duration, number: u64) -> Vec<SocketAddrV4> {
         let Some(lookup) = self.lookups.get(number) else { return Vec::new() };
         let asked = lookup.all_said().count();
         let most = (FIRST_BATCH << lookup.batches.min(8)).min(MOST_ASKED.saturating_sub(asked));
-        let flow = lookup.segment.flow();
-        let ranking = Ranking::of(&flow);
-        let holders: Vec<&str> = self.routes.holders(&flow.service).collect();
-        let rank = |agent: SocketAddrV4| {
-            let view = self.pool.view(&agent);
-            let is_holder =
-                view.is_some_and(|view| holders.contains(&view.report.service.as_str()));
-            (!is_holder, !self.is_near(&agent), ranking.rank(&agent), agent)
-        };
-        let is_open =
-            |agent: &SocketAddrV4| lookup.said(agent).is_none() && !self.is_gone(now, agent);
-        let mut ranked: Vec<_> = self.agents_known().filter(is_open).map(rank).collect();
-        ranked.sort_unstable();
-        // Those that cannot hold the flow, as far as is known, are asked once the others have said no.
-        let holders_left = ranked.iter().filter(|(is_other, ..)| !is_other).count();
-        if holders_left > 0 {
-            ranked.truncate(holders_left);
+        let address = lookup.segment.flow().service;
+        let holders = self.routes.holders(&address);
+        let agents = holders.flat_map(|service| self.pool.of_service(service));
+        let batch = self.first_open(now, lookup, agents.map(|(agent, _)| *agent), most);
+        if !batch.is_empty() {
+            return batch;
         }
-        // Where the balancers of this zone place the flow first, then where all others do.
-        let near = ranked.iter().filter(|(_, is_far, ..)| !is_far).count();
-        ranked[near.min(SAMPLE)..].sort_unstable_by_key(|(_, _, rank, _)| *rank);
-        ranked.truncate(most);
-        ranked.into_iter().map(|(.., agent)| agent).collect()
+        self.first_open(now, lookup, self.agents_known(), most)
+    }
+
+    /// The first of some agents that have not been asked, as the flow's ranking and new flows go:
+    /// where the balancers of this zone place it, then where all others do.
+    fn first_open(
+        &self,
+        now: Duration,
+        lookup: &Lookup,
+        agents: impl Iterator<Item = SocketAddrV4>,
+        most: usize,
+    ) -> Vec<SocketAddrV4> {
+        let ranking = Ranking::of(&lookup.segment.flow());
+        let is_open = |agent: &SocketAddrV4| lookup.said(agent).is_none();
+        let rank = |agent: SocketAddrV4| (!self.is_near(&agent), ranking.rank(&agent), agent);
+        let mut ranked: Vec<_> = agents.filter(is_open).map(rank).collect();
+        ranked.sort_unstable();
+        let near = ranked.iter().filter(|(is_far, ..)| !is_far).count();
+        ranked[near.min(SAMPLE)..].sort_unstable_by_key(|(_, rank, _)| *rank);
+        let ranked = ranked.into_iter().map(|(.., agent)| agent);
+        ranked.filter(|agent| !self.is_gone(now, agent)).take(most).collect()
     }
 
     fn ask(&mut self, now: Duration, number: u64, agents: Vec<SocketAddrV4>) {
