Believe no good-bye from before a standstill: whoever said it is asked

An agent's last word that its back end has ended counted for ever. A flow remembered there is searched for.

--- a/crates/carried/src/balancer/established.rs
+++ b/crates/carried/src/balancer/established.rs
@@ -18,8 +18,10 @@
         let idle = self.idle_timeout();
         let finishes = segment.finishes || segment.resets;
         match self.flows.touch(now, idle, &flow, finishes) {
-            // Whatever it held is over.
-            Some(agent) if self.is_gone(now, &agent) => self.flows.remove(&flow, agent),
+            // What it held is over, as far as is known; whether it is, the search tells.
+            Some(agent) if self.is_gone(now, &agent) || self.has_said_goodbye(&agent) => {
+                self.flows.remove(&flow, agent);
+            }
             Some(agent) => return self.forward(agent, datagram),
             None => {}
         }
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -4,11 +4,14 @@
 //! - A packet whose holder is not known is given to a back end only when no agent that could be
 //!   asked holds its flow, and then only beside agents that may have forgotten it.
 //! - A caller is told that its flow is over only when every agent known has said that the flow does
-//!   not live there, or has said good-bye, or has answered nobody for very long. While any of
+//!   not live there, or has said good-bye and does not answer, or has answered nobody for very long. While any of
 //!   them may hold it, or while agents may be there that this balancer has not heard of, it waits.
 
 use super::*;
-use crate::lookup::{FIRST_BATCH, FIRST_TRIALS, Lookup, MOST_TRIAL_ROUNDS, MOST_TRIALS, Said};
+use crate::lookup::{
+    FIRST_BATCH, FIRST_TRIALS, Lookup, MOST_TRIAL_ROUNDS, MOST_TRIALS, Said, TRIAL_PATIENCE,
+    WORD_PATIENCE,
+};
 use crate::message::{FlowQuestion, FlowWord, MOST_FLOWS_ASKED, Word};
 use crate::pool::SAMPLE;
 use crate::rank::Ranking;
@@ -183,7 +186,7 @@
             lookup.note(to, Said::Asked(now));
             self.questions.add(now, to, question);
         }
-        self.lookups.wake_at(number, now + crate::lookup::WORD_PATIENCE);
+        self.lookups.wake_at(number, now + WORD_PATIENCE);
     }
 
     /// Sends the questions that have gathered, if it is time.
@@ -224,7 +227,7 @@
             let message = Message::Try { datagram: datagram.clone() };
             self.outputs.push_back(Output::ToPeer { to, message });
         }
-        self.lookups.wake_at(number, now + crate::lookup::TRIAL_PATIENCE);
+        self.lookups.wake_at(number, now + TRIAL_PATIENCE);
         true
     }
 
@@ -235,8 +238,8 @@
     /// Whether every agent known has said that the flow does not live there, or may be unsure.
     fn others_deny(&self, now: Duration, lookup: &Lookup) -> bool {
         let denies = |agent: &SocketAddrV4| match lookup.said(agent) {
-            Some(Said::Absent(_) | Said::Unsure | Said::Tried(_)) => true,
-            Some(Said::Asked(_)) | None => self.is_gone(now, agent),
+            Some(Said::Unsure | Said::Tried(_)) => true,
+            _ => self.denies(now, lookup, agent),
         };
         self.agents_known().all(|agent| denies(&agent))
     }
@@ -244,13 +247,28 @@
     fn nobody_holds(&self, now: Duration, number: u64) -> bool {
         let Some(lookup) = self.lookups.get(number) else { return false };
         let is_asked_enough = lookup.has_answer() && self.pool.len() <= MOST_ASKED;
-        let denies = |agent: &SocketAddrV4| {
-            matches!(lookup.said(agent), Some(Said::Absent(_))) || self.is_gone(now, agent)
-        };
         lookup.demands_answer()
             && is_asked_enough
             && self.acquaintance.is_enough(now)
-            && self.agents_known().all(|agent| denies(&agent))
+            && self.agents_known().all(|agent| self.denies(now, lookup, &agent))
+    }
+
+    /// Whether an agent holds the flow no more than it has said: it has denied, it said good-bye and
+    /// does not answer, or it is gone.
+    fn denies(&self, now: Duration, lookup: &Lookup, agent: &SocketAddrV4) -> bool {
+        match lookup.said(agent) {
+            Some(Said::Absent(_)) => true,
+            Some(Said::Asked(at)) if now.saturating_sub(at) >= WORD_PATIENCE => {
+                self.has_said_goodbye(agent) || self.is_gone(now, agent)
+            }
+            _ => self.is_gone(now, agent),
+        }
+    }
+
+    /// Whether an agent's last word was that its back end has ended. That may be long ago: one that
+    /// answers holds what it says.
+    pub(super) fn has_said_goodbye(&self, agent: &SocketAddrV4) -> bool {
+        self.pool.view(agent).is_some_and(AgentView::has_ended)
     }
 
     /// Every agent that this balancer has heard of, be it by hearsay.
@@ -260,13 +278,10 @@
         agents.map(|(address, _)| *address)
     }
 
-    /// Whether an agent holds no flow any more: its back end has ended, or it has answered nobody
-    /// for so long that it will not come back.
+    /// Whether an agent holds no flow any more: it has answered nobody for so long that it will not
+    /// come back.
     pub(super) fn is_gone(&self, now: Duration, agent: &SocketAddrV4) -> bool {
         let view = self.pool.view(agent);
-        if view.is_some_and(AgentView::has_ended) {
-            return true;
-        }
         if view.is_none() && now >= RESTART_GRACE && self.has_all_restarted(now) {
             return true;
         }
--- a/crates/lab/src/carried/world/callers.rs
+++ b/crates/lab/src/carried/world/callers.rs
@@ -69,6 +69,7 @@
         if segment.is_opening() && segment.acknowledgement == 0 {
             // The port's next flow: nobody holds it yet.
             self.holders.remove(&flow);
+            self.first_numbers.insert(flow, segment.sequence);
         }
         let balancers = 0..self.settings.balancers;
         let any_in = balancers.clone().any(|node| self.nodes[node].is_in);
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -185,6 +185,8 @@
     backend_starts: u64,
     /// Which back end's start holds a flow, for the verdict on a reset.
     holders: HashMap<FlowKey, (usize, u64)>,
+    /// The first number of each port's latest flow, which tells its packets from late ones.
+    first_numbers: HashMap<FlowKey, u32>,
     runs: HashSet<(u64, Vec<u8>)>,
     sent: HashSet<Vec<u8>>,
     outcome: CarriedOutcome,
@@ -212,6 +214,7 @@
             loss: 0.0,
             backend_starts: 0,
             holders: HashMap::new(),
+            first_numbers: HashMap::new(),
             runs: HashSet::new(),
             sent: HashSet::new(),
             outcome: CarriedOutcome::default(),
