--- a/crates/bench/benches/carried.rs
+++ b/crates/bench/benches/carried.rs
@@ -4,7 +4,7 @@
 use loftdrift_bench::{BACKENDS, SERVICES, caller_address, median, service_address, time};
 use loftdrift_carried::{
     BackendCondition, CarriedBalancer, CarriedBalancerSettings, CarriedConfiguration, Heartbeat,
-    LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Route, Segment,
+    LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Policies, Route, Segment,
 };
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
@@ -92,7 +92,7 @@
         region: "region".to_owned(),
         incarnation: 1,
     };
-    let settings = CarriedBalancerSettings { node, seed: 1 };
+    let settings = CarriedBalancerSettings { node, seed: 1, policies: Policies::default() };
     let mut balancer = CarriedBalancer::new(settings, PlainFormat);
     balancer.adopt(Duration::ZERO, configuration(services));
     let with_routes = held();
--- a/crates/bench/benches/lookups.rs
+++ b/crates/bench/benches/lookups.rs
@@ -4,8 +4,8 @@
 use loftdrift_bench::{caller_address, median, service_address, time};
 use loftdrift_carried::{
     BackendCondition, CarriedBalancer, CarriedBalancerSettings, CarriedConfiguration, FlowWord,
-    Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Route, Segment,
-    Word,
+    Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Policies, Route,
+    Segment, Word,
 };
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
@@ -47,7 +47,10 @@
         region: "region".to_owned(),
         incarnation: 1,
     };
-    let mut balancer = CarriedBalancer::new(CarriedBalancerSettings { node, seed: 1 }, PlainFormat);
+    let mut balancer = CarriedBalancer::new(
+        CarriedBalancerSettings { node, seed: 1, policies: Policies::default() },
+        PlainFormat,
+    );
     let parts = vec![Part { service: "service".to_owned(), weight: 1 }];
     let route = Route { address: service_address(0), parts, aim_ms: 250, priority: 1 };
     let routes = vec![route];
--- a/crates/carried/src/agent/finding.rs
+++ b/crates/carried/src/agent/finding.rs
@@ -99,6 +99,9 @@
     /// The back end does not hold a flow that was open there: its caller is told at once.
     pub(super) fn tell_over(&mut self, balancer: SocketAddrV4, segment: &Segment, reason: &str) {
         let flow = segment.flow();
+        if !self.settings.policies.has(Policy::TellOver) {
+            return;
+        }
         self.counters.flows_reset += 1;
         log::warn!(
             flow = flow_name(&flow).as_str(), reason, balancer:% = balancer;
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -28,6 +28,7 @@
 use crate::message::{Admission, BackendCondition, DeclineReason, LoadReport, Message, Snapshot};
 use crate::output::Output;
 use crate::plain_format::PlainFormat;
+use crate::policy::{Policies, Policy};
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use crate::standing::Standing;
 use loftdrift_counters::Histogram;
@@ -76,6 +77,8 @@
     pub service: String,
     /// Age that no flow exceeds.
     pub longest_flow: Duration,
+    /// Which mechanisms are on.
+    pub policies: Policies,
     /// No process of the system has run before: the agent cannot have forgotten any flow.
     pub is_first_start: bool,
 }
@@ -358,7 +361,7 @@
             self.flows.next_wake_up(),
             self.standing.membership.next_due(),
             self.condition_changes_at(),
-            self.watch.next_question(),
+            self.next_question(),
         ];
         due.into_iter().flatten().min()
     }
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -80,6 +80,7 @@
         let limit = match admission {
             Admission::FreeSlot => capacity,
             Admission::Spare => (capacity * SPARE_OF_THREE / 3).max(1),
+            _ if !self.settings.policies.has(Policy::QueueLimit) => u32::MAX,
             Admission::Within(milliseconds) | Admission::Failing(milliseconds) => {
                 let budget = Duration::from_millis(u64::from(milliseconds));
                 self.work.admission_limit(capacity, budget)
--- a/crates/carried/src/agent/outcomes.rs
+++ b/crates/carried/src/agent/outcomes.rs
@@ -54,7 +54,8 @@
     /// Moves the breaker by a request's outcome.
     pub(super) fn note_outcome(&mut self, now: Duration, flow: &FlowKey, outcome: RequestOutcome) {
         let failed = outcome.is_failure();
-        let opened = self.breaker.record(now, failed);
+        let has_breaker = self.settings.policies.has(Policy::Breaker);
+        let opened = has_breaker && self.breaker.record(now, failed);
         if failed {
             self.counters.requests_failed += 1;
             log::warn!(
--- a/crates/carried/src/agent/watch.rs
+++ b/crates/carried/src/agent/watch.rs
@@ -84,12 +84,18 @@
 impl<F: SegmentFormat> CarriedAgent<F> {
     /// The back end is to be asked at once, since the agent stops.
     pub(super) fn hurry_watch(&mut self, now: Duration) {
-        self.watch.is_urgent = true;
+        self.watch.is_urgent = self.settings.policies.has(Policy::Probes);
         self.watch.next = now;
     }
 
+    /// When the back end is to be asked next.
+    pub(super) fn next_question(&self) -> Option<Duration> {
+        let next = self.watch.next_question();
+        next.filter(|_| self.settings.policies.has(Policy::Probes))
+    }
+
     pub(super) fn ask_backend(&mut self, now: Duration) {
-        if self.watch.next_question().is_some_and(|at| at <= now) {
+        if self.next_question().is_some_and(|at| at <= now) {
             self.watch.asked_at = Some(now);
             self.watch.next = now + REFUSAL_PAUSE;
             self.counters.backend_probes += 1;
--- a/crates/carried/src/balancer/errands.rs
+++ b/crates/carried/src/balancer/errands.rs
@@ -23,6 +23,9 @@
 impl<F: SegmentFormat> CarriedBalancer<F> {
     /// Learns whether the shared store answers this balancer.
     pub fn note_store(&mut self, now: Duration, answers: bool) {
+        if !self.policies.has(Policy::StoreErrands) {
+            return;
+        }
         self.errands.next = match (answers, self.errands.next) {
             (true, _) => None,
             (false, None) => Some(now + FIRST_AFTER),
--- a/crates/carried/src/balancer/fence.rs
+++ b/crates/carried/src/balancer/fence.rs
@@ -41,7 +41,9 @@
 impl<F: SegmentFormat> CarriedBalancer<F> {
     /// The process has stood still for longer than any peer waits.
     pub fn resume(&mut self, now: Duration) {
-        self.fence.raise(now);
+        if self.policies.has(Policy::Fence) {
+            self.fence.raise(now);
+        }
         self.acquaintance.note_standstill(now);
         self.counters.standstills += 1;
         log::warn!(configuration = self.standing.configuration.version; "resumed_after_standstill");
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -247,7 +247,8 @@
     fn nobody_holds(&self, now: Duration, number: u64) -> bool {
         let Some(lookup) = self.lookups.get(number) else { return false };
         let is_asked_enough = lookup.has_answer() && self.pool.len() <= MOST_ASKED;
-        lookup.demands_answer()
+        self.policies.has(Policy::TellOver)
+            && lookup.demands_answer()
             && is_asked_enough
             && self.acquaintance.is_enough(now)
             && self.agents_known().all(|agent| self.denies(now, lookup, &agent))
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -29,6 +29,7 @@
 use crate::output::Output;
 use crate::pending::Pending;
 use crate::plain_format::PlainFormat;
+use crate::policy::{Policies, Policy};
 use crate::pool::Pool;
 use crate::rank::Ranking;
 use crate::segment::{Segment, SegmentFormat, flow_name};
@@ -74,6 +75,8 @@
     pub node: Node,
     /// Seed of the choices left to chance.
     pub seed: u64,
+    /// Which mechanisms are on.
+    pub policies: Policies,
 }
 
 /// Why a new flow is refused.
@@ -102,6 +105,7 @@
     standing: Standing,
     routes: RoutingTable,
     pool: Pool,
+    policies: Policies,
     flows: FlowCache,
     openings: Openings,
     lookups: Pending<Lookup>,
@@ -124,7 +128,8 @@
             format,
             standing: Standing::new(settings.node),
             routes: RoutingTable::default(),
-            pool: Pool::default(),
+            pool: Pool::new(settings.policies),
+            policies: settings.policies,
             flows: FlowCache::default(),
             openings: Openings::new(random.random()),
             lookups: Pending::new(random.random()),
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -95,7 +95,7 @@
             }
             // A place in the queue is for those that still meet their aim.
             let is_late = opening.is_late(now) && self.pool.is_recovering(now, &opening.service);
-            if opening.wants_queue || is_late {
+            if opening.wants_queue || is_late || !self.policies.has(Policy::SecondRound) {
                 break;
             }
             opening.wants_queue = true;
@@ -111,7 +111,7 @@
         let is_full = opening.was_declined(DeclineReason::Busy)
             || opening.was_declined(DeclineReason::Returned)
             || self.pool.is_known_full(now, interval, &opening.service);
-        if !is_full {
+        if !is_full && self.policies.has(Policy::LastResort) {
             let asked = |agent: &SocketAddrV4| opening.has_asked(agent);
             if let Some(agent) = self.pool.suspect(now, interval, &opening.service, asked) {
                 return self.offer(now, number, agent);
@@ -150,7 +150,8 @@
     /// are kept than this balancer's share of what the service can work off beside new requests.
     fn may_hold(&self, now: Duration, number: u64) -> bool {
         let Some(opening) = self.openings.get(number) else { return false };
-        if !self.pool.is_recovering(now, &opening.service) {
+        let is_recovering = self.pool.is_recovering(now, &opening.service);
+        if !is_recovering || !self.policies.has(Policy::KeepFlows) {
             return false;
         }
         let balancers = 1 + self.standing.membership.balancers();
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -23,6 +23,7 @@
 mod output;
 mod pending;
 mod plain_format;
+mod policy;
 mod pool;
 mod rank;
 mod segment;
@@ -41,4 +42,5 @@
 };
 pub use output::Output;
 pub use plain_format::PlainFormat;
+pub use policy::{Policies, Policy, UnknownPolicy};
 pub use segment::{AnswerOutcome, Segment, SegmentError, SegmentFormat, flow_name};
--- /dev/null
+++ b/crates/carried/src/policy.rs
@@ -0,0 +1,116 @@
+//! Mechanisms that can be switched off one by one, to measure what each is worth.
+//!
+//! All are on unless a setting says otherwise. None is needed for a packet to reach its back end;
+//! what a mechanism keeps beyond worth is told in the pages.
+
+use thiserror::Error;
+
+/// A mechanism.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// A way to another zone is worth waiting.
+    OwnZone,
+    /// An agent without a free slot is asked for a place in its queue.
+    SecondRound,
+    /// Agents that are suspect or whose back ends fail are asked where no other is left.
+    LastResort,
+    /// What is known of an agent drifts to what is typical of its service.
+    Drift,
+    /// A few agents are compared, not all.
+    Sample,
+    /// A back end that is cold counts as slower.
+    WeighCold,
+    /// A back end whose requests take longer counts as slower.
+    WeighWork,
+    /// A back end that fails what it is asked rests.
+    Breaker,
+    /// A queue takes what can be answered in time.
+    QueueLimit,
+    /// Flows that nobody has room for are kept while their service comes back.
+    KeepFlows,
+    /// A balancer that stood still takes no new flow before it knows better.
+    Fence,
+    /// Agents read the shared store for balancers that it refuses.
+    StoreErrands,
+    /// Callers are told that nobody holds their flow.
+    TellOver,
+    /// Agents find out whether their back end has ended.
+    Probes,
+}
+
+impl Policy {
+    /// Every mechanism.
+    pub const ALL: [Policy; 14] = [
+        Policy::OwnZone,
+        Policy::SecondRound,
+        Policy::LastResort,
+        Policy::Drift,
+        Policy::Sample,
+        Policy::WeighCold,
+        Policy::WeighWork,
+        Policy::Breaker,
+        Policy::QueueLimit,
+        Policy::KeepFlows,
+        Policy::Fence,
+        Policy::StoreErrands,
+        Policy::TellOver,
+        Policy::Probes,
+    ];
+
+    /// The name in settings.
+    pub fn name(self) -> &'static str {
+        match self {
+            Policy::OwnZone => "own-zone",
+            Policy::SecondRound => "second-round",
+            Policy::LastResort => "last-resort",
+            Policy::Drift => "drift",
+            Policy::Sample => "sample",
+            Policy::WeighCold => "weigh-cold",
+            Policy::WeighWork => "weigh-work",
+            Policy::Breaker => "breaker",
+            Policy::QueueLimit => "queue-limit",
+            Policy::KeepFlows => "keep-flows",
+            Policy::Fence => "fence",
+            Policy::StoreErrands => "store-errands",
+            Policy::TellOver => "tell-over",
+            Policy::Probes => "probes",
+        }
+    }
+
+    fn bit(self) -> u32 {
+        1 << self as u32
+    }
+}
+
+/// A name that no mechanism has.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+#[error("no mechanism is called `{0}`")]
+pub struct UnknownPolicy(String);
+
+impl std::str::FromStr for Policy {
+    type Err = UnknownPolicy;
+
+    fn from_str(name: &str) -> Result<Self, UnknownPolicy> {
+        let found = Policy::ALL.into_iter().find(|policy| policy.name() == name);
+        found.ok_or_else(|| UnknownPolicy(name.to_owned()))
+    }
+}
+
+/// Which mechanisms are on.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Policies {
+    /// A bit for each one that is off.
+    off: u32,
+}
+
+impl Policies {
+    /// The same with one of them off.
+    pub fn without(self, policy: Policy) -> Self {
+        Policies { off: self.off | policy.bit() }
+    }
+
+    /// Whether a mechanism is on.
+    pub fn has(self, policy: Policy) -> bool {
+        self.off & policy.bit() == 0
+    }
+}
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -4,6 +4,7 @@
 //! to them. A wrong choice costs a decline, never a wrong placement: the agent decides.
 
 use crate::message::LoadReport;
+use crate::policy::{Policies, Policy};
 use crate::rank::Ranking;
 use crate::view::{AgentView, Distance, Typical};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -23,12 +24,18 @@
 /// The agents of all services.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
+    policies: Policies,
     agents: BTreeMap<AgentId, AgentView>,
     /// Every agent stands under the service that it last named, and under no other.
     by_service: HashMap<String, BTreeSet<AgentId>>,
 }
 
 impl Pool {
+    /// No agents yet.
+    pub(crate) fn new(policies: Policies) -> Self {
+        Pool { policies, ..Pool::default() }
+    }
+
     /// An agent's word about its load.
     pub(crate) fn take_report(
         &mut self,
@@ -119,8 +126,11 @@
         let candidates = alive().filter(|(agent, view)| may_ask(agent, view));
         let candidates: Vec<_> =
             candidates.map(|(agent, view)| (ranking.rank(agent), agent, view)).collect();
-        let candidates = sample(candidates);
-        let cost = |view: &AgentView| view.cost(now, &typical);
+        let candidates = match self.policies.has(Policy::Sample) {
+            true => sample(candidates),
+            false => candidates,
+        };
+        let cost = |view: &AgentView| view.cost(now, &typical, self.policies);
         let costs = candidates
             .into_iter()
             .map(|(_, agent, view)| (cost(view) * (1.0 + NOISE_SHARE * noise()), *agent));
@@ -163,7 +173,7 @@
     /// Requests that a service works off in a second, as far as is known.
     pub(crate) fn throughput(&self, now: Duration, service: &str) -> f64 {
         let typical = Typical::of(self.accepting(service).map(|(_, view)| view));
-        self.accepting(service).map(|(_, view)| view.throughput(now, &typical)).sum()
+        self.accepting(service).map(|(_, view)| view.throughput(now, &typical, self.policies)).sum()
     }
 
     /// Whether every agent of a service that takes new flows has just said that it is full.
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -6,6 +6,7 @@
 //! neither fast nor slow.
 
 use crate::message::{BackendCondition, LoadReport};
+use crate::policy::{Policies, Policy};
 use std::time::Duration;
 
 /// So many offers in a row without an answer make an agent suspect.
@@ -48,7 +49,8 @@
 
 impl Distance {
     /// What the way is worth where a request takes `work` seconds.
-    fn seconds(self, work: f64) -> f64 {
+    fn seconds(self, work: f64, policies: Policies) -> f64 {
+        let work = if policies.has(Policy::OwnZone) { work } else { 0.0 };
         match self {
             Distance::SameZone => 0.0,
             Distance::OtherZone => OTHER_ZONE_SECONDS + OTHER_ZONE_WORK * work,
@@ -228,31 +230,40 @@
     }
 
     /// Time of one request, in seconds, as far as is known.
-    fn work(&self, now: Duration, typical: &Typical) -> f64 {
-        let Some(measured) = self.reported_work() else { return typical.work };
+    fn work(&self, now: Duration, typical: &Typical, policies: Policies) -> f64 {
+        let measured = self.reported_work().filter(|_| policies.has(Policy::WeighWork));
+        let Some(measured) = measured else { return typical.work };
+        if !policies.has(Policy::Drift) {
+            return measured.max(LEAST_WORK_SECONDS);
+        }
         let age = f64::from(self.report.measured_ms_ago) / 1e3 + self.age(now).as_secs_f64();
         drift(measured, typical.work, age / WORK_HALF_SECONDS).max(LEAST_WORK_SECONDS)
     }
 
     /// Requests that it works off in a second, as far as is known.
-    pub(crate) fn throughput(&self, now: Duration, typical: &Typical) -> f64 {
-        self.capacity() / (self.work(now, typical) * self.slowness())
+    pub(crate) fn throughput(&self, now: Duration, typical: &Typical, policies: Policies) -> f64 {
+        self.capacity() / (self.work(now, typical, policies) * self.slowness(policies))
     }
 
-    fn slowness(&self) -> f64 {
-        if self.report.is_cold { COLD_FACTOR } else { 1.0 }
+    fn slowness(&self, policies: Policies) -> f64 {
+        let is_slow = self.report.is_cold && policies.has(Policy::WeighCold);
+        if is_slow { COLD_FACTOR } else { 1.0 }
     }
 
     /// Seconds until a new request there would be answered, as far as is known.
-    pub(crate) fn cost(&self, now: Duration, typical: &Typical) -> f64 {
-        let work = self.work(now, typical);
+    pub(crate) fn cost(&self, now: Duration, typical: &Typical, policies: Policies) -> f64 {
+        let work = self.work(now, typical, policies);
         let half_lives = self.age(now).as_secs_f64() / (work * LOAD_HALF_REQUESTS);
-        let load = drift(self.reported_load(), typical.load, half_lives);
+        let load = match policies.has(Policy::Drift) {
+            true => drift(self.reported_load(), typical.load, half_lives),
+            false => self.reported_load(),
+        };
         let with_new = load + (f64::from(self.placed_since) + 1.0) / self.capacity();
         let crowding = with_new.max(1.0);
         // Among back ends with a free slot the emptier one is better: its load is less likely to
         // have grown since.
-        work * self.slowness() * (crowding + with_new) + self.distance.seconds(typical.work)
+        work * self.slowness(policies) * (crowding + with_new)
+            + self.distance.seconds(typical.work, policies)
     }
 }
 
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use loftdrift_carried::{
-    BackendCondition, CarriedBalancer, CarriedBalancerSettings, DeclineReason, LoadReport, Message,
-    NodeRole, Output, PlainFormat, Segment, Word,
+    BackendCondition, CarriedBalancer, DeclineReason, LoadReport, Message, Output, PlainFormat,
+    Segment, Word,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -128,8 +128,7 @@
 #[test]
 fn numbers_of_offers_differ_from_start_to_start() {
     let first_number = |seed: u64| {
-        let settings =
-            CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed };
+        let settings = balancer_settings(seed);
         let mut balancer = CarriedBalancer::new(settings, PlainFormat);
         balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
         tell(&mut balancer, milliseconds(0), 1, load(SERVICE, 0));
@@ -188,8 +187,7 @@
     balancer.handle_caller(milliseconds(1), &packet(&elsewhere));
     assert!(has_reset(&outputs_of(&mut balancer)));
 
-    let settings =
-        CarriedBalancerSettings { node: node(balancer_address(), NodeRole::Balancer), seed: 1 };
+    let settings = balancer_settings(1);
     let mut unconfigured = CarriedBalancer::new(settings, PlainFormat);
     unconfigured.handle_caller(milliseconds(1), &packet(&elsewhere));
     assert!(!has_reset(&outputs_of(&mut unconfigured)));
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use loftdrift_carried::{
     Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer,
     CarriedBalancerSettings, CarriedConfiguration, DeclineReason, FlowName, FlowQuestion, FlowWord,
-    Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Route, Segment,
-    ServiceSettings, Word,
+    Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Policies, Route,
+    Segment, ServiceSettings, Word,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -59,6 +59,7 @@
         node: node(agent_address(1), NodeRole::Agent),
         service: SERVICE.to_owned(),
         longest_flow: Duration::from_secs(60),
+        policies: Policies::default(),
         is_first_start,
     };
     CarriedAgent::new(settings, PlainFormat)
@@ -182,10 +183,15 @@
         .collect()
 }
 
+/// Settings of the balancer at [`balancer_address`].
+pub fn balancer_settings(seed: u64) -> CarriedBalancerSettings {
+    let node = node(balancer_address(), NodeRole::Balancer);
+    CarriedBalancerSettings { node, seed, policies: Policies::default() }
+}
+
 /// A balancer that knows nobody and has a route to [`SERVICE`].
 pub fn new_balancer(seed: u64) -> CarriedBalancer {
-    let node = node(balancer_address(), NodeRole::Balancer);
-    let mut balancer = CarriedBalancer::new(CarriedBalancerSettings { node, seed }, PlainFormat);
+    let mut balancer = CarriedBalancer::new(balancer_settings(seed), PlainFormat);
     balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
     balancer
 }
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -13,7 +13,7 @@
 use crate::queue::EventQueue;
 use loftdrift_carried::{
     CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings,
-    CarriedConfiguration, Node, NodeRole, Output, Part, PlainFormat, ProbeOutcome, Route,
+    CarriedConfiguration, Node, NodeRole, Output, Part, PlainFormat, Policies, ProbeOutcome, Route,
     SegmentFormat, ServiceSettings,
 };
 use loftdrift_wire::FlowKey;
@@ -67,6 +67,8 @@
     pub lasts: Duration,
     /// Seed of everything left to chance.
     pub seed: u64,
+    /// Which mechanisms are on.
+    pub policies: Policies,
 }
 
 impl Default for CarriedWorldSettings {
@@ -80,6 +82,7 @@
             long_callers: 4,
             lasts: Duration::from_secs(29),
             seed: 1,
+            policies: Policies::default(),
         }
     }
 }
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -13,15 +13,17 @@
         let starts = process.starts;
         let me = self.describe(node, starts);
         let format = PlainFormat;
+        let policies = settings.policies;
         let core = if node < settings.balancers {
             let seed = self.random.random();
-            let settings = CarriedBalancerSettings { node: me, seed };
+            let settings = CarriedBalancerSettings { node: me, seed, policies };
             Core::Balancer(Box::new(CarriedBalancer::new(settings, format)))
         } else {
             let settings = CarriedAgentSettings {
                 node: me,
                 service: self.backends[node - settings.balancers].service.to_owned(),
                 longest_flow: LONGEST_FLOW,
+                policies,
                 is_first_start: starts == 1,
             };
             Core::Agent(Box::new(CarriedAgent::new(settings, format)))
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -77,7 +77,11 @@
 ) -> Result<()> {
     let core = BalancerCore {
         balancer: CarriedBalancer::new(
-            CarriedBalancerSettings { node: settings.node.clone(), seed: rand::random() },
+            CarriedBalancerSettings {
+                node: settings.node.clone(),
+                seed: rand::random(),
+                policies: settings.policies,
+            },
             format,
         ),
         caller_port: place.ingress.port(),
@@ -101,6 +105,7 @@
                 node: settings.node.clone(),
                 service: place.service.clone(),
                 longest_flow: settings.longest_flow,
+                policies: settings.policies,
                 is_first_start: settings.is_first_start,
             },
             format,
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -1,6 +1,6 @@
 //! How a node is set up.
 
-use loftdrift_carried::{Node, NodeRole};
+use loftdrift_carried::{Node, NodeRole, Policies, Policy};
 use loftdrift_findings::{Collector, Findings};
 use loftdrift_settings::{Overrides, Reader};
 use std::net::SocketAddrV4;
@@ -38,6 +38,8 @@
     pub longest_flow: Duration,
     /// No process of the system has run before.
     pub is_first_start: bool,
+    /// Mechanisms that are on.
+    pub policies: Policies,
 }
 
 /// What a node does.
@@ -125,6 +127,7 @@
     let stop_grace = reader.seconds("stop_grace_s", DEFAULT_STOP_GRACE_SECONDS);
     let longest_flow = reader.seconds("longest_flow_s", DEFAULT_LONGEST_FLOW_SECONDS);
     let is_first_start = reader.switch("first_start", false);
+    let policies = read_policies(reader);
     let place = match role? {
         NodeRole::Balancer => read_balancer(reader).map(Place::Balancer),
         NodeRole::Agent => read_agent(reader).map(Place::Agent),
@@ -144,6 +147,7 @@
         stop_grace: stop_grace?,
         longest_flow: longest_flow?,
         is_first_start: is_first_start?,
+        policies,
     })
 }
 
@@ -160,6 +164,21 @@
     }
 }
 
+/// Every mechanism but those that are named.
+fn read_policies(reader: &mut Reader<'_, '_>) -> Policies {
+    let mut policies = Policies::default();
+    for (name, offset) in reader.texts("policies_off") {
+        match name.parse() {
+            Ok(policy) => policies = policies.without(policy),
+            Err(_) => {
+                let expected = Policy::ALL.map(Policy::name).join(", ");
+                reader.finding(offset, format!("unknown mechanism `{name}`"), &expected);
+            }
+        }
+    }
+    policies
+}
+
 fn read_balancer(reader: &mut Reader<'_, '_>) -> Option<BalancerPlace> {
     let ingress = reader.listener("ingress");
     Some(BalancerPlace { ingress: ingress? })
--- a/crates/node/tests/settings.rs
+++ b/crates/node/tests/settings.rs
@@ -71,3 +71,18 @@
     assert!(read("role = ").unwrap_err().contains("node.toml:1:"));
     assert!(read("").unwrap_err().contains("`role` is missing"));
 }
+
+#[test]
+fn mechanisms_are_on_unless_they_are_named() {
+    use loftdrift_carried::Policy;
+    let all = read(BALANCER).unwrap().policies;
+    assert!(Policy::ALL.into_iter().all(|policy| all.has(policy)));
+    let text = format!("{BALANCER}policies_off = [\"own-zone\", \"fence\"]\n");
+    let some = read(&text).unwrap().policies;
+    for policy in Policy::ALL {
+        assert_eq!(some.has(policy), !["own-zone", "fence"].contains(&policy.name()));
+    }
+    let text = format!("{BALANCER}policies_off = [\"own-zones\"]\n");
+    let findings = read(&text).unwrap_err();
+    assert!(findings.contains("own-zones") && findings.contains("own-zone,"), "{findings}");
+}
