--- a/crates/bench/benches/carried.rs
+++ b/crates/bench/benches/carried.rs
@@ -8,6 +8,7 @@
 };
 use stats_alloc::{INSTRUMENTED_SYSTEM, Region, StatsAlloc};
 use std::alloc::System;
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -32,9 +33,16 @@
         parts: vec![Part { service: format!("service-{number}"), weight: 1 }],
         aim_ms: 250,
         priority: 1,
+        regions: Vec::new(),
     };
     let routes = (0..services).map(route).collect();
-    CarriedConfiguration { version: 1, routes, services: Vec::new(), idle_timeout_ms: 15_000 }
+    CarriedConfiguration {
+        version: 1,
+        routes,
+        services: Vec::new(),
+        idle_timeout_ms: 15_000,
+        evacuated: BTreeSet::new(),
+    }
 }
 
 fn heartbeat(service: u32) -> Message {
@@ -44,6 +52,7 @@
         region: "region".to_owned(),
         incarnation: u64::MAX,
         configuration: 1_000_000,
+        digest: 0,
         confirmation: None,
         store_returns: 0,
         report: Some(LoadReport {
@@ -54,6 +63,7 @@
             work_us: 55_000,
             measured_ms_ago: 0,
             is_cold: false,
+            cold_room: None,
             begun_ms_ago: None,
         }),
         wants_reply: false,
--- a/crates/bench/benches/lookups.rs
+++ b/crates/bench/benches/lookups.rs
@@ -7,6 +7,7 @@
     Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Policies, Route,
     Segment, Word,
 };
+use std::collections::BTreeSet;
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -36,6 +37,7 @@
         region: "region".to_owned(),
         incarnation: 1,
         configuration: 1,
+        digest: 0,
         confirmation: None,
         store_returns: 0,
         report: Some(report),
@@ -61,13 +63,20 @@
         PlainFormat,
     );
     let parts = vec![Part { service: "service".to_owned(), weight: 1 }];
-    let route = Route { address: service_address(0), parts, aim_ms: 250, priority: 1 };
+    let route =
+        Route { address: service_address(0), parts, aim_ms: 250, priority: 1, regions: Vec::new() };
     let routes = vec![route];
     let services = Vec::new();
     let idle_timeout_ms = 15_000;
     balancer.adopt(
         Duration::ZERO,
-        CarriedConfiguration { version: 1, routes, services, idle_timeout_ms },
+        CarriedConfiguration {
+            version: 1,
+            routes,
+            services,
+            idle_timeout_ms,
+            evacuated: BTreeSet::new(),
+        },
     );
     let message = heartbeat().encode();
     for agent in 0..agents {
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -4,8 +4,10 @@
 //! - A new flow reaches the back end only while the back end accepts, is of the offer's service, and
 //!   has room within the offer's admission; whatever balancers believe decides nothing here.
 //! - An offer gets one final answer, `Placed` or `Declined`; a declined flow has never been at work.
+//! - A new flow reaches the back end only while its zone is not evacuated, as far as is known here.
 //! - A packet of a flow that does not live here goes back to the balancer as its sender wrote it.
 
+mod cold_gate;
 mod finding;
 mod flow;
 mod offers;
@@ -14,6 +16,7 @@
 mod phases;
 mod watch;
 
+use self::cold_gate::ColdGate;
 use self::flow::{CarriedFlow, Phase};
 use self::outcomes::RequestOutcome;
 pub use self::watch::ProbeOutcome;
@@ -30,7 +33,7 @@
 use crate::plain_format::PlainFormat;
 use crate::policy::{Policies, Policy};
 use crate::segment::{Segment, SegmentFormat, flow_name};
-use crate::standing::Standing;
+use crate::standing::{Adoption, Standing};
 use loftdrift_counters::Histogram;
 use loftdrift_flow::{FlowId, FlowTable};
 use loftdrift_wire::FlowKey;
@@ -77,6 +80,8 @@
     pub service: String,
     /// Age that no flow exceeds.
     pub longest_flow: Duration,
+    /// A cold back end is given at most so many times the new flows that the configuration tells.
+    pub cold_overshoot: f64,
     /// Which mechanisms are on.
     pub policies: Policies,
     /// No process of the system has run before: the agent cannot have forgotten any flow.
@@ -95,6 +100,9 @@
     waiting: u32,
     work: WorkMeter,
     breaker: Breaker,
+    cold_gate: ColdGate,
+    /// The back end may have turned cold since its last heartbeat: it was evacuated.
+    may_be_cold: bool,
     watch: Watch,
     /// The back end may hold flows that an earlier process of this agent knew.
     may_have_forgotten: bool,
@@ -123,6 +131,11 @@
             standing: Standing::new(settings.node.clone()),
             backend: Backend::new(settings.service.clone()),
             may_have_forgotten: !settings.is_first_start,
+            cold_gate: match settings.is_first_start {
+                true => ColdGate::default(),
+                false => ColdGate::after_restart(),
+            },
+            may_be_cold: false,
             settings,
             begun_at: None,
             format,
@@ -190,12 +203,21 @@
         self.standing.learn(now, members);
     }
 
-    /// Puts a configuration in force when it is newer than the one in force.
+    /// Puts a configuration in force when it is newer than the one in force; `true` when it says
+    /// something else.
     pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
-        let is_newer = self.standing.adopt(now, configuration);
-        self.counters.configurations_adopted += u64::from(is_newer);
-        self.counters.configurations_passed_over += u64::from(!is_newer);
-        is_newer
+        let was_evacuated = self.is_evacuated();
+        match self.standing.adopt(now, configuration) {
+            Adoption::Outdated => self.counters.configurations_passed_over += 1,
+            Adoption::Confirmed => {}
+            Adoption::Changed => {
+                self.counters.configurations_adopted += 1;
+                self.may_be_cold |= was_evacuated;
+                self.tell_change(now, "configuration");
+                return true;
+            }
+        }
+        false
     }
 
     /// Learns whether the shared store answered a reading: all that it had is known by now.
@@ -251,6 +273,7 @@
         if is_first && report.sequence <= FRESH_SEQUENCE {
             self.may_have_forgotten = false;
             self.begun_at = Some(now);
+            self.cold_gate.know_all();
         }
         match outcome {
             ReportOutcome::Started => {
@@ -262,6 +285,8 @@
         }
         if outcome != ReportOutcome::Outdated {
             self.silent_until = None;
+            // While the zone is evacuated it may turn cold at any moment.
+            self.may_be_cold = self.is_evacuated();
             self.watch.note_sign();
         }
         self.tell_change(now, &report.id);
@@ -321,6 +346,7 @@
             return BackendCondition::Leaving;
         }
         match self.backend.condition() {
+            BackendCondition::Accepting if self.is_evacuated() => BackendCondition::Evacuated,
             BackendCondition::Accepting if self.silent_until.is_some_and(|until| now < until) => {
                 BackendCondition::Silent
             }
@@ -331,6 +357,28 @@
         }
     }
 
+    /// Whether the zone is evacuated, as far as is known here.
+    fn is_evacuated(&self) -> bool {
+        self.standing.configuration.evacuated.contains(&self.settings.node.zone)
+    }
+
+    fn is_cold(&self, now: Duration) -> bool {
+        self.may_be_cold || self.backend.is_cold(now)
+    }
+
+    /// New flows that the back end may still be given, where it is cold and a limit is told.
+    fn cold_room(&self, now: Duration) -> Option<usize> {
+        let service = self.standing.configuration.service(self.backend.service())?;
+        let may_be_cold = self.is_cold(now) || !self.backend.has_reported();
+        if service.cold_flows_milli == 0 || !may_be_cold {
+            return None;
+        }
+        let told = f64::from(service.cold_flows_milli) / 1e3;
+        // One at least: a back end that is given nothing never becomes warm.
+        let limit = (told * self.settings.cold_overshoot).max(1.0) as usize;
+        Some(self.cold_gate.room(now, limit))
+    }
+
     fn report(&self, now: Duration) -> LoadReport {
         LoadReport {
             service: self.backend.service().to_owned(),
@@ -339,7 +387,8 @@
             waiting: self.waiting.min(u32::from(u16::MAX)) as u16,
             work_us: self.work.mean_us(),
             measured_ms_ago: self.work.measured_ms_ago(now),
-            is_cold: self.backend.is_cold(now),
+            is_cold: self.is_cold(now),
+            cold_room: self.cold_room(now).map(|room| room.min(usize::from(u16::MAX)) as u16),
             begun_ms_ago: self.begun_at.map(|at| now.saturating_sub(at).as_millis() as u32),
         }
     }
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -43,6 +43,7 @@
             return self.decline(now, from, number, &flow, reason);
         }
         self.counters.offers_taken += 1;
+        self.cold_gate.note(now);
         let mut body = CarriedFlow::new(now, from, Phase::Resting);
         body.opened_with = Some(segment.sequence);
         let id = self.flows.insert(flow, body);
@@ -70,8 +71,12 @@
             BackendCondition::Accepting => {}
             BackendCondition::Failing if is_last_resort => {}
             BackendCondition::Failing => return Some(DeclineReason::Failing),
+            BackendCondition::Evacuated => return Some(DeclineReason::Evacuated),
             _ => return Some(DeclineReason::NotAccepting),
         }
+        if self.cold_room(now) == Some(0) {
+            return Some(DeclineReason::Cold);
+        }
         let breaks = self.breaker_limit(now).is_some_and(|limit| self.waiting >= limit);
         if breaks && !is_last_resort {
             return Some(DeclineReason::Failing);
@@ -103,6 +108,8 @@
             DeclineReason::NotAccepting => self.counters.declined_not_accepting += 1,
             DeclineReason::OtherService => self.counters.declined_other_service += 1,
             DeclineReason::Failing => self.counters.declined_failing += 1,
+            DeclineReason::Evacuated => self.counters.declined_evacuated += 1,
+            DeclineReason::Cold => self.counters.declined_cold += 1,
         }
         let report = self.report(now);
         log::info!(
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -171,7 +171,9 @@
         };
         let ranking = Ranking::of(&lookup.segment.flow());
         let unsure = lookup.all_said().filter(|(_, said)| **said == Said::Unsure);
-        let mut unsure: Vec<SocketAddrV4> = unsure.map(|(agent, _)| *agent).collect();
+        let flow = lookup.segment.flow();
+        let unsure = unsure.map(|(agent, _)| *agent).filter(|agent| self.may_enter(&flow, agent));
+        let mut unsure: Vec<SocketAddrV4> = unsure.collect();
         unsure.sort_unstable_by_key(|agent| (!self.is_near(agent), ranking.rank(agent)));
         unsure.truncate(most);
         if unsure.is_empty() {
@@ -192,8 +194,14 @@
         true
     }
 
+    /// Whether what a flow's caller says may reach an agent's region.
+    fn may_enter(&self, flow: &FlowKey, agent: &SocketAddrV4) -> bool {
+        let Some(route) = self.routes.route(&flow.service) else { return true };
+        self.pool.view(agent).is_some_and(|view| view.is_in(&route.regions))
+    }
+
     fn is_near(&self, agent: &SocketAddrV4) -> bool {
-        self.pool.view(agent).is_some_and(|view| view.distance == Distance::SameZone)
+        self.pool.view(agent).is_some_and(|view| view.location.distance == Distance::SameZone)
     }
 
     /// Tells the caller that its flow is over.
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -40,8 +40,8 @@
 use crate::pool::Pool;
 use crate::rank::Ranking;
 use crate::segment::{Segment, SegmentFormat, flow_name};
-use crate::standing::Standing;
-use crate::view::{AgentView, Distance};
+use crate::standing::{Adoption, Standing};
+use crate::view::{AgentView, Distance, Location};
 use loftdrift_counters::Histogram;
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
@@ -214,13 +214,22 @@
         self.standing.learn(now, members);
     }
 
-    /// Puts a configuration in force when it is newer than the one in force.
+    /// Puts a configuration in force when it is newer than the one in force; `true` when it says
+    /// something else.
     pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
-        if !self.standing.adopt(now, configuration) {
-            self.counters.configurations_passed_over += 1;
-            return false;
+        match self.standing.adopt(now, configuration) {
+            Adoption::Outdated => {
+                self.counters.configurations_passed_over += 1;
+                return false;
+            }
+            Adoption::Confirmed => {
+                self.fence.lift(now);
+                return false;
+            }
+            Adoption::Changed => {}
         }
         self.routes.replace(&self.standing.configuration);
+        self.pool.evacuate(&self.standing.configuration.evacuated);
         self.fence.lift(now);
         self.counters.configurations_adopted += 1;
         self.standing.membership.hurry(now);
@@ -268,22 +277,24 @@
         let (is_new, fetch) = self.standing.hear(now, from, &heartbeat);
         self.outputs.extend(fetch);
         self.compare_with_peer(now, heartbeat.configuration);
-        let distance = self.distance(&heartbeat);
         let interval = self.standing.membership.interval();
         if let Some(view) = self.pool.view(&from).filter(|view| view.is_suspect(now, interval)) {
             log::info!(agent:% = from, away_ms = view.age(now).as_millis() as u64; "agent_back");
         }
         if let Some(report) = heartbeat.report {
-            self.pool.take_report(now, from, Some(distance), report);
+            self.pool.take_report(now, from, report);
+            let distance = self.distance(&heartbeat.zone, &heartbeat.region);
+            let Heartbeat { zone, region, .. } = heartbeat;
+            self.pool.locate(&from, Location { distance, zone, region });
         }
         if is_new {
             self.send_heartbeat(now, from, false);
         }
     }
 
-    fn distance(&self, heartbeat: &Heartbeat) -> Distance {
+    fn distance(&self, zone: &str, region: &str) -> Distance {
         let me = self.standing.membership.me();
-        match (heartbeat.zone == me.zone, heartbeat.region == me.region) {
+        match (zone == me.zone, region == me.region) {
             (true, _) => Distance::SameZone,
             (false, true) => Distance::OtherZone,
             (false, false) => Distance::OtherRegion,
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -1,7 +1,7 @@
 //! New flows: offered to one agent after the other, placed, refused or left to their copies.
 
 use super::*;
-use crate::opening::may_reset_copy;
+use crate::opening::{Opened, Wanted, may_reset_copy};
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
     pub(super) fn handle_opening(&mut self, now: Duration, segment: &Segment, datagram: &[u8]) {
@@ -45,11 +45,13 @@
         if self.openings.is_full() {
             return self.refuse(now, segment, Refusal::Busy, None);
         }
+        let regions = route.regions.clone();
         let Some(service) = self.routes.next_service(&flow.service) else {
             return self.refuse(now, segment, Refusal::NoRoute, None);
         };
         self.counters.openings_started += 1;
-        let number = self.openings.start(now, came_at, *segment, datagram.to_vec(), service, aim);
+        let opened = Opened { segment: *segment, datagram: datagram.to_vec(), came_at };
+        let number = self.openings.start(now, opened, Wanted { service, regions, aim });
         self.advance(now, number);
     }
 
@@ -60,7 +62,8 @@
         let route = self.routes.route(&flow.service);
         let parts = route.map(|route| route.parts.as_slice()).unwrap_or_default();
         let is_part = parts.iter().any(|part| part.service == view.report.service);
-        is_part && !view.is_suspect(now, self.standing.membership.interval())
+        let is_allowed = route.is_some_and(|route| view.is_in(&route.regions));
+        is_part && is_allowed && !view.is_suspect(now, self.standing.membership.interval())
     }
 
     /// A caller repeats the opening packet of a flow that has been placed: its answer was lost.
@@ -96,7 +99,7 @@
             let most = if opening.wants_queue { MOST_QUEUE_ASKED } else { MOST_FREE_ASKED };
             let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
                 let may_have_room = opening.wants_queue || !view.is_known_full(now);
-                may_have_room && !opening.has_asked(agent)
+                may_have_room && !opening.has_asked(agent) && view.is_in(&opening.regions)
             };
             let mut next = None;
             if opening.asked_in_round() < most {
@@ -126,19 +129,25 @@
         let age = opening.age(now);
         let is_full = opening.was_declined(DeclineReason::Busy)
             || opening.was_declined(DeclineReason::Returned)
+            || opening.was_declined(DeclineReason::Cold)
             || self.pool.is_known_full(now, interval, &opening.service);
         if !is_full && self.policies.has(Policy::LastResort) {
-            let asked = |agent: &SocketAddrV4| opening.has_asked(agent);
-            if let Some(agent) = self.pool.suspect(now, interval, &opening.service, asked) {
+            let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
+                !opening.has_asked(agent) && view.is_in(&opening.regions)
+            };
+            if let Some(agent) = self.pool.suspect(now, interval, &opening.service, may_ask) {
                 return self.offer(now, number, agent);
             }
-            let asked = |agent: &SocketAddrV4| opening.has_asked_failing(agent);
-            if let Some(agent) = self.pool.failing(now, interval, &opening.service, asked) {
+            let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
+                !opening.has_asked_failing(agent) && view.is_in(&opening.regions)
+            };
+            if let Some(agent) = self.pool.failing(now, interval, &opening.service, may_ask) {
                 opening.is_last_resort = true;
                 return self.offer(now, number, agent);
             }
         }
         let has_unanswered = opening.has_unanswered();
+        let is_evacuated = self.pool.is_evacuated(&opening.service);
         if is_full && age < HELD_LASTS && self.may_hold(now, number) {
             return self.hold(now, number);
         }
@@ -147,7 +156,7 @@
             (true, _) if opening.may_be_placed(now) => None,
             (true, _) => Some(Refusal::Unanswered),
             (false, true) => Some(Refusal::Busy),
-            (false, false) if age < opening.aim.mul_f64(SEARCH_SHARE) => None,
+            (false, false) if age < opening.aim.mul_f64(SEARCH_SHARE) && !is_evacuated => None,
             (false, false) => Some(Refusal::Unavailable),
         };
         match refusal {
@@ -268,7 +277,7 @@
         number: u64,
         report: LoadReport,
     ) {
-        self.pool.take_report(now, from, None, report);
+        self.pool.take_report(now, from, report);
         let opening = self.openings.get_mut(number);
         if !opening.is_some_and(|opening| opening.was_offered_to(from)) {
             self.counters.answers_unexpected += 1;
@@ -306,7 +315,7 @@
         report: LoadReport,
     ) {
         self.counters.offers_declined += 1;
-        self.pool.take_report(now, from, None, report);
+        self.pool.take_report(now, from, report);
         let Some(opening) = self.openings.get_mut(number) else { return };
         if let Some(asked) = opening.last_offer_to(from) {
             asked.answer = Answer::Declined(reason);
--- a/crates/carried/src/configuration.rs
+++ b/crates/carried/src/configuration.rs
@@ -1,7 +1,13 @@
-//! The configuration of carried flows: which service answers at which address.
+//! What operators say about carried flows: which service answers at which address, and which zones
+//! are evacuated.
+//!
+//! Both stand in one document with one version, so that they spread, are confirmed and outlive
+//! processes in the same way.
 
 use bincode::{Decode, Encode};
-use std::collections::HashMap;
+use siphasher::sip::SipHasher13;
+use std::collections::{BTreeSet, HashMap};
+use std::hash::Hasher;
 use std::net::SocketAddrV4;
 
 /// A service's share of a route's new flows.
@@ -24,6 +30,8 @@
     pub aim_ms: u32,
     /// How urgent its requests are; 0 is the most urgent.
     pub priority: u8,
+    /// The regions whose back ends may take its flows; any where none is named.
+    pub regions: Vec<String>,
 }
 
 /// What holds for one service.
@@ -35,12 +43,16 @@
     pub health_path: String,
     /// Most flows at one back end; 0 when not told.
     pub max_connections: u32,
+    /// Thousandths of a new flow that a cold back end bears in a second; 0 when not told.
+    pub cold_flows_milli: u32,
 }
 
-/// A whole configuration. Of two, the one with the higher version is in force.
+/// All that operators have said. Of two documents the one with the higher version is in force.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct CarriedConfiguration {
-    /// The store's revision that wrote it; 0 stands for none.
+    /// A revision of the store: every change up to it is in the document. Documents of different
+    /// versions may say the same, since each reader takes the revision that it read at. 0 stands for
+    /// none.
     pub version: u64,
     /// The routes, one an address.
     pub routes: Vec<Route>,
@@ -48,9 +60,21 @@
     pub services: Vec<ServiceSettings>,
     /// A flow may be forgotten when it has rested for so many milliseconds.
     pub idle_timeout_ms: u32,
+    /// Zones whose back ends take no new flows.
+    pub evacuated: BTreeSet<String>,
 }
 
 impl CarriedConfiguration {
+    /// Tells documents apart by what they say; the version does not count.
+    pub fn digest(&self) -> u64 {
+        let content = (&self.routes, &self.services, self.idle_timeout_ms, &self.evacuated);
+        // Plain data in a growing buffer always encodes.
+        let bytes = bincode::encode_to_vec(content, bincode::config::standard());
+        let mut hasher = SipHasher13::new();
+        hasher.write(&bytes.unwrap_or_default());
+        hasher.finish()
+    }
+
     /// What holds for a service.
     pub fn service(&self, name: &str) -> Option<&ServiceSettings> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -121,6 +121,10 @@
         declined_other_service,
         /// Offers declined because the back end fails what it is asked.
         declined_failing,
+        /// Offers declined because the zone is evacuated.
+        declined_evacuated,
+        /// Offers declined because the back end is cold and has been given enough.
+        declined_cold,
         /// Requests that the back end failed, refused with a slot free, broke off, or left unanswered.
         requests_failed,
         /// Times that the circuit breaker opened.
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -46,6 +46,8 @@
     Failing,
     /// Its process has ended: it holds no flow.
     Ended,
+    /// It would take new flows, but its zone is evacuated.
+    Evacuated,
 }
 
 /// An agent's load, as only it knows it.
@@ -66,6 +68,8 @@
     pub measured_ms_ago: u32,
     /// The back end is still slow from its start.
     pub is_cold: bool,
+    /// New flows that it may still be given just now, where it is cold and a limit is told.
+    pub cold_room: Option<u16>,
     /// Milliseconds since the back end's start, if this process of the agent has run ever since.
     pub begun_ms_ago: Option<u32>,
 }
@@ -83,6 +87,10 @@
     OtherService,
     /// The back end fails what it is asked.
     Failing,
+    /// The back end's zone is evacuated.
+    Evacuated,
+    /// The back end is cold and has been given as many new flows as it bears.
+    Cold,
 }
 
 impl DeclineReason {
@@ -94,6 +102,8 @@
             DeclineReason::NotAccepting => "not_accepting",
             DeclineReason::OtherService => "other_service",
             DeclineReason::Failing => "failing",
+            DeclineReason::Evacuated => "zone_evacuated",
+            DeclineReason::Cold => "cold",
         }
     }
 }
@@ -154,6 +164,8 @@
     pub incarnation: u64,
     /// Version of the configuration in force at the sender.
     pub configuration: u64,
+    /// Digest of it.
+    pub digest: u64,
     /// The shared store's last word known to the sender that nothing newer was there.
     pub confirmation: Option<Confirmation>,
     /// How often the shared store has come back, as far as the sender knows.
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -50,12 +50,33 @@
     }
 }
 
+/// An opening packet as it came.
+#[derive(Debug)]
+pub(crate) struct Opened {
+    pub(crate) segment: Segment,
+    pub(crate) datagram: Vec<u8>,
+    /// No later than this it came; it may have waited in a socket.
+    pub(crate) came_at: Duration,
+}
+
+/// What a new flow wants of a back end.
+#[derive(Debug)]
+pub(crate) struct Wanted {
+    pub(crate) service: String,
+    /// Regions that the back end may be in; any where none is named.
+    pub(crate) regions: Vec<String>,
+    /// Within this time the answer is worth all that it can be.
+    pub(crate) aim: Duration,
+}
+
 /// A new flow on its way to a back end.
 #[derive(Debug)]
 pub(crate) struct Opening {
     pub(crate) segment: Segment,
     pub(crate) datagram: Vec<u8>,
     pub(crate) service: String,
+    /// Regions that its back end may be in; any where none is named.
+    pub(crate) regions: Vec<String>,
     pub(crate) aim: Duration,
     pub(crate) started: Duration,
     /// No later than this the last copy of the opening packet came; it may have waited in a socket.
@@ -193,19 +214,14 @@
         self.pending.number_of(flow)
     }
 
-    pub(crate) fn start(
-        &mut self,
-        now: Duration,
-        came_at: Duration,
-        segment: Segment,
-        datagram: Vec<u8>,
-        service: String,
-        aim: Duration,
-    ) -> u64 {
+    pub(crate) fn start(&mut self, now: Duration, opened: Opened, wanted: Wanted) -> u64 {
+        let Opened { segment, datagram, came_at } = opened;
+        let Wanted { service, regions, aim } = wanted;
         let opening = Opening {
             segment,
             datagram,
             service,
+            regions,
             aim,
             started: now,
             copied_at: came_at,
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -7,7 +7,7 @@
 use crate::offer_budget::OfferBudget;
 use crate::policy::{Policies, Policy};
 use crate::rank::Ranking;
-use crate::view::{AgentView, Distance, Typical};
+use crate::view::{AgentView, Distance, Location, Typical};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -31,6 +31,8 @@
     by_service: HashMap<String, BTreeSet<AgentId>>,
     /// Repeated offers that flows of each service may still cost.
     budgets: HashMap<String, OfferBudget>,
+    /// Zones whose agents are offered nothing.
+    evacuated: BTreeSet<String>,
 }
 
 impl Pool {
@@ -40,13 +42,7 @@
     }
 
     /// An agent's word about its load.
-    pub(crate) fn take_report(
-        &mut self,
-        now: Duration,
-        agent: AgentId,
-        distance: Option<Distance>,
-        report: LoadReport,
-    ) {
+    pub(crate) fn take_report(&mut self, now: Duration, agent: AgentId, report: LoadReport) {
         let view = self.agents.entry(agent).or_insert_with(|| AgentView::new(now));
         if view.report.service != report.service {
             if let Some(agents) = self.by_service.get_mut(&view.report.service) {
@@ -54,7 +50,35 @@
             }
             self.by_service.entry(report.service.clone()).or_default().insert(agent);
         }
-        view.hear(now, distance, report);
+        view.hear(now, report);
+    }
+
+    /// Takes where an agent is; one that has said nothing else yet is passed over.
+    pub(crate) fn locate(&mut self, agent: &AgentId, location: Location) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.location = location;
+            view.note_evacuated(&self.evacuated);
+        }
+    }
+
+    /// Offers nothing in these zones from now on, and something in all others.
+    pub(crate) fn evacuate(&mut self, zones: &BTreeSet<String>) {
+        self.evacuated.clone_from(zones);
+        for view in self.agents.values_mut() {
+            view.note_evacuated(zones);
+        }
+    }
+
+    /// Whether evacuations alone keep a service from taking new flows.
+    pub(crate) fn is_evacuated(&self, service: &str) -> bool {
+        let mut is_any = false;
+        for (_, view) in self.of_service(service) {
+            if view.may_fail() {
+                return false;
+            }
+            is_any |= view.is_kept_empty();
+        }
+        is_any
     }
 
     fn budget(&mut self, now: Duration, service: &str) -> &mut OfferBudget {
@@ -170,11 +194,11 @@
         now: Duration,
         interval: Duration,
         service: &str,
-        asked: impl Fn(&AgentId) -> bool,
+        may_ask: impl Fn(&AgentId, &AgentView) -> bool,
     ) -> Option<AgentId> {
         let suspects = self
             .accepting(service)
-            .filter(|(agent, view)| view.is_suspect(now, interval) && !asked(agent));
+            .filter(|(agent, view)| view.is_suspect(now, interval) && may_ask(agent, view));
         suspects.max_by_key(|(_, view)| view.heard_at()).map(|(agent, _)| *agent)
     }
 
@@ -184,10 +208,10 @@
         now: Duration,
         interval: Duration,
         service: &str,
-        asked: impl Fn(&AgentId) -> bool,
+        may_ask: impl Fn(&AgentId, &AgentView) -> bool,
     ) -> Option<AgentId> {
         let failing = self.of_service(service).filter(|(agent, view)| {
-            view.may_fail() && !view.is_suspect(now, interval) && !asked(agent)
+            view.may_fail() && !view.is_suspect(now, interval) && may_ask(agent, view)
         });
         failing.min_by_key(|(_, view)| view.report.waiting).map(|(agent, _)| *agent)
     }
@@ -210,9 +234,11 @@
         alive.peek().is_some() && alive.all(|(_, view)| view.is_known_full(now))
     }
 
-    /// Whether any agent that was heard lately takes new flows.
+    /// Whether any agent that was heard lately takes new flows, or would if its zone were not
+    /// evacuated: callers are refused at once then.
     pub(crate) fn any_accepting(&self, now: Duration, interval: Duration) -> bool {
-        self.agents.values().any(|view| view.may_fail() && !view.is_suspect(now, interval))
+        let takes = |view: &AgentView| view.may_fail() || view.is_kept_empty();
+        self.agents.values().any(|view| takes(view) && !view.is_suspect(now, interval))
     }
 
     pub(crate) fn suspects(&self, now: Duration, interval: Duration) -> usize {
@@ -225,7 +251,7 @@
 
 /// The first of the own zone, and the first of all others.
 fn sample(candidates: Vec<Ranked<'_>>) -> Vec<Ranked<'_>> {
-    let is_near = |(_, _, view): &Ranked<'_>| view.distance == Distance::SameZone;
+    let is_near = |(_, _, view): &Ranked<'_>| view.location.distance == Distance::SameZone;
     let (near, far): (Vec<_>, Vec<_>) = candidates.into_iter().partition(is_near);
     let mut sample = first(near);
     sample.extend(first(far));
--- a/crates/carried/src/standing.rs
+++ b/crates/carried/src/standing.rs
@@ -8,12 +8,25 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+/// What became of a configuration that a node was given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Adoption {
+    /// It is no newer than the one in force.
+    Outdated,
+    /// It says what the one in force says, for a later revision.
+    Confirmed,
+    /// It is in force from now on.
+    Changed,
+}
+
 /// Members and configuration, as one node knows them.
 #[derive(Debug)]
 pub(crate) struct Standing {
     pub(crate) membership: Membership,
     /// Its version never falls.
     pub(crate) configuration: CarriedConfiguration,
+    /// Digest of the configuration in force.
+    digest: u64,
     /// What is known of the shared store.
     pub(crate) store: StoreNews,
     adopted_at: Duration,
@@ -25,6 +38,7 @@
     pub(crate) fn new(node: Node) -> Self {
         Standing {
             membership: Membership::new(node),
+            digest: CarriedConfiguration::default().digest(),
             configuration: CarriedConfiguration::default(),
             store: StoreNews::default(),
             adopted_at: Duration::ZERO,
@@ -61,19 +75,40 @@
     }
 
     /// Puts a configuration in force when it is newer than the one in force.
-    pub(crate) fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
+    pub(crate) fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> Adoption {
         let in_force = self.configuration.version;
         if configuration.version <= in_force {
             log::debug!(offered = configuration.version, in_force; "configuration_passed_over");
-            return false;
+            return Adoption::Outdated;
+        }
+        let digest = configuration.digest();
+        if in_force > 0 && digest == self.digest {
+            self.configuration.version = configuration.version;
+            return Adoption::Confirmed;
         }
         log::info!(
             from = in_force, to = configuration.version, routes = configuration.routes.len();
             "configuration_adopted"
         );
+        self.log_evacuations(now, &configuration);
         self.configuration = configuration;
+        self.digest = digest;
         self.adopted_at = now;
-        true
+        Adoption::Changed
+    }
+
+    /// A line for each zone that is evacuated from now on, or no longer.
+    fn log_evacuations(&self, now: Duration, newer: &CarriedConfiguration) {
+        let before = &self.configuration.evacuated;
+        let confirmed = now.saturating_sub(self.store.confirmed_at());
+        let confirmed_ms_ago = confirmed.as_millis() as u64;
+        for zone in before.symmetric_difference(&newer.evacuated) {
+            let is_evacuated = newer.evacuated.contains(zone);
+            log::info!(
+                zone = zone.as_str(), is_evacuated, version = newer.version, confirmed_ms_ago;
+                "evacuation_changed"
+            );
+        }
     }
 
     /// Takes a peer's heartbeat; `true` when the peer is new. A peer that is ahead is asked for a
@@ -86,6 +121,7 @@
     ) -> (bool, Option<Output>) {
         let heard = self.membership.on_heartbeat(now, from, heartbeat);
         self.newest_heard = self.newest_heard.max(heartbeat.configuration);
+        self.hear_version(heartbeat);
         let is_ahead = heartbeat.configuration > self.configuration.version;
         self.store.hear_returns(heartbeat.store_returns);
         if let Some(confirmation) = heartbeat.confirmation.filter(|_| !is_ahead) {
@@ -94,6 +130,14 @@
         (heard.is_new, is_ahead.then_some(Output::FetchSnapshot { from }))
     }
 
+    /// A peer that says the same knows up to which revision that holds.
+    fn hear_version(&mut self, heartbeat: &Heartbeat) {
+        let version = &mut self.configuration.version;
+        if *version > 0 && heartbeat.digest == self.digest {
+            *version = heartbeat.configuration.max(*version);
+        }
+    }
+
     /// The heartbeat to a peer, with an agent's load.
     pub(crate) fn heartbeat(
         &self,
@@ -109,6 +153,7 @@
             region: me.region.clone(),
             incarnation: me.incarnation,
             configuration: self.configuration.version,
+            digest: self.digest,
             confirmation: self.store.confirmation(now),
             store_returns: self.store.returns(),
             report,
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -7,6 +7,7 @@
 
 use crate::message::{BackendCondition, LoadReport};
 use crate::policy::{Policies, Policy};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// So many offers in a row without an answer make an agent suspect.
@@ -85,11 +86,22 @@
     }
 }
 
+/// Where an agent is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Location {
+    pub(crate) distance: Distance,
+    pub(crate) zone: String,
+    pub(crate) region: String,
+}
+
 /// An agent, as one balancer knows it.
 #[derive(Debug)]
 pub(crate) struct AgentView {
     pub(crate) report: LoadReport,
-    pub(crate) distance: Distance,
+    /// Names no zone and no region before the agent has sent a heartbeat.
+    pub(crate) location: Location,
+    /// Its zone is evacuated, as the configuration in force here says.
+    is_evacuated: bool,
     heard_at: Duration,
     /// When it was heard first.
     first_heard: Duration,
@@ -107,7 +119,12 @@
     pub(crate) fn new(now: Duration) -> Self {
         AgentView {
             report: LoadReport::default(),
-            distance: Distance::OtherZone,
+            location: Location {
+                distance: Distance::OtherZone,
+                zone: String::new(),
+                region: String::new(),
+            },
+            is_evacuated: false,
             heard_at: now,
             first_heard: now,
             accepts_since: None,
@@ -118,9 +135,8 @@
     }
 
     /// Takes the agent's word.
-    pub(crate) fn hear(&mut self, now: Duration, distance: Option<Distance>, report: LoadReport) {
+    pub(crate) fn hear(&mut self, now: Duration, report: LoadReport) {
         self.report = report;
-        self.distance = distance.unwrap_or(self.distance);
         self.heard_at = now;
         self.accepts_since = self.is_accepting().then(|| self.accepts_since.unwrap_or(now));
         self.placed_since = 0;
@@ -155,8 +171,29 @@
         self.unanswered == SUSPECT_AFTER
     }
 
+    /// Whether it takes new flows.
     pub(crate) fn is_accepting(&self) -> bool {
-        self.report.condition == BackendCondition::Accepting
+        self.report.condition == BackendCondition::Accepting && !self.is_evacuated
+    }
+
+    /// Takes which zones are evacuated.
+    pub(crate) fn note_evacuated(&mut self, evacuated: &BTreeSet<String>) {
+        self.is_evacuated = evacuated.contains(&self.location.zone);
+    }
+
+    /// Whether only the evacuation of its zone keeps new flows away.
+    pub(crate) fn is_kept_empty(&self) -> bool {
+        let takes = matches!(
+            self.report.condition,
+            BackendCondition::Accepting | BackendCondition::Failing | BackendCondition::Silent
+        );
+        self.report.condition == BackendCondition::Evacuated || (takes && self.is_evacuated)
+    }
+
+    /// Whether a flow that may live in these regions only may be offered there; any will do where
+    /// none is named.
+    pub(crate) fn is_in(&self, regions: &[String]) -> bool {
+        regions.is_empty() || regions.contains(&self.location.region)
     }
 
     /// Whether its back end's process has ended.
@@ -187,7 +224,8 @@
 
     /// Whether new flows are taken, be it as a last resort.
     pub(crate) fn may_fail(&self) -> bool {
-        self.is_accepting() || self.report.condition == BackendCondition::Failing
+        let is_failing = self.report.condition == BackendCondition::Failing && !self.is_evacuated;
+        self.is_accepting() || is_failing
     }
 
     pub(crate) fn is_suspect(&self, now: Duration, interval: Duration) -> bool {
@@ -204,7 +242,9 @@
     pub(crate) fn is_known_full(&self, now: Duration) -> bool {
         let capacity = u32::from(self.report.capacity);
         let is_full = u32::from(self.report.waiting) + self.placed_since >= capacity;
-        is_full && self.age(now) < FULL_LASTS
+        let is_given_enough =
+            self.report.cold_room.is_some_and(|room| self.placed_since >= u32::from(room));
+        (is_full || is_given_enough) && self.age(now) < FULL_LASTS
     }
 
     /// Time since it was heard.
@@ -263,7 +303,7 @@
         // Among back ends with a free slot the emptier one is better: its load is less likely to
         // have grown since.
         work * self.slowness(policies) * (crowding + with_new)
-            + self.distance.seconds(typical.work, policies)
+            + self.location.distance.seconds(typical.work, policies)
     }
 }
 
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -19,6 +19,7 @@
         work_us: 20_000,
         measured_ms_ago: 0,
         is_cold: false,
+        cold_room: None,
         begun_ms_ago: None,
     }
 }
@@ -217,7 +218,7 @@
     let mut balancer = balancer(200);
     balancer.handle_timeout(Duration::from_secs(1));
     outputs_of(&mut balancer);
-    let newer = configuration(2, vec![route(service_address(), SERVICE)]);
+    let newer = configuration(2, vec![route(service_address(), "sheets")]);
     balancer.adopt(milliseconds(1_001), newer);
     balancer.handle_timeout(milliseconds(1_001));
     assert_eq!(outputs_of(&mut balancer).len(), 32);
--- a/crates/carried/tests/endings.rs
+++ b/crates/carried/tests/endings.rs
@@ -191,6 +191,7 @@
         region: "r".to_owned(),
         incarnation: 1,
         configuration: 0,
+        digest: 0,
         confirmation: None,
         store_returns: 0,
         report: None,
--- a/crates/carried/tests/fence.rs
+++ b/crates/carried/tests/fence.rs
@@ -37,6 +37,7 @@
         region: "r".to_owned(),
         incarnation: 1,
         configuration,
+        digest: 0,
         confirmation: None,
         store_returns: 0,
         report: Some(load()),
--- a/crates/carried/tests/store_watch.rs
+++ b/crates/carried/tests/store_watch.rs
@@ -29,6 +29,7 @@
         region: "r".to_owned(),
         incarnation: 1,
         configuration: 1,
+        digest: 0,
         confirmation,
         store_returns,
         report: None,
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -7,6 +7,7 @@
     Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Policies, Route,
     Segment, ServiceSettings, Word,
 };
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -44,7 +45,7 @@
 
 pub fn route(address: SocketAddrV4, service: &str) -> Route {
     let parts = vec![Part { service: service.to_owned(), weight: 1 }];
-    Route { address, parts, aim_ms: 250, priority: 1 }
+    Route { address, parts, aim_ms: 250, priority: 1, regions: Vec::new() }
 }
 
 pub fn configuration(version: u64, routes: Vec<Route>) -> CarriedConfiguration {
@@ -52,8 +53,15 @@
         name: SERVICE.to_owned(),
         health_path: "/healthz".to_owned(),
         max_connections: 2_000,
+        cold_flows_milli: 0,
     };
-    CarriedConfiguration { version, routes, services: vec![service], idle_timeout_ms: 15_000 }
+    CarriedConfiguration {
+        version,
+        routes,
+        services: vec![service],
+        idle_timeout_ms: 15_000,
+        evacuated: BTreeSet::new(),
+    }
 }
 
 pub fn agent(is_first_start: bool) -> CarriedAgent {
@@ -61,6 +69,7 @@
         node: node(agent_address(1), NodeRole::Agent),
         service: SERVICE.to_owned(),
         longest_flow: Duration::from_secs(60),
+        cold_overshoot: 1.0,
         policies: Policies::default(),
         is_first_start,
     };
@@ -156,6 +165,7 @@
         region: "r".to_owned(),
         incarnation: 1,
         configuration: 1,
+        digest: 0,
         confirmation: None,
         store_returns: 0,
         report: Some(report),
--- a/crates/lab/src/bin/loftdrift-lab.rs
+++ b/crates/lab/src/bin/loftdrift-lab.rs
@@ -4,7 +4,7 @@
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use loftdrift_lab::{
     CarriedWorld, CarriedWorldSettings, Comparison, Plan, Policy, Report, Scenario, Trace, compare,
-    explore, random_day, run, shrink, write_plots,
+    explore, random_day_with_evacuations, run, shrink, write_plots,
 };
 use pico_args::Arguments;
 use std::io::IsTerminal;
@@ -92,7 +92,7 @@
     let bar = progress(seeds.end.saturating_sub(seeds.start));
     let (mut days, mut asked, mut served) = (0_u64, 0, 0);
     for seed in seeds {
-        let faults = random_day(seed, settings.balancers, settings.backends);
+        let faults = random_day_with_evacuations(seed, settings.balancers, settings.backends);
         let outcome = CarriedWorld::new(CarriedWorldSettings { seed, ..settings }, &faults).run();
         if !outcome.keeps_the_rules() {
             println!("seed {seed} breaks a rule: {outcome:?}\n{faults:#?}");
--- a/crates/lab/src/carried/fault.rs
+++ b/crates/lab/src/carried/fault.rs
@@ -42,6 +42,10 @@
     RefuseBalancers(Duration),
     /// The second address changes the service that it stands for.
     MoveRoute,
+    /// The operator evacuates a zone.
+    Evacuate(usize),
+    /// The operator takes a zone back.
+    EndEvacuation(usize),
     /// A back end says that it leaves, serves on, and goes; a new one starts in its place later.
     ReplaceBackend(usize),
     /// A back end ends without a word and starts again.
--- a/crates/lab/src/carried/mod.rs
+++ b/crates/lab/src/carried/mod.rs
@@ -11,5 +11,5 @@
 
 pub use fault::{CarriedFault, FailureMode, TimedFault};
 pub use outcome::CarriedOutcome;
-pub use random_days::random_day;
+pub use random_days::{random_day, random_day_with_evacuations};
 pub use world::{CarriedWorld, CarriedWorldSettings};
--- a/crates/lab/src/carried/outcome.rs
+++ b/crates/lab/src/carried/outcome.rs
@@ -27,6 +27,8 @@
     pub foreign_runs: u64,
     /// Flows taken by a back end long after it was acknowledged that it leaves.
     pub late_drains: u64,
+    /// Flows taken by a back end long after its zone was evacuated.
+    pub late_evacuations: u64,
     /// Flows opened under a configuration that another one had replaced long before.
     pub stale_configurations: u64,
     /// Packets that reached a back end in a form that its caller did not write.
--- a/crates/lab/src/carried/random_days.rs
+++ b/crates/lab/src/carried/random_days.rs
@@ -10,6 +10,9 @@
 const LAST_FAULT_MS: u64 = 14_000;
 const SHORTEST_MS: u64 = 100;
 const LONGEST_MS: u64 = 4_000;
+const MOST_EVACUATIONS: u32 = 3;
+const LONGEST_EVACUATION_MS: u64 = 10_000;
+const ZONES: usize = 3;
 const MOST_LOSS: f64 = 0.1;
 
 /// The faults of a day.
@@ -26,6 +29,21 @@
     day
 }
 
+/// The same day with zones evacuated and taken back, up to three times.
+pub fn random_day_with_evacuations(seed: u64, balancers: usize, agents: usize) -> Vec<TimedFault> {
+    let mut day = random_day(seed, balancers, agents);
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    for _ in 0..random.random_range(1..=MOST_EVACUATIONS) {
+        let zone = random.random_range(0..ZONES);
+        let at = Duration::from_millis(random.random_range(FIRST_FAULT_MS..LAST_FAULT_MS));
+        let lasts = Duration::from_millis(random.random_range(SHORTEST_MS..LONGEST_EVACUATION_MS));
+        day.push(TimedFault { at, fault: CarriedFault::Evacuate(zone) });
+        day.push(TimedFault { at: at + lasts, fault: CarriedFault::EndEvacuation(zone) });
+    }
+    day.sort_by_key(|timed| timed.at);
+    day
+}
+
 fn random_fault(random: &mut ChaCha8Rng, balancers: usize, agents: usize) -> CarriedFault {
     let balancer = random.random_range(0..balancers);
     let agent = random.random_range(0..agents);
--- a/crates/lab/src/carried/world/backends.rs
+++ b/crates/lab/src/carried/world/backends.rs
@@ -88,6 +88,10 @@
         let backend = &self.backends[agent];
         let is_late = backend.leaving_since.is_some_and(|since| self.now > since + BOUND);
         self.outcome.late_drains += u64::from(is_late);
+        let zone = zone_name(self.settings.balancers + agent);
+        let evacuated_at = self.evacuated_at.get(&zone);
+        let is_evacuated = evacuated_at.is_some_and(|at| self.now > *at + BOUND);
+        self.outcome.late_evacuations += u64::from(is_evacuated);
         let is_first = flow.service == service_address(0);
         let is_foreign = is_first && backend.service != SERVICES[0];
         self.outcome.foreign_runs += u64::from(is_foreign);
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -41,12 +41,17 @@
                 if self.now < self.changed_at + BOUND {
                     self.changed_at = self.changed_at.max(self.store_down_until);
                 }
+                for at in self.evacuated_at.values_mut().filter(|at| self.now < **at + BOUND) {
+                    *at = (*at).max(self.store_down_until);
+                }
             }
             CarriedFault::RefuseBalancers(lasts) => {
                 let until = self.now + lasts;
                 self.balancers_refused_until = self.balancers_refused_until.max(until);
             }
             CarriedFault::MoveRoute => self.move_route(),
+            CarriedFault::Evacuate(zone) => self.evacuate(zone),
+            CarriedFault::EndEvacuation(zone) => self.end_evacuation(zone),
             CarriedFault::ReplaceBackend(agent) => self.backends[agent].is_leaving = true,
             CarriedFault::FailBackend(agent, mode, lasts) => {
                 self.backends[agent].failing = Some(mode);
@@ -107,9 +112,38 @@
         }
         let current = &self.configuration.routes[1].parts[0].service;
         let next = if current == SERVICES[0] { SERVICES[1] } else { SERVICES[0] };
-        self.configuration = configuration(self.configuration.version + 3, next);
-        // The bound does not run while any node may be away from the store.
+        let evacuated = self.configuration.evacuated.clone();
+        self.configuration = CarriedConfiguration { evacuated, ..configuration(0, next) };
+        self.note_write();
+        self.changed_at = self.bound_runs_from();
+    }
+
+    /// A change of the operator's has its own revision.
+    fn note_write(&mut self) {
+        self.store_revision += 3;
+        self.configuration.version = self.store_revision;
+    }
+
+    /// The bound for what is written now does not run while any node may be away from the store.
+    fn bound_runs_from(&self) -> Duration {
         let troubled = self.nodes.iter().map(|node| node.cut_until.max(node.frozen_until)).max();
-        self.changed_at = self.now.max(troubled.unwrap_or_default()).max(self.store_down_until);
+        self.now.max(troubled.unwrap_or_default()).max(self.store_down_until)
+    }
+
+    fn evacuate(&mut self, zone: usize) {
+        if self.store_down_until <= self.now && self.configuration.evacuated.insert(zone_name(zone))
+        {
+            self.note_write();
+            self.evacuated_at.insert(zone_name(zone), self.bound_runs_from());
+        }
+    }
+
+    fn end_evacuation(&mut self, zone: usize) {
+        if self.store_down_until <= self.now
+            && self.configuration.evacuated.remove(&zone_name(zone))
+        {
+            self.note_write();
+            self.evacuated_at.remove(&zone_name(zone));
+        }
     }
 }
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -21,7 +21,7 @@
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
@@ -44,6 +44,7 @@
 const STANDSTILL: Duration = Duration::from_secs(1);
 const LONGEST_FLOW: Duration = Duration::from_secs(60);
 const AIM_MS: u32 = 200;
+const ZONES: usize = 3;
 const SERVICES: [&str; 2] = ["tiles", "sheets"];
 /// Requests of a caller that keeps its flow.
 const ROUNDS: u32 = 4;
@@ -193,8 +194,13 @@
     callers: HashMap<u64, Caller>,
     by_address: HashMap<SocketAddrV4, u64>,
     next_port: u32,
+    /// What operators have written; its version is the store's revision of the last change.
     configuration: CarriedConfiguration,
+    /// Rises with each write to the store.
+    store_revision: u64,
     changed_at: Duration,
+    /// Since when each zone is evacuated.
+    evacuated_at: HashMap<String, Duration>,
     store_down_until: Duration,
     balancers_refused_until: Duration,
     loss: f64,
@@ -224,7 +230,9 @@
             by_address: HashMap::new(),
             next_port: 1_024,
             configuration: configuration(1, SERVICES[1]),
+            store_revision: 1,
             changed_at: Duration::ZERO,
+            evacuated_at: HashMap::new(),
             store_down_until: Duration::ZERO,
             balancers_refused_until: Duration::ZERO,
             loss: 0.0,
@@ -316,6 +324,11 @@
     SocketAddrV4::new(Ipv4Addr::new(10, kind, (node / 256) as u8, (node % 256) as u8), PEER_PORT)
 }
 
+/// Nodes are dealt to the zones in turn.
+fn zone_name(node: usize) -> String {
+    format!("zone-{}", node % ZONES)
+}
+
 fn service_address(number: usize) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), 443 + number as u16)
 }
@@ -327,16 +340,19 @@
         parts: vec![Part { service: service.to_owned(), weight: 1 }],
         aim_ms: AIM_MS,
         priority: 1,
+        regions: Vec::new(),
     };
     let service = |name: &str| ServiceSettings {
         name: name.to_owned(),
         health_path: "/health".to_owned(),
         max_connections: 2_000,
+        cold_flows_milli: 0,
     };
     CarriedConfiguration {
         version,
         routes: vec![route(0, SERVICES[0]), route(1, second)],
         services: SERVICES.map(service).to_vec(),
         idle_timeout_ms: 15_000,
+        evacuated: BTreeSet::new(),
     }
 }
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -26,6 +26,7 @@
                 node: me,
                 service: self.backends[node - settings.balancers].service.to_owned(),
                 longest_flow: LONGEST_FLOW,
+                cold_overshoot: 1.0,
                 policies,
                 is_first_start: starts == 1,
             };
@@ -46,7 +47,7 @@
         Node {
             address: self.nodes[node].address,
             role: if is_balancer { NodeRole::Balancer } else { NodeRole::Agent },
-            zone: format!("zone-{}", node % 3),
+            zone: zone_name(node),
             region: "region".to_owned(),
             incarnation,
         }
@@ -205,6 +206,8 @@
     /// A node reads the list of nodes.
     fn give_list(&mut self, node: usize) {
         self.outcome.store_calls += 1;
+        // It has written its own entry before.
+        self.store_revision += 1;
         let own = self.nodes[node].own_time(self.now);
         let balancers = self.settings.balancers;
         let role = |node: usize| match node < balancers {
@@ -226,7 +229,9 @@
         self.outcome.store_calls += 1;
         let answers = self.store_answers(node);
         let own = self.nodes[node].own_time(self.now);
-        let configuration = self.configuration.clone();
+        // A reading holds for the revision that it was made at.
+        let version = self.store_revision;
+        let configuration = CarriedConfiguration { version, ..self.configuration.clone() };
         match &mut self.nodes[node].core {
             Some(Core::Balancer(balancer)) => {
                 if answers {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -31,7 +31,7 @@
 pub use caller::CallerBehaviour;
 pub use carried::{
     CarriedFault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, FailureMode, TimedFault,
-    random_day,
+    random_day, random_day_with_evacuations,
 };
 pub use compare::{Comparison, compare};
 pub use explore::{Failure, explore, shrink};
--- a/crates/node/src/configuration_follower.rs
+++ b/crates/node/src/configuration_follower.rs
@@ -1,4 +1,4 @@
-//! Follows the configuration in the shared store.
+//! Follows what operators write in the shared store: the configuration and evacuations.
 //!
 //! Reads it at the start. While the core says that this node is one of those that wait at the store,
 //! reads it whole and waits for changes; whatever goes wrong, it reads it whole again. Otherwise, and
@@ -6,7 +6,8 @@
 
 use crate::command::{Command, NodeStatus};
 use crate::pace::Pace;
-use crate::shared_store::{ConfigurationChange, Currency, SharedStore, StoreFailure};
+use crate::shared_store::{Currency, SharedStore, StoreFailure};
+use loftdrift_carried::CarriedConfiguration;
 use rand::Rng;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
@@ -54,13 +55,11 @@
         let mut pace = Pace::new(FIRST_PAUSE, LONGEST_PAUSE);
         let mut currency = Currency::MayBeOld;
         while self.status.borrow().configuration == 0 && !self.commands.is_closed() {
-            match self.store.read_configuration(currency).await {
-                Ok(ConfigurationChange { configuration: Some(configuration), .. }) => {
-                    // Nobody listens only while the process ends.
-                    let _ = self.commands.send(Command::Adopt(configuration)).await;
-                    return;
-                }
-                Ok(_) => currency = Currency::Newest,
+            match self.store.read_operators(currency).await {
+                Ok(state) => match state.document() {
+                    Some(document) => return self.adopt(document).await,
+                    None => currency = Currency::Newest,
+                },
                 Err(failure) => self.note_failure(&failure).await,
             }
             pace.pause().await;
@@ -69,12 +68,13 @@
 
     /// Reads and waits for as long as this node is to.
     async fn watch(&mut self, pace: &mut Pace) -> Result<(), StoreFailure> {
-        let mut change = self.store.read_configuration(Currency::Newest).await?;
+        let mut state = self.store.read_operators(Currency::Newest).await?;
+        let mut news = state.document();
         loop {
             pace.reset();
-            let is_news = change.configuration.is_some();
-            if let Some(configuration) = change.configuration {
-                let _ = self.commands.send(Command::Adopt(configuration)).await;
+            let is_news = news.is_some();
+            if let Some(document) = news {
+                self.adopt(document).await;
             }
             self.note_answer().await;
             if is_news {
@@ -84,10 +84,15 @@
                 return Ok(());
             }
             let patience = WAIT.mul_f64(rand::rng().random_range(SHORTEST_WAIT..1.0));
-            change = self.store.wait_configuration(change.revision, patience).await?;
+            news = state.take(self.store.wait_operators(state.revision, patience).await?);
         }
     }
 
+    async fn adopt(&self, document: CarriedConfiguration) {
+        // Nobody listens only while the process ends.
+        let _ = self.commands.send(Command::Adopt(document)).await;
+    }
+
     async fn note_answer(&mut self) {
         if let Some(lost_at) = self.lost_at.take() {
             let away_ms = lost_at.elapsed().as_millis() as u64;
--- a/crates/node/src/counted_store.rs
+++ b/crates/node/src/counted_store.rs
@@ -1,7 +1,8 @@
 //! Counts what calls to the shared store come to, and how long they take.
 
 use crate::shared_store::{
-    ConfigurationChange, Currency, Lease, LeaseId, Member, MemberList, SharedStore, StoreFailure,
+    Currency, Lease, LeaseId, Member, MemberList, OperatorChange, OperatorState, SharedStore,
+    StoreFailure,
 };
 use loftdrift_counters::{CounterSet, Histogram, PublishedSet, counter_set};
 use std::future::Future;
@@ -91,19 +92,16 @@
 }
 
 impl<S: SharedStore> SharedStore for CountedStore<S> {
-    async fn read_configuration(
-        &self,
-        currency: Currency,
-    ) -> Result<ConfigurationChange, StoreFailure> {
-        self.timed(self.store.read_configuration(currency)).await
+    async fn read_operators(&self, currency: Currency) -> Result<OperatorState, StoreFailure> {
+        self.timed(self.store.read_operators(currency)).await
     }
 
-    async fn wait_configuration(
+    async fn wait_operators(
         &self,
         after: u64,
         patience: Duration,
-    ) -> Result<ConfigurationChange, StoreFailure> {
-        let outcome = self.store.wait_configuration(after, patience).await;
+    ) -> Result<OperatorChange, StoreFailure> {
+        let outcome = self.store.wait_operators(after, patience).await;
         self.meter.count(&outcome);
         outcome
     }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod health;
 mod interface;
 mod metrics;
+mod operator_document;
 mod pace;
 mod probe;
 mod registration;
@@ -31,6 +32,6 @@
 pub use run::run;
 pub use settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
 pub use shared_store::{
-    ConfigurationChange, Currency, Lease, LeaseId, Member, MemberEntry, MemberList, SharedStore,
-    StoreFailure,
+    Currency, Lease, LeaseId, Member, MemberEntry, MemberList, OperatorChange, OperatorState,
+    SharedStore, StoreFailure,
 };
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -12,13 +12,18 @@
 const DEFAULT_STOP_GRACE_SECONDS: f64 = 6.0;
 const DEFAULT_LONGEST_FLOW_SECONDS: f64 = 60.0;
 const DEFAULT_SHORTEST_LEASE_SECONDS: f64 = 1.0;
+/// No more than the configuration tells.
+const DEFAULT_COLD_OVERSHOOT: f64 = 1.0;
+/// Below this a back end is given less than it bears, above the limit means nothing.
+const LEAST_COLD_OVERSHOOT: f64 = 0.1;
+const MOST_COLD_OVERSHOOT: f64 = 100.0;
 /// The shortest of the users.
 const DEFAULT_CONFIGURATION_BOUND_MS: u64 = 3_000;
 /// Heartbeats and calls to the store take their time; nothing is in force everywhere sooner.
 const LEAST_CONFIGURATION_BOUND_MS: u64 = 500;
 
 /// Settings of a node.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct NodeSettings {
     /// The node's name, unique among all nodes.
     pub name: String,
@@ -36,8 +41,10 @@
     pub shortest_lease: Duration,
     /// Nodes to ask for a snapshot at the start.
     pub seeds: Vec<SocketAddrV4>,
-    /// An accepted configuration is in force everywhere after this time.
+    /// An accepted configuration or evacuation is in force everywhere after this time.
     pub configuration_bound: Duration,
+    /// A cold back end is given at most so many times the new flows that the configuration tells.
+    pub cold_overshoot: f64,
     /// How long a planned stop may take.
     pub stop_grace: Duration,
     /// Age that no flow exceeds.
@@ -135,6 +142,17 @@
         LEAST_CONFIGURATION_BOUND_MS,
         DEFAULT_CONFIGURATION_BOUND_MS,
     );
+    let cold_overshoot = reader.number(
+        "cold_overshoot",
+        LEAST_COLD_OVERSHOOT,
+        MOST_COLD_OVERSHOOT,
+        DEFAULT_COLD_OVERSHOOT,
+    );
+    let evacuation_bound = reader.count(
+        "evacuation_bound_ms",
+        LEAST_CONFIGURATION_BOUND_MS,
+        bound.unwrap_or(DEFAULT_CONFIGURATION_BOUND_MS),
+    );
     let stop_grace = reader.seconds("stop_grace_s", DEFAULT_STOP_GRACE_SECONDS);
     let longest_flow = reader.seconds("longest_flow_s", DEFAULT_LONGEST_FLOW_SECONDS);
     let is_first_start = reader.switch("first_start", false);
@@ -155,7 +173,8 @@
         shortest_lease: shortest_lease?,
         // Seeds are named by any of their addresses; the ports are alike on all machines.
         seeds: seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), messages_port)).collect(),
-        configuration_bound: Duration::from_millis(bound?),
+        configuration_bound: Duration::from_millis(bound?.min(evacuation_bound?)),
+        cold_overshoot: cold_overshoot?,
         stop_grace: stop_grace?,
         longest_flow: longest_flow?,
         is_first_start: is_first_start?,
--- a/crates/node/src/shared_store.rs
+++ b/crates/node/src/shared_store.rs
@@ -4,6 +4,7 @@
 //! here may be repeated.
 
 use loftdrift_carried::{CarriedConfiguration, NodeRole};
+use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -79,29 +80,44 @@
     pub revision: u64,
 }
 
-/// What a wait for a newer configuration brought.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ConfigurationChange {
-    /// The newest configuration; `None` when there was no change.
+/// All that operators have written, as one reading found it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OperatorState {
+    /// The configuration, but for evacuations; `None` before the first one is written.
+    pub configuration: Option<CarriedConfiguration>,
+    /// Zones that are evacuated.
+    pub evacuated: BTreeSet<String>,
+    /// Everything written up to this revision of the store is in it.
+    pub revision: u64,
+}
+
+/// What a wait for changes of the operators' brought.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct OperatorChange {
+    /// The newest configuration, but for evacuations; `None` when it has not changed.
     pub configuration: Option<CarriedConfiguration>,
+    /// Zones whose evacuation began or ended, with whether they are evacuated now; in order.
+    pub evacuations: Vec<(String, bool)>,
+    /// Revision of the last of these changes; `None` when there was none.
+    pub changed_at: Option<u64>,
     /// The store's revision to go on from.
     pub revision: u64,
 }
 
 /// A client of the store. An implementation translates and decides nothing.
 pub trait SharedStore: Clone + Send + Sync + 'static {
-    /// Reads the configuration.
-    fn read_configuration(
+    /// Reads what operators have written.
+    fn read_operators(
         &self,
         currency: Currency,
-    ) -> impl Future<Output = Result<ConfigurationChange, StoreFailure>> + Send;
+    ) -> impl Future<Output = Result<OperatorState, StoreFailure>> + Send;
 
-    /// Waits up to `patience` for a change of the configuration after a revision.
-    fn wait_configuration(
+    /// Waits up to `patience` for operators to write something after a revision.
+    fn wait_operators(
         &self,
         after: u64,
         patience: Duration,
-    ) -> impl Future<Output = Result<ConfigurationChange, StoreFailure>> + Send;
+    ) -> impl Future<Output = Result<OperatorChange, StoreFailure>> + Send;
 
     /// Takes a lease.
     fn take_lease(
--- a/crates/node/src/store_reader.rs
+++ b/crates/node/src/store_reader.rs
@@ -1,4 +1,4 @@
-//! Reads the configuration once whenever the core asks for it: an agent does so for balancers that
+//! Reads what operators have written once whenever the core asks for it: an agent does so for balancers that
 //! the shared store refuses, a balancer when nobody tells it of the store.
 
 use crate::command::Command;
@@ -16,11 +16,11 @@
     commands: mpsc::Sender<Command>,
 ) {
     while asked.recv().await.is_some() {
-        let answered = match store.read_configuration(Currency::Newest).await {
-            Ok(change) => {
-                if let Some(configuration) = change.configuration {
+        let answered = match store.read_operators(Currency::Newest).await {
+            Ok(state) => {
+                if let Some(document) = state.document() {
                     // Nobody listens only while the process ends.
-                    let _ = commands.send(Command::Adopt(configuration)).await;
+                    let _ = commands.send(Command::Adopt(document)).await;
                 }
                 true
             }
