--- a/crates/bench/benches/carried.rs
+++ b/crates/bench/benches/carried.rs
@@ -51,6 +51,7 @@
         zone: "zone-a".to_owned(),
         region: "region".to_owned(),
         incarnation: u64::MAX,
+        link_mbps: 1_000,
         configuration: 1_000_000,
         digest: 0,
         confirmation: None,
@@ -105,6 +106,7 @@
         zone: "zone-a".to_owned(),
         region: "region".to_owned(),
         incarnation: 1,
+        link_mbps: 1_000,
     };
     let settings = CarriedBalancerSettings {
         node,
--- a/crates/bench/benches/lookups.rs
+++ b/crates/bench/benches/lookups.rs
@@ -36,6 +36,7 @@
         zone: "zone-b".to_owned(),
         region: "region".to_owned(),
         incarnation: 1,
+        link_mbps: 1_000,
         configuration: 1,
         digest: 0,
         confirmation: None,
@@ -52,6 +53,7 @@
         zone: "zone-a".to_owned(),
         region: "region".to_owned(),
         incarnation: 1,
+        link_mbps: 1_000,
     };
     let mut balancer = CarriedBalancer::new(
         CarriedBalancerSettings {
--- a/crates/carried/src/balancer/store_watch.rs
+++ b/crates/carried/src/balancer/store_watch.rs
@@ -3,7 +3,7 @@
 //! A few balancers of each zone wait there, so that calls to the store grow with zones and changes
 //! and not with balancers. The others hear from them: by the version in heartbeats, and by how long
 //! ago the store has confirmed it. Nobody is elected: each balancer ranks those of its zone that it
-//! hears, itself included, by their addresses. Where they disagree for a while, one more or one less
+//! hears, itself included, by their links and addresses. Where they disagree for a while, one more or one less
 //! waits.
 //!
 //! Invariants:
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -6,6 +6,7 @@
 //! a second. In large systems it is the data path that tells which agents answer.
 
 use crate::message::{Heartbeat, NodeRole};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::ops::Bound;
@@ -15,9 +16,9 @@
 const SHORTEST_INTERVAL: Duration = Duration::from_millis(250);
 /// Bytes of heartbeats that a node sends in a second at most; with as many received it stays below
 /// the 7 kB that users allow for control.
-const HEARTBEAT_BYTES_PER_SECOND: u32 = 3_300;
+const HEARTBEAT_BYTES_PER_SECOND: u32 = 3_400;
 /// Bytes of one heartbeat, addresses of the packet included.
-const HEARTBEAT_BYTES: u32 = 99;
+const HEARTBEAT_BYTES: u32 = 102;
 /// A peer that was silent for so many intervals is spoken to less often.
 const QUIET_INTERVALS: u32 = 20;
 /// How many times less often.
@@ -44,6 +45,14 @@
     pub region: String,
     /// Rises with each of its starts.
     pub incarnation: u64,
+    /// Megabits a second that its machine's link carries.
+    pub link_mbps: u32,
+}
+
+/// The order in which balancers wait at the store: an answer with a large configuration holds up
+/// a slow link's packets.
+fn order(link_mbps: u32, address: SocketAddrV4) -> (Reverse<u32>, SocketAddrV4) {
+    (Reverse(link_mbps), address)
 }
 
 /// What is known of another node.
@@ -59,6 +68,8 @@
     pub heard_at: Option<Duration>,
     /// It is in this node's zone, as it said itself.
     pub is_near: bool,
+    /// Megabits a second of its machine's link, as it said itself.
+    pub link_mbps: u32,
     known_since: Duration,
     next_heartbeat: Duration,
 }
@@ -68,7 +79,7 @@
 pub(crate) struct Places {
     /// Balancers of its zone.
     pub(crate) in_zone: usize,
-    /// Its place among those, by address.
+    /// Its place among those: the fastest links first, then by address.
     pub(crate) rank_in_zone: usize,
     /// Balancers.
     pub(crate) balancers: usize,
@@ -119,6 +130,7 @@
             configuration: 0,
             heard_at: None,
             is_near: false,
+            link_mbps: 0,
             known_since: now,
             next_heartbeat: now,
         };
@@ -149,6 +161,7 @@
         peer.configuration = heartbeat.configuration;
         peer.heard_at = Some(now);
         peer.is_near = heartbeat.zone == self.me.zone;
+        peer.link_mbps = heartbeat.link_mbps;
         let latest = if heartbeat.wants_reply { now } else { now + interval };
         let next = peer.next_heartbeat.min(latest);
         self.reschedule(from, next);
@@ -235,13 +248,14 @@
     /// Where this node stands among the balancers heard lately.
     pub(crate) fn places(&self, now: Duration) -> Places {
         let patience = self.interval() * ALIVE_INTERVALS;
+        let mine = order(self.me.link_mbps, self.me.address);
         let mut places = Places { in_zone: 1, rank_in_zone: 0, balancers: 1, rank: 0 };
         for (address, peer) in &self.peers {
             let is_alive = peer.heard_at.is_some_and(|at| now.saturating_sub(at) <= patience);
             if peer.role != NodeRole::Balancer || !is_alive {
                 continue;
             }
-            let is_before = usize::from(*address < self.me.address);
+            let is_before = usize::from(order(peer.link_mbps, *address) < mine);
             places.balancers += 1;
             places.rank += is_before;
             if peer.is_near {
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -162,6 +162,8 @@
     pub region: String,
     /// Rises with each start of the sender.
     pub incarnation: u64,
+    /// Megabits a second of the sender's link.
+    pub link_mbps: u32,
     /// Version of the configuration in force at the sender.
     pub configuration: u64,
     /// Digest of it.
--- a/crates/carried/src/standing.rs
+++ b/crates/carried/src/standing.rs
@@ -152,6 +152,7 @@
             zone: me.zone.clone(),
             region: me.region.clone(),
             incarnation: me.incarnation,
+            link_mbps: me.link_mbps,
             configuration: self.configuration.version,
             digest: self.digest,
             confirmation: self.store.confirmation(now),
--- a/crates/carried/tests/fence.rs
+++ b/crates/carried/tests/fence.rs
@@ -36,6 +36,7 @@
         zone: "a".to_owned(),
         region: "r".to_owned(),
         incarnation: 1,
+        link_mbps: 1_000,
         configuration,
         digest: 0,
         confirmation: None,
--- a/crates/carried/tests/store_watch.rs
+++ b/crates/carried/tests/store_watch.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use loftdrift_carried::{
-    CarriedBalancer, Confirmation, Heartbeat, Message, Node, NodeRole, Output, PlainFormat,
+    CarriedBalancer, Confirmation, Heartbeat, LoadReport, Message, Node, NodeRole, Output,
+    PlainFormat,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -28,6 +29,7 @@
         zone: zone.to_owned(),
         region: "r".to_owned(),
         incarnation: 1,
+        link_mbps: 1_000,
         configuration: 1,
         digest: 0,
         confirmation,
@@ -92,6 +94,51 @@
     assert_eq!(watchers(&zones), (0..10).collect::<Vec<_>>());
 }
 
+#[test]
+fn those_with_the_fastest_links_wait_first() {
+    // By address the first twelve are slow.
+    let link = |number: u8| if number > 12 { 200 } else { 10 };
+    let waits = |number: &u8| {
+        let mut settings = balancer_settings(1);
+        settings.node.address = balancer_number(*number);
+        settings.node.link_mbps = link(*number);
+        let mut balancer = CarriedBalancer::new(settings, PlainFormat);
+        balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+        for peer in (1..=20).filter(|peer| peer != number) {
+            let heartbeat = Heartbeat { link_mbps: link(peer), ..heartbeat_of("a", None, 0) };
+            let message = Message::Heartbeat(heartbeat).encode();
+            balancer.handle_peer(milliseconds(100), balancer_number(peer), &message);
+        }
+        readings(&mut balancer, 100, 2_000);
+        balancer.watches_store(milliseconds(2_000))
+    };
+    assert_eq!((1..=20).filter(waits).collect::<Vec<_>>(), (13..=18).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_heartbeat_takes_no_more_bytes_than_its_interval_is_reckoned_with() {
+    let load = LoadReport {
+        service: "service-a".to_owned(),
+        work_us: 40_000,
+        measured_ms_ago: 5_000,
+        begun_ms_ago: Some(60_000),
+        ..LoadReport::default()
+    };
+    let heartbeat = Heartbeat {
+        zone: "a-zone".to_owned(),
+        region: "reg".to_owned(),
+        incarnation: u64::MAX,
+        configuration: 70_000,
+        digest: u64::MAX,
+        confirmation: Some(Confirmation { ms_ago: 9_000, hops: 12 }),
+        report: Some(load),
+        ..heartbeat_of("", None, 3)
+    };
+    // Heads of UDP and IP take 28 bytes.
+    let bytes = Message::Heartbeat(heartbeat).encode().len() + 28;
+    assert!(bytes <= 102, "{bytes}");
+}
+
 #[test]
 fn a_balancer_that_is_the_only_one_heard_waits() {
     assert_eq!(watchers(&["a"]), [0]);
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -40,7 +40,14 @@
 }
 
 pub fn node(address: SocketAddrV4, role: NodeRole) -> Node {
-    Node { address, role, zone: "a".to_owned(), region: "r".to_owned(), incarnation: 1 }
+    Node {
+        address,
+        role,
+        zone: "a".to_owned(),
+        region: "r".to_owned(),
+        incarnation: 1,
+        link_mbps: 1_000,
+    }
 }
 
 pub fn route(address: SocketAddrV4, service: &str) -> Route {
@@ -164,6 +171,7 @@
         zone: zone.to_owned(),
         region: "r".to_owned(),
         incarnation: 1,
+        link_mbps: 1_000,
         configuration: 1,
         digest: 0,
         confirmation: None,
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -50,6 +50,7 @@
             zone: zone_name(node),
             region: "region".to_owned(),
             incarnation,
+            link_mbps: 1_000,
         }
     }
 
--- a/crates/node/src/configuration_follower.rs
+++ b/crates/node/src/configuration_follower.rs
@@ -24,11 +24,22 @@
 /// A node without a configuration serves nobody: it tries again within a second.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
+/// Bits of a configuration of 1,500 routes as the store gives it.
+const LARGE_CONFIGURATION_BITS: f64 = 3e6;
+
+/// The time that reading a large configuration would take on a link: nodes with faster ones have it
+/// by then, and give it in a tenth of the bytes.
+pub(crate) fn head_start(link_bits_a_second: f64) -> Duration {
+    Duration::from_secs_f64(LARGE_CONFIGURATION_BITS / link_bits_a_second)
+}
+
 /// What is needed to follow the store.
 pub(crate) struct Follower<S> {
     pub(crate) store: S,
     pub(crate) status: watch::Receiver<NodeStatus>,
     pub(crate) commands: mpsc::Sender<Command>,
+    /// Peers have so long to give a configuration before the store is asked for it at the start.
+    pub(crate) head_start: Duration,
     /// Since when the store has not answered.
     pub(crate) lost_at: Option<Instant>,
 }
@@ -49,9 +60,21 @@
         }
     }
 
-    /// Reads until a configuration is known, from the store or from a peer. An old one is as good at
-    /// first: nodes that wait at the store tell of a newer one within a second.
+    /// Reads until a configuration is known, from the store or from a peer. What a peer gives is a
+    /// tenth as long: an answer of the store that is still on its way then would only fill this machine's
+    /// link.
     async fn read_first(&mut self) {
+        let mut status = self.status.clone();
+        tokio::select! {
+            _ = status.wait_for(|status| status.configuration > 0) => {}
+            () = self.read_until_known() => {}
+        }
+    }
+
+    /// An old configuration is as good at first: nodes that wait at the store tell of a newer one
+    /// within a second.
+    async fn read_until_known(&mut self) {
+        tokio::time::sleep(self.head_start).await;
         let mut pace = Pace::new(FIRST_PAUSE, LONGEST_PAUSE);
         let mut currency = Currency::MayBeOld;
         while self.status.borrow().configuration == 0 && !self.commands.is_closed() {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`SharedStore`].
 
 mod agent_core;
+mod allowance;
 mod balancer_core;
 mod command;
 mod configuration_follower;
@@ -27,6 +28,7 @@
 mod stopping;
 mod store_reader;
 
+pub use allowance::Allowance;
 pub use command::{Command, Measures, MemberNews, NodeStatus};
 pub use interface::{Interface, Request, RequestKind};
 pub use run::run;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,9 +1,10 @@
 //! Wires a node: sockets, core, and the tasks around it.
 
 use crate::agent_core::AgentCore;
+use crate::allowance::Allowance;
 use crate::balancer_core::BalancerCore;
 use crate::command::{Command, NodeStatus};
-use crate::configuration_follower::Follower;
+use crate::configuration_follower::{Follower, head_start};
 use crate::core::Core;
 use crate::counted_store::CountedStore;
 use crate::interface::{Interface, Request, RequestKind};
@@ -34,6 +35,7 @@
 const FETCH_QUEUE: usize = 1;
 const READING_QUEUE: usize = 1;
 const PROBE_QUEUE: usize = 1;
+const BITS_A_MEGABIT: f64 = 1e6;
 /// Largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024;
 /// A node whose command queue is not served for so long refuses the request.
@@ -92,6 +94,7 @@
         store: store.clone(),
         status: node.status.clone(),
         commands: node.commands.clone(),
+        head_start: head_start(settings.link_mbps * BITS_A_MEGABIT),
         lost_at: None,
     };
     node.tasks.spawn(follower.follow());
@@ -158,7 +161,8 @@
         let mut tasks = JoinSet::new();
         tasks.spawn(shell.run());
         tasks.spawn(probe::answer(probe_queue, commands.clone()));
-        tasks.spawn(snapshots::give(listener, commands.clone()));
+        let allowance = Allowance::of_link(settings.link_mbps * BITS_A_MEGABIT);
+        tasks.spawn(snapshots::give(listener, allowance, commands.clone()));
         tasks.spawn(snapshots::fetch_named(fetch_queue, commands.clone()));
         tasks.spawn(snapshots::fetch_from_seeds(settings.seeds.clone(), commands.clone()));
         Ok(Wiring { commands, status, readings: reading_queue, tasks })
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -17,6 +17,11 @@
 /// Below this a back end is given less than it bears, above the limit means nothing.
 const LEAST_COLD_OVERSHOOT: f64 = 0.1;
 const MOST_COLD_OVERSHOOT: f64 = 100.0;
+/// The usual link of a small machine.
+const DEFAULT_LINK_MBPS: f64 = 1_000.0;
+/// Below this no service is carried; above the limit means a wrong unit.
+const LEAST_LINK_MBPS: f64 = 1.0;
+const MOST_LINK_MBPS: f64 = 1e6;
 /// The shortest of the users.
 const DEFAULT_CONFIGURATION_BOUND_MS: u64 = 3_000;
 /// Heartbeats and calls to the store take their time; nothing is in force everywhere sooner.
@@ -45,6 +50,8 @@
     pub configuration_bound: Duration,
     /// A cold back end is given at most so many times the new flows that the configuration tells.
     pub cold_overshoot: f64,
+    /// Megabits a second that the machine's link carries.
+    pub link_mbps: f64,
     /// How long a planned stop may take.
     pub stop_grace: Duration,
     /// Age that no flow exceeds.
@@ -148,6 +155,7 @@
         MOST_COLD_OVERSHOOT,
         DEFAULT_COLD_OVERSHOOT,
     );
+    let link_mbps = reader.number("link_mbps", LEAST_LINK_MBPS, MOST_LINK_MBPS, DEFAULT_LINK_MBPS);
     let evacuation_bound = reader.count(
         "evacuation_bound_ms",
         LEAST_CONFIGURATION_BOUND_MS,
@@ -161,7 +169,14 @@
         NodeRole::Balancer => read_balancer(reader).map(Place::Balancer),
         NodeRole::Agent => read_agent(reader).map(Place::Agent),
     };
-    let node = Node { address: messages?, role: role?, zone: zone?, region: region?, incarnation };
+    let node = Node {
+        address: messages?,
+        role: role?,
+        zone: zone?,
+        region: region?,
+        incarnation,
+        link_mbps: link_mbps? as u32,
+    };
     let messages_port = node.address.port();
     Some(NodeSettings {
         name: name?,
@@ -175,6 +190,7 @@
         seeds: seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), messages_port)).collect(),
         configuration_bound: Duration::from_millis(bound?.min(evacuation_bound?)),
         cold_overshoot: cold_overshoot?,
+        link_mbps: link_mbps?,
         stop_grace: stop_grace?,
         longest_flow: longest_flow?,
         is_first_start: is_first_start?,
--- a/crates/node/src/snapshots.rs
+++ b/crates/node/src/snapshots.rs
@@ -1,5 +1,11 @@
 //! Snapshots between nodes: whoever connects is given one and the connection ends.
+//!
+//! A configuration of many routes is large beside a slow link: dozens of nodes that fetch it at once from
+//! one balancer would hold up callers' packets there for seconds. Each node therefore gives snapshots
+//! within a share of its link, and ends other connections at once; whoever got nothing hears of
+//! the version from others as well, and the first that have it give it on.
 
+use crate::allowance::Allowance;
 use crate::command::Command;
 use loftdrift_carried::Snapshot;
 use std::net::SocketAddrV4;
@@ -7,6 +13,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
 
 /// A node that has not given its snapshot in this time is not waited for.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
@@ -18,27 +25,40 @@
 const FETCH_INTERVAL: Duration = Duration::from_millis(60);
 
 /// Gives snapshots until nobody listens.
-pub(crate) async fn give(listener: TcpListener, commands: mpsc::Sender<Command>) {
+pub(crate) async fn give(
+    listener: TcpListener,
+    mut allowance: Allowance,
+    commands: mpsc::Sender<Command>,
+) {
+    let started = Instant::now();
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             tokio::time::sleep(FETCH_INTERVAL).await;
             continue;
         };
-        let commands = commands.clone();
+        if !allowance.may_give(started.elapsed()) {
+            log::debug!("snapshot_refused");
+            continue;
+        }
+        let Some(snapshot) = take(&commands).await else { return };
+        let bytes = snapshot.encode();
+        allowance.take(bytes.len());
         tokio::spawn(async move {
-            let _ = tokio::time::timeout(GIVE_TIMEOUT, give_one(stream, commands)).await;
+            let _ = tokio::time::timeout(GIVE_TIMEOUT, write(stream, bytes)).await;
         });
     }
 }
 
-async fn give_one(mut stream: TcpStream, commands: mpsc::Sender<Command>) {
+/// The core's snapshot; `None` while the process ends.
+pub(crate) async fn take(commands: &mpsc::Sender<Command>) -> Option<Snapshot> {
     let (sender, receiver) = oneshot::channel();
-    if commands.send(Command::GiveSnapshot(sender)).await.is_err() {
-        return;
-    }
-    let Ok(snapshot) = receiver.await else { return };
+    commands.send(Command::GiveSnapshot(sender)).await.ok()?;
+    receiver.await.ok()
+}
+
+async fn write(mut stream: TcpStream, bytes: Vec<u8>) {
     // The reader notices a snapshot that was cut off.
-    let _ = stream.write_all(&snapshot.encode()).await;
+    let _ = stream.write_all(&bytes).await;
     let _ = stream.shutdown().await;
 }
 
--- /dev/null
+++ b/crates/node/tests/allowance.rs
@@ -0,0 +1,45 @@
+//! Snapshots leave most of a link to callers' packets.
+
+use loftdrift_node::Allowance;
+use std::time::Duration;
+
+/// A configuration of 1,525 routes.
+const SNAPSHOT_BYTES: usize = 36_000;
+const ASKED_EACH: Duration = Duration::from_millis(5);
+
+/// Bytes given in ten seconds on a link while somebody asks all the time.
+fn given(bits_a_second: f64) -> usize {
+    let mut allowance = Allowance::of_link(bits_a_second);
+    let mut given = 0;
+    for step in 0..2_000 {
+        if allowance.may_give(ASKED_EACH * step) {
+            allowance.take(SNAPSHOT_BYTES);
+            given += SNAPSHOT_BYTES;
+        }
+    }
+    given
+}
+
+#[test]
+fn a_slow_link_gives_few_and_a_fast_one_all_that_are_asked_for() {
+    let slow = given(10e6) as f64 / 10.0;
+    assert!((0.15..0.25).contains(&(slow * 8.0 / 10e6)), "{slow} bytes a second");
+    assert_eq!(given(1e9), 2_000 * SNAPSHOT_BYTES);
+}
+
+#[test]
+fn the_first_who_asks_is_given_one_on_any_link() {
+    assert!(Allowance::of_link(0.1e6).may_give(Duration::ZERO));
+}
+
+#[test]
+fn what_was_saved_up_is_bounded() {
+    let mut allowance = Allowance::of_link(10e6);
+    let later = Duration::from_secs(3_600);
+    let mut given = 0;
+    while allowance.may_give(later) {
+        allowance.take(SNAPSHOT_BYTES);
+        given += 1;
+    }
+    assert!(given <= 2, "{given}");
+}
