--- a/crates/carried/src/agent/finding.rs
+++ b/crates/carried/src/agent/finding.rs
@@ -83,13 +83,14 @@
     /// A packet of a flow whose back end has ended.
     pub(super) fn refuse_ended(
         &mut self,
+        now: Duration,
         from: SocketAddrV4,
         id: FlowId,
         segment: &Segment,
         datagram: Vec<u8>,
     ) {
         let is_open = self.flows.get(id).is_some_and(|flow| flow.body.is_open_here(segment));
-        self.remove(id);
+        self.remove(now, id);
         match is_open {
             true => self.tell_over(from, segment, "backend_ended"),
             false => self.pass_back(from, datagram),
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -98,6 +98,8 @@
     foreign: HashSet<FlowKey>,
     foreign_order: VecDeque<FlowKey>,
     waiting: u32,
+    /// Requests that the back end has and has not answered, overdue ones left out.
+    working: u32,
     work: WorkMeter,
     breaker: Breaker,
     cold_gate: ColdGate,
@@ -143,6 +145,7 @@
             foreign: HashSet::new(),
             foreign_order: VecDeque::new(),
             waiting: 0,
+            working: 0,
             work: WorkMeter::default(),
             breaker: Breaker::new(),
             watch: Watch::default(),
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -36,7 +36,7 @@
                     return self.tell_placed(now, from, number);
                 }
                 // The caller uses its port again.
-                _ => self.remove(id),
+                _ => self.remove(now, id),
             }
         }
         if let Some(reason) = self.refusal(now, service, admission) {
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -22,7 +22,7 @@
             return self.pass_back(from, datagram);
         }
         if self.watch.has_ended {
-            return self.refuse_ended(from, id, &segment, datagram);
+            return self.refuse_ended(now, from, id, &segment, datagram);
         }
         entry.body.balancer = from;
         if segment.acknowledges {
@@ -122,7 +122,7 @@
         let flow = segment.flow_of_answer();
         if segment.resets && self.is_trial(&flow) {
             // The back end speaks of an earlier flow between the same addresses.
-            return self.end_trial(flow);
+            return self.end_trial(now, flow);
         }
         self.counters.packets_answered += 1;
         match self.flows.find(&flow) {
@@ -140,12 +140,12 @@
     }
 
     /// The back end does not hold the flow of a packet that it was given on trial.
-    pub(super) fn end_trial(&mut self, flow: FlowKey) {
+    pub(super) fn end_trial(&mut self, now: Duration, flow: FlowKey) {
         let Some(id) = self.flows.find(&flow) else { return };
         if let Some(balancer) = self.flows.get(id).map(|flow| flow.body.balancer) {
             self.tell_word(balancer, flow, Word::Absent);
         }
-        self.remove(id);
+        self.remove(now, id);
         self.remember_foreign(flow);
     }
 
@@ -181,8 +181,7 @@
                 self.latency.answer.observe(now.saturating_sub(since));
                 let outcome = self.outcome(in_system, datagram);
                 if outcome == RequestOutcome::Answered {
-                    let capacity = u32::from(self.backend.capacity());
-                    self.work.record(now, now.saturating_sub(since), in_system, capacity);
+                    self.work.record(now);
                 }
                 self.note_outcome(now, &key, outcome);
                 self.set_phase(now, id, Phase::Resting);
@@ -214,7 +213,7 @@
         let (balancer, phase) = (entry.body.balancer, entry.body.phase);
         match phase {
             Phase::Offered { number } if segment.is_opening() => {
-                self.remove(id);
+                self.remove(now, id);
                 self.decline(now, balancer, number, &flow, DeclineReason::Returned);
             }
             // A packet of an earlier flow between the same addresses, which came back late, or of
@@ -223,17 +222,17 @@
             _ if entry.body.backend_left => {}
             _ if !entry.body.acknowledges_here(segment) => {}
             _ if entry.body.is_open_here(segment) => {
-                self.remove(id);
+                self.remove(now, id);
                 self.remember_foreign(flow);
                 self.tell_over(balancer, segment, "lost_by_backend");
             }
-            Phase::Tried => self.end_trial(flow),
+            Phase::Tried => self.end_trial(now, flow),
             _ => {
                 log::warn!(
                     flow = flow_name(&flow).as_str(), balancer:% = balancer;
                     "packet_returned_by_backend"
                 );
-                self.remove(id);
+                self.remove(now, id);
                 self.remember_foreign(flow);
                 self.pass_back(balancer, datagram);
             }
--- a/crates/carried/src/agent/phases.rs
+++ b/crates/carried/src/agent/phases.rs
@@ -12,6 +12,7 @@
         let before = std::mem::replace(&mut flow.body.phase, phase);
         flow.body.since = now;
         self.waiting = self.waiting + u32::from(phase.burdens()) - u32::from(before.burdens());
+        self.note_work(now, before, Some(phase));
         self.flows.wake_by(id, Some(now + lasts));
     }
 
@@ -39,9 +40,20 @@
         self.standing.idle_timeout(self.settings.longest_flow)
     }
 
-    pub(super) fn remove(&mut self, id: FlowId) {
-        if let Some(flow) = self.flows.get(id) {
-            self.waiting -= u32::from(flow.body.phase.burdens());
+    /// Has the meter learn when a request begins or ends its work.
+    fn note_work(&mut self, now: Duration, before: Phase, after: Option<Phase>) {
+        let is_at_work = |phase: Phase| matches!(phase, Phase::Waiting { .. });
+        let (was, is) = (is_at_work(before), after.is_some_and(is_at_work));
+        if was != is {
+            self.working = self.working + u32::from(is) - u32::from(was);
+            self.work.note_working(now, self.working, u32::from(self.backend.capacity()));
+        }
+    }
+
+    pub(super) fn remove(&mut self, now: Duration, id: FlowId) {
+        if let Some(phase) = self.flows.get(id).map(|flow| flow.body.phase) {
+            self.waiting -= u32::from(phase.burdens());
+            self.note_work(now, phase, None);
         }
         self.flows.remove(id);
     }
@@ -75,7 +87,7 @@
                 self.set_phase(now, id, Phase::Resting);
             }
             Phase::Answered => self.set_phase(now, id, Phase::Resting),
-            Phase::Resting | Phase::Tried | Phase::Closing => self.remove(id),
+            Phase::Resting | Phase::Tried | Phase::Closing => self.remove(now, id),
         }
     }
 
--- a/crates/carried/src/agent/watch.rs
+++ b/crates/carried/src/agent/watch.rs
@@ -137,7 +137,7 @@
                 && let Some(segment) = flow.body.last_segment(&flow.key)
             {
                 let balancer = flow.body.balancer;
-                self.remove(id);
+                self.remove(now, id);
                 self.tell_over(balancer, &segment, "backend_ended");
             }
         }
--- a/crates/carried/src/load.rs
+++ b/crates/carried/src/load.rs
@@ -6,39 +6,61 @@
 const NEW_SHARE: f64 = 0.1;
 /// Slots' worth of requests that are taken at most before enough was measured.
 const UNMEASURED_ROUNDS: f64 = 2.0;
-/// So many answers a slot are enough. The first answers are those of the shortest requests: their
-/// mean lets in far more than the back end can answer in time.
+/// So many answers a slot are enough: those of fewer may all be short or long.
 const ENOUGH_ROUNDS: u32 = 2;
-/// ... and never fewer than this: two slots' first four answers are still the shortest.
+/// ... and never fewer than this.
 const ENOUGH_ANSWERS: u32 = 8;
 
-/// Mean time from a request to its answer, less what it waited for a slot.
+/// Mean time that a request keeps a slot: the time that slots were busy for each answer.
+///
+/// Requests still at work count with the time they have had. A mean over answers alone is that of the
+/// shortest requests while the first ones come, and lets in half as much again as can be answered in time.
 #[derive(Debug, Default)]
 pub(crate) struct WorkMeter {
-    /// `None` before any measurement.
-    mean_seconds: Option<f64>,
+    /// Time that slots were busy, and answers in it; the same share of both is forgotten.
+    busy_seconds: f64,
+    answers: f64,
+    /// Slots that are busy, since when that is so.
+    busy: u32,
+    counted_at: Duration,
     measured_at: Duration,
-    /// Measurements so far.
+    /// Answers so far.
     measured: u32,
 }
 
 impl WorkMeter {
-    /// Takes the time of an answer when `in_system` requests shared `capacity` slots: with more
-    /// requests than slots, part of the time was spent waiting.
-    pub(crate) fn record(&mut self, now: Duration, took: Duration, in_system: u32, capacity: u32) {
-        let crowding = (f64::from(in_system) / f64::from(capacity.max(1))).max(1.0);
-        let measured = took.as_secs_f64() / crowding;
+    /// So many requests are at work from now on, on `capacity` slots.
+    pub(crate) fn note_working(&mut self, now: Duration, working: u32, capacity: u32) {
+        self.count(now);
+        self.busy = working.min(capacity);
+    }
+
+    fn count(&mut self, now: Duration) {
+        let elapsed = now.saturating_sub(self.counted_at).as_secs_f64();
+        self.busy_seconds += elapsed * f64::from(self.busy);
+        self.counted_at = now;
+    }
+
+    /// Takes an answer.
+    pub(crate) fn record(&mut self, now: Duration) {
+        self.count(now);
         self.measured = self.measured.saturating_add(1);
-        // A plain mean until the share of a new measurement has fallen to its usual size.
+        // A plain mean until the share of a new answer has fallen to its usual size.
         let share = NEW_SHARE.max(1.0 / f64::from(self.measured));
-        let mean = self.mean_seconds.unwrap_or(measured);
-        self.mean_seconds = Some(mean + share * (measured - mean));
+        let kept = if share > NEW_SHARE { 1.0 } else { 1.0 - share };
+        self.busy_seconds *= kept;
+        self.answers = (self.answers + 1.0) * kept;
         self.measured_at = now;
     }
 
+    /// The mean in seconds; `None` before any answer.
+    fn mean_seconds(&self) -> Option<f64> {
+        (self.answers > 0.0).then(|| self.busy_seconds / self.answers)
+    }
+
     /// The mean in microseconds; 0 when nothing was measured.
     pub(crate) fn mean_us(&self) -> u32 {
-        (self.mean_seconds.unwrap_or(0.0) * 1e6) as u32
+        (self.mean_seconds().unwrap_or(0.0) * 1e6) as u32
     }
 
     /// Milliseconds since the last measurement.
@@ -51,12 +73,12 @@
     /// no request was measured.
     pub(crate) fn expected(&self, in_system: u32, capacity: u32) -> Duration {
         let crowding = (f64::from(in_system) / f64::from(capacity.max(1))).max(1.0);
-        Duration::from_secs_f64(self.mean_seconds.unwrap_or(0.0) * crowding)
+        Duration::from_secs_f64(self.mean_seconds().unwrap_or(0.0) * crowding)
     }
 
     /// How many requests may be in the system so that the last one is answered within `budget`.
     pub(crate) fn admission_limit(&self, capacity: u32, budget: Duration) -> u32 {
-        let rounds = match self.mean_seconds {
+        let rounds = match self.mean_seconds() {
             Some(mean) => budget.as_secs_f64() / mean.max(LEAST_SECONDS),
             None => UNMEASURED_ROUNDS,
         };
