--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -1,6 +1,7 @@
 //! New flows: offered to one agent after the other, placed, refused or left to their copies.
 
 use super::*;
+use crate::offer_budget::FREE_OFFERS;
 use crate::opening::{Opened, Wanted, may_reset_copy};
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
@@ -91,11 +92,14 @@
         }
         // In overload nobody has a free slot: the flow goes to a queue at once, if it may.
         let is_scarce = self.pool.is_budget_spent(now, &opening.service);
+        // The last offer that is free must not go to waste: an agent without a free slot takes the flow
+        // into its queue, which costs less than asking on.
+        let is_last_free = opening.offers + 1 >= FREE_OFFERS;
         loop {
             let is_late = opening.is_late(now) && self.pool.is_recovering(now, &opening.service);
             // A place in the queue is for those that still meet their aim.
             let may_queue = !is_late && self.policies.has(Policy::SecondRound);
-            opening.wants_queue |= is_scarce && may_queue;
+            opening.wants_queue |= (is_scarce || is_last_free) && may_queue;
             let most = if opening.wants_queue { MOST_QUEUE_ASKED } else { MOST_FREE_ASKED };
             let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
                 let may_have_room = opening.wants_queue || !view.is_known_full(now);
