--- a/crates/lab/src/bin/loftdrift-lab.rs
+++ b/crates/lab/src/bin/loftdrift-lab.rs
@@ -3,8 +3,8 @@
 use anyhow::{Context, Result, bail};
 use indicatif::{ProgressBar, ProgressDrawTarget, ProgressStyle};
 use loftdrift_lab::{
-    CarriedWorld, CarriedWorldSettings, Comparison, Plan, Policy, Report, Scenario, Trace, compare,
-    explore, random_day_with_evacuations, run, shrink, write_plots,
+    CarriedWorld, CarriedWorldSettings, Comparison, DayProfile, Plan, Policy, Report, Scenario,
+    Trace, compare, explore, random_day_with_evacuations, run, shrink, write_day_plot, write_plots,
 };
 use pico_args::Arguments;
 use std::io::IsTerminal;
@@ -32,6 +32,9 @@
   carried [--seed N | --seeds A..B] [--balancers N] [--weak N]
       random days of carried flows: faults of every kind, the users' rules as outcomes; --weak: so many
       balancers have little processor
+  profile LOG... [--step-ms N] [--from S] [--to S] [--plot FILE.svg]
+      what nodes' logs tell of a day, counted in steps of N milliseconds (100), as a table; --plot: flows
+      placed, declined and refused as a picture
 
   --help, --version
 exit codes: 0 as stated, 1 an outcome was missed, 2 usage or a file that does not read
@@ -40,6 +43,11 @@
 const EXIT_MISSED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 const DEFAULT_EXPLORATIONS: u64 = 1_000;
+const DEFAULT_STEP_MS: i64 = 100;
+/// Columns of a day's table.
+const TABLE_KINDS: usize = 12;
+const PLOT_KINDS: [&str; 4] =
+    ["opening_placed", "request_arrived", "offer_declined:busy", "opening_refused:busy"];
 const DEFAULT_OUT: &str = "failing.toml";
 
 fn main() -> ExitCode {
@@ -70,6 +78,7 @@
         Some("replay") => replay_command(arguments),
         Some("explore") => explore_command(arguments),
         Some("carried") => carried_command(arguments),
+        Some("profile") => profile_command(arguments),
         other => bail!("unknown command `{}`; see loftdrift-lab --help", other.unwrap_or_default()),
     }
 }
@@ -105,6 +114,29 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Counts the events of a day.
+fn profile_command(mut arguments: Arguments) -> Result<ExitCode> {
+    let step_ms = arguments.opt_value_from_str("--step-ms")?.unwrap_or(DEFAULT_STEP_MS);
+    let from: f64 = arguments.opt_value_from_str("--from")?.unwrap_or(0.0);
+    let to: f64 = arguments.opt_value_from_str("--to")?.unwrap_or(f64::INFINITY);
+    let plot: Option<String> = arguments.opt_value_from_str("--plot")?;
+    let mut logs = Vec::new();
+    for file in arguments.finish() {
+        let bytes = std::fs::read(&file);
+        let bytes = bytes.with_context(|| format!("cannot read {}", file.to_string_lossy()))?;
+        logs.push(String::from_utf8_lossy(&bytes).into_owned());
+    }
+    if logs.is_empty() {
+        bail!("no log named; see --help");
+    }
+    let profile = DayProfile::of_logs(&logs, step_ms);
+    print!("{}", profile.table(TABLE_KINDS, from, to));
+    if let Some(file) = plot {
+        write_day_plot(std::path::Path::new(&file), &profile, &PLOT_KINDS)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn read_scenario(file: &str) -> Result<Scenario> {
     let text = std::fs::read_to_string(file).with_context(|| format!("cannot read {file}"))?;
     Ok(Scenario::parse(file, &text)?)
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -13,6 +13,7 @@
 mod caller;
 mod carried;
 mod compare;
+mod day_profile;
 mod explore;
 mod flow_log;
 mod network;
@@ -34,12 +35,13 @@
     random_day, random_day_with_evacuations,
 };
 pub use compare::{Comparison, compare};
+pub use day_profile::DayProfile;
 pub use explore::{Failure, explore, shrink};
 pub use flow_log::{FlowLog, FlowSpan, Members};
 pub use network::NetworkSettings;
 pub use outcome::Outcome;
 pub use plan::{Plan, PlannedFlow};
-pub use plot::{PlotError, write_plots};
+pub use plot::{PlotError, write_day_plot, write_plots};
 pub use policies::Policy;
 pub use report::{Report, ServiceReport};
 pub use run::{Run, run, service_address};
--- a/crates/lab/src/plot.rs
+++ b/crates/lab/src/plot.rs
@@ -1,6 +1,7 @@
 //! Plots of a comparison as SVG files.
 
 use crate::compare::Comparison;
+use crate::day_profile::DayProfile;
 use plotters::prelude::{
     ChartBuilder, DrawingAreaErrorKind, IntoDrawingArea, LineSeries, Palette, Palette99,
     PathElement, SVGBackend, SeriesLabelPosition, WHITE,
@@ -52,6 +53,19 @@
     Ok(())
 }
 
+/// Writes one file with a curve for each of some kinds of events of a day.
+pub fn write_day_plot(
+    file: &Path,
+    profile: &DayProfile,
+    kinds: &[&'static str],
+) -> Result<(), PlotError> {
+    let curve = |kind: &&'static str| Curve {
+        name: kind,
+        points: profile.series(kind).iter().map(|(at, count)| (*at, *count as f64)).collect(),
+    };
+    draw(file, "events a step", &kinds.iter().map(curve).collect::<Vec<_>>())
+}
+
 fn cumulative(times: &[Duration]) -> Vec<(f64, f64)> {
     let step = |(index, at): (usize, &Duration)| {
         [(at.as_secs_f64(), index as f64), (at.as_secs_f64(), index as f64 + 1.0)]
--- a/crates/logging/src/line.rs
+++ b/crates/logging/src/line.rs
@@ -92,4 +92,15 @@
         let pairs = self.text.split(' ').filter_map(|word| word.split_once('='));
         pairs.into_iter().find(|(found, _)| *found == key).map(|(_, value)| value)
     }
+
+    /// Milliseconds of its time of day; logs that are read together are of one day.
+    pub fn milliseconds_of_day(&self) -> Option<i64> {
+        let time = self.value("time")?.split_once('T')?.1.strip_suffix('Z')?;
+        let (clock, milliseconds) = time.split_once('.')?;
+        let mut seconds = 0;
+        for part in clock.split(':') {
+            seconds = seconds * 60 + part.parse::<i64>().ok()?;
+        }
+        Some(seconds * 1_000 + milliseconds.parse::<i64>().ok()?)
+    }
 }
--- a/crates/logging/src/trace.rs
+++ b/crates/logging/src/trace.rs
@@ -32,12 +32,13 @@
     }
     let names_flow = |line: &Line<'_>| line.value("flow").is_some_and(|flow| flows.contains(&flow));
     let own: Vec<Line<'a>> = lines.iter().copied().filter(names_flow).collect();
-    let times: Vec<i64> = own.iter().filter_map(milliseconds_of_day).collect();
+    let times: Vec<i64> = own.iter().filter_map(Line::milliseconds_of_day).collect();
     let (Some(first), Some(last)) = (times.iter().min(), times.iter().max()) else {
         return Vec::new();
     };
     let is_cause = |line: &Line<'_>| {
-        let is_near = milliseconds_of_day(line)
+        let is_near = line
+            .milliseconds_of_day()
             .is_some_and(|at| (first - MARGIN_MS..=last + MARGIN_MS).contains(&at));
         is_near && line.value("event").is_some_and(|event| CAUSES.contains(&event))
     };
@@ -46,14 +47,3 @@
     found.sort_by_key(|line| (line.value("time"), line.value("node")));
     found.iter().map(|line| line.text).collect()
 }
-
-/// The line's time of day; logs that are read together are of one day.
-fn milliseconds_of_day(line: &Line<'_>) -> Option<i64> {
-    let time = line.value("time")?.split_once('T')?.1.strip_suffix('Z')?;
-    let (clock, milliseconds) = time.split_once('.')?;
-    let mut seconds = 0;
-    for part in clock.split(':') {
-        seconds = seconds * 60 + part.parse::<i64>().ok()?;
-    }
-    Some(seconds * 1_000 + milliseconds.parse::<i64>().ok()?)
-}
