--- /dev/null
+++ b/crates/carried/src/agent/condition.rs
@@ -0,0 +1,79 @@
+//! Whether the back end takes new flows, and what balancers are told of it.
+
+use super::*;
+
+impl<F: SegmentFormat> CarriedAgent<F> {
+    /// Has balancers hear of a condition that they were not told.
+    pub(super) fn tell_change(&mut self, now: Duration, cause: &str) {
+        let after = self.condition(now);
+        let before = std::mem::replace(&mut self.told, after);
+        if before != after {
+            if after == BackendCondition::Ended {
+                self.goodbye_until = Some(now + GOODBYE_LASTS);
+            }
+            let (from, to) = (format!("{before:?}"), format!("{after:?}"));
+            log::info!(backend = cause, from = from.as_str(), to = to.as_str(), waiting = self.waiting; "backend_changed");
+            self.standing.membership.hurry(now);
+        }
+    }
+
+    /// When the condition changes by itself: a silence or a rest is over.
+    pub(super) fn condition_changes_at(&self) -> Option<Duration> {
+        [self.silent_until, self.breaker.rests_until()].into_iter().flatten().min()
+    }
+
+    pub(super) fn condition(&self, now: Duration) -> BackendCondition {
+        if self.watch.has_ended {
+            return BackendCondition::Ended;
+        }
+        if self.stopping {
+            return BackendCondition::Leaving;
+        }
+        match self.backend.condition() {
+            BackendCondition::Accepting if self.is_evacuated() => BackendCondition::Evacuated,
+            BackendCondition::Accepting if self.silent_until.is_some_and(|until| now < until) => {
+                BackendCondition::Silent
+            }
+            BackendCondition::Accepting if self.breaker.state(now) == BreakerState::Open => {
+                BackendCondition::Failing
+            }
+            condition => condition,
+        }
+    }
+
+    /// Whether the zone is evacuated, as far as is known here.
+    pub(super) fn is_evacuated(&self) -> bool {
+        self.standing.configuration.evacuated.contains(&self.settings.node.zone)
+    }
+
+    pub(super) fn is_cold(&self, now: Duration) -> bool {
+        self.may_be_cold || self.backend.is_cold(now)
+    }
+
+    /// New flows that the back end may still be given, where it is cold and a limit is told.
+    pub(super) fn cold_room(&self, now: Duration) -> Option<usize> {
+        let service = self.standing.configuration.service(self.backend.service())?;
+        let may_be_cold = self.is_cold(now) || !self.backend.has_reported();
+        if service.cold_flows_milli == 0 || !may_be_cold {
+            return None;
+        }
+        let told = f64::from(service.cold_flows_milli) / 1e3;
+        // One at least: a back end that is given nothing never becomes warm.
+        let limit = (told * self.settings.cold_overshoot).max(1.0) as usize;
+        Some(self.cold_gate.room(now, limit))
+    }
+
+    pub(super) fn report(&self, now: Duration) -> LoadReport {
+        LoadReport {
+            service: self.backend.service().to_owned(),
+            condition: self.condition(now),
+            capacity: self.backend.capacity(),
+            waiting: self.waiting.min(u32::from(u16::MAX)) as u16,
+            work_us: self.work.mean_us(),
+            measured_ms_ago: self.work.measured_ms_ago(now),
+            is_cold: self.is_cold(now),
+            cold_room: self.cold_room(now).map(|room| room.min(usize::from(u16::MAX)) as u16),
+            begun_ms_ago: self.begun_at.map(|at| now.saturating_sub(at).as_millis() as u32),
+        }
+    }
+}
