A heartbeat that comes after its sender's crash retires no start that lives

An agent took each heartbeat of an id that it had not seen for a new start, filed the known one among the former and refused those for good. A heartbeat that a cut had held up, of a start that this process of the agent had never seen, so retired the living start: its own heartbeats were refused from then on, and a draining back end was ready again.

Ruled out: numbers alone (a new start begins at 1), the time of day (not in the format), asking the back end (its health page tells no id).

A heartbeat of another id counts at once only as one of the first three of a start never seen, where the known one does not leave or has said that it is gone. Any other is doubted: it counts when the same id speaks again half a second later or more with nothing of the known one in between. A doubted start's leave and coldness count already.

--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -305,9 +305,15 @@
                 self.doubt_flows(now);
             }
             ReportOutcome::Outdated => self.counters.backend_reports_outdated += 1,
+            ReportOutcome::Doubted => {
+                self.counters.backend_reports_doubted += 1;
+                log::info!(
+                    backend = report.id.as_str(), sequence = report.sequence; "backend_doubted"
+                );
+            }
             ReportOutcome::Updated => {}
         }
-        if outcome != ReportOutcome::Outdated {
+        if matches!(outcome, ReportOutcome::Started | ReportOutcome::Updated) {
             self.silent_until = None;
             // While the zone is evacuated it may turn cold at any moment.
             self.may_be_cold = self.is_evacuated();
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -157,6 +157,8 @@
         backend_reports,
         /// Heartbeats of the back end that were older than what is known.
         backend_reports_outdated,
+        /// Heartbeats of another start than the known one, not believed yet.
+        backend_reports_doubted,
         /// Times that the back end fell silent.
         backend_silences,
         /// Questions whether anybody listens at the back end's port.
