--- a/crates/bench/benches/carried.rs
+++ b/crates/bench/benches/carried.rs
@@ -62,6 +62,7 @@
             condition: BackendCondition::Accepting,
             capacity: 7,
             waiting: 3,
+            in_line: 0,
             work_us: 55_000,
             measured_ms_ago: 0,
             is_cold: false,
--- a/crates/carried/src/agent/condition.rs
+++ b/crates/carried/src/agent/condition.rs
@@ -81,6 +81,7 @@
             condition: self.condition(now),
             capacity: self.backend.capacity(),
             waiting: self.waiting.min(u32::from(u16::MAX)) as u16,
+            in_line: self.line.len().min(usize::from(u16::MAX)) as u16,
             work_us: self.work.mean_us(),
             measured_ms_ago: self.work.measured_ms_ago(now),
             is_cold: self.is_cold(now),
--- a/crates/carried/src/agent/flow.rs
+++ b/crates/carried/src/agent/flow.rs
@@ -110,15 +110,29 @@
         acknowledged.wrapping_sub(end).cast_signed().unsigned_abs() <= LARGEST_WINDOW
     }
 
+    /// Whether a caller's data can be of this flow by its own numbers too. Back ends' first numbers
+    /// are near each other once in 8,000 times: the port's next flow, at another back end, would be
+    /// answered with what this one was.
+    pub(super) fn continues(&self, segment: &Segment) -> bool {
+        let known = self.caller_end.or(self.opened_with);
+        segment.payload_bytes == 0
+            || known.is_none_or(|known| {
+                let distance = segment.sequence.wrapping_sub(known).cast_signed();
+                distance.unsigned_abs() <= LARGEST_WINDOW
+            })
+    }
+
     /// Whether a copy of the opening packet may still open the flow.
     pub(super) fn awaits_opening_of(&self, copy: &Segment) -> bool {
         let awaits = matches!(self.phase, Phase::Offered { .. } | Phase::Answered);
         awaits && self.opened_with.is_none_or(|sequence| sequence == copy.sequence)
     }
 
-    /// Whether a packet is a copy of the one that opened the flow, which is not over.
-    pub(super) fn was_opened_by(&self, copy: &Segment) -> bool {
-        self.phase != Phase::Closing && self.opened_with == Some(copy.sequence)
+    /// Whether an opening packet with this number is a copy of the one that opened the flow, which may
+    /// be over: a copy may have waited for more than a second in a line, and its caller's port may
+    /// stand for another flow by then. The back end would answer that one for the old one.
+    pub(super) fn was_opened_by(&self, sequence: u32) -> bool {
+        self.opened_with == Some(sequence)
     }
 
     /// What a reset of the flow answers; `None` before the caller has acknowledged anything.
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -11,6 +11,7 @@
 mod condition;
 mod finding;
 mod flow;
+mod line;
 mod offers;
 mod outcomes;
 mod packets;
@@ -19,6 +20,7 @@
 
 use self::cold_gate::ColdGate;
 use self::flow::{CarriedFlow, Phase};
+use self::line::{InLine, Line};
 use self::outcomes::RequestOutcome;
 pub use self::watch::ProbeOutcome;
 use self::watch::Watch;
@@ -102,6 +104,8 @@
     standing: Standing,
     backend: Backend,
     flows: FlowTable<CarriedFlow>,
+    /// New flows that wait until the back end has room.
+    line: Line,
     foreign: HashSet<FlowKey>,
     foreign_order: VecDeque<FlowKey>,
     waiting: u32,
@@ -152,6 +156,7 @@
             begun_at: None,
             format,
             flows: FlowTable::default(),
+            line: Line::default(),
             foreign: HashSet::new(),
             foreign_order: VecDeque::new(),
             waiting: 0,
@@ -227,6 +232,7 @@
                 self.counters.configurations_adopted += 1;
                 self.may_be_cold |= was_evacuated;
                 self.tell_change(now, "configuration");
+                self.serve_line(now);
                 return true;
             }
         }
@@ -254,6 +260,7 @@
     /// Takes no new flows from now on and tells every balancer so.
     pub fn start_draining(&mut self, now: Duration) {
         self.stopping = true;
+        self.empty_line(now, DeclineReason::NotAccepting);
         self.hurry_watch(now);
         self.standing.membership.hurry(now);
         log::info!(waiting = self.waiting; "draining");
@@ -320,6 +327,7 @@
             self.watch.note_sign();
         }
         self.tell_change(now, &report.id);
+        self.serve_line(now);
         outcome
     }
 
@@ -333,6 +341,7 @@
     pub fn take_departure(&mut self, now: Duration, id: &str) {
         self.backend.take_departure(id);
         self.tell_change(now, id);
+        self.serve_line(now);
     }
 
     /// Takes the answer to a question about the back end's health.
@@ -346,6 +355,7 @@
     fn doubt_flows(&mut self, now: Duration) {
         self.work = WorkMeter::default();
         self.breaker = Breaker::new();
+        self.empty_line(now, DeclineReason::NotAccepting);
         for id in self.flows.ids() {
             let phase = self.flows.get(id).map(|flow| flow.body.phase);
             // One that is being opened is answered by this start or by none.
@@ -378,6 +388,7 @@
             }
             _ => self.counters.messages_malformed += 1,
         }
+        self.serve_line(now);
     }
 
     /// When [`CarriedAgent::handle_timeout`] must be called next.
@@ -387,6 +398,7 @@
             self.standing.membership.next_due(),
             self.condition_changes_at(),
             self.next_question(),
+            self.line.next_expiry(),
         ];
         due.into_iter().flatten().min()
     }
@@ -402,6 +414,7 @@
             self.tell_change(now, "rested");
         }
         self.ask_backend(now);
+        self.serve_line(now);
         for (peer, wants_reply) in self.standing.membership.take_due(now) {
             self.send_heartbeat(now, peer, wants_reply);
         }
@@ -417,6 +430,7 @@
         CarriedAgentCounters {
             flows: self.flows.busy() as u64,
             waiting: u64::from(self.waiting),
+            in_line: self.line.len() as u64,
             peers: self.standing.membership.len() as u64,
             configuration_version: self.standing.configuration.version,
             configuration_newest_heard: self.standing.newest_heard(),
--- a/crates/carried/src/agent/offers.rs
+++ b/crates/carried/src/agent/offers.rs
@@ -31,24 +31,38 @@
                     self.outputs.push_back(Output::ToBackend(datagram));
                     return;
                 }
-                // A copy that comes late, through a balancer that is behind: the flow is open.
-                Some(body) if body.was_opened_by(&segment) => {
+                // A copy that comes late, through a balancer that is behind: the flow is open, or over.
+                Some(body) if body.was_opened_by(segment.sequence) => {
                     return self.tell_placed(now, from, number);
                 }
                 // The caller uses its port again.
                 _ => self.remove(now, id),
             }
         }
-        if let Some(reason) = self.refusal(now, service, admission) {
+        let entry = InLine {
+            flow,
+            number,
+            balancer: from,
+            datagram,
+            opened_with: segment.sequence,
+            expires_at: now,
+            joined_at: now,
+        };
+        let refusal = self.refusal(now, service, admission);
+        if self.keeps_waiting(now, &entry, admission, refusal) {
+            return;
+        }
+        if let Some(reason) = refusal {
             return self.decline(now, from, number, &flow, reason);
         }
-        self.counters.offers_taken += 1;
-        self.cold_gate.note(now);
-        let mut body = CarriedFlow::new(now, from, Phase::Resting);
-        body.opened_with = Some(segment.sequence);
-        let id = self.flows.insert(flow, body);
-        self.set_phase(now, id, Phase::Offered { number });
-        self.outputs.push_back(Output::ToBackend(datagram));
+        match admission {
+            Admission::Line { within_ms, patience_ms, priority } => {
+                let expires_at = now + milliseconds(patience_ms);
+                let entry = InLine { expires_at, ..entry };
+                self.admit_to_line(now, entry, milliseconds(within_ms), priority);
+            }
+            _ => self.take_flow(now, entry),
+        }
     }
 
     /// Tells a balancer that the flow of its offer lives here.
@@ -67,12 +81,12 @@
             return Some(DeclineReason::OtherService);
         }
         let is_last_resort = matches!(admission, Admission::Failing(_));
-        match self.condition(now) {
-            BackendCondition::Accepting => {}
-            BackendCondition::Failing if is_last_resort => {}
-            BackendCondition::Failing => return Some(DeclineReason::Failing),
-            BackendCondition::Evacuated => return Some(DeclineReason::Evacuated),
-            _ => return Some(DeclineReason::NotAccepting),
+        if let Some(reason) = self.closed(now, is_last_resort) {
+            return Some(reason);
+        }
+        // It waits for as long as there is no room.
+        if matches!(admission, Admission::Line { .. }) {
+            return None;
         }
         if self.cold_room(now) == Some(0) {
             return Some(DeclineReason::Cold);
@@ -86,6 +100,7 @@
             Admission::FreeSlot => capacity,
             Admission::Spare => (capacity * SPARE_OF_THREE / 3).max(1),
             _ if !self.settings.policies.has(Policy::QueueLimit) => u32::MAX,
+            Admission::Line { .. } => u32::MAX,
             Admission::Within(milliseconds) | Admission::Failing(milliseconds) => {
                 let budget = Duration::from_millis(u64::from(milliseconds));
                 self.work.admission_limit(capacity, budget)
@@ -94,6 +109,17 @@
         (self.waiting >= limit).then_some(DeclineReason::Busy)
     }
 
+    /// Why no new flow at all is taken just now.
+    pub(super) fn closed(&self, now: Duration, is_last_resort: bool) -> Option<DeclineReason> {
+        match self.condition(now) {
+            BackendCondition::Accepting => None,
+            BackendCondition::Failing if is_last_resort => None,
+            BackendCondition::Failing => Some(DeclineReason::Failing),
+            BackendCondition::Evacuated => Some(DeclineReason::Evacuated),
+            _ => Some(DeclineReason::NotAccepting),
+        }
+    }
+
     pub(super) fn decline(
         &mut self,
         now: Duration,
@@ -120,3 +146,7 @@
         self.outputs.push_back(Output::ToPeer { to, message });
     }
 }
+
+fn milliseconds(count: u16) -> Duration {
+    Duration::from_millis(u64::from(count))
+}
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -18,7 +18,7 @@
             None => return self.pass_back(from, datagram),
         };
         let Some(entry) = self.flows.get_mut(id) else { return };
-        if !entry.body.acknowledges_here(&segment) {
+        if !entry.body.acknowledges_here(&segment) || !entry.body.continues(&segment) {
             return self.pass_back(from, datagram);
         }
         if self.watch.has_ended {
@@ -131,6 +131,7 @@
         }
         let host = *flow.caller.ip();
         self.outputs.push_back(Output::ToCaller { host, datagram });
+        self.serve_line(now);
     }
 
     pub(super) fn is_trial(&self, flow: &FlowKey) -> bool {
--- a/crates/carried/src/agent/watch.rs
+++ b/crates/carried/src/agent/watch.rs
@@ -150,6 +150,7 @@
         self.watch.is_urgent = false;
         self.counters.backend_ends += 1;
         self.tell_change(now, cause);
+        self.empty_line(now, DeclineReason::NotAccepting);
         for id in self.flows.ids() {
             let Some(flow) = self.flows.get(id) else { continue };
             if flow.body.phase.is_waiting()
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -106,6 +106,10 @@
         }
         while let Some(number) = self.repair.pop(now) {
             let Some(lookup) = self.lookups.get_mut(number) else { continue };
+            if !lookup.is_recent(now) {
+                self.finish_lookup(now, number);
+                continue;
+            }
             if lookup.began_at.is_none() {
                 lookup.began_at = Some(now);
                 lookup.next_ask = now + FIRST_PAUSE;
@@ -235,7 +239,7 @@
     /// `false` when there are none, or none may be tried.
     fn try_unsure(&mut self, now: Duration, number: u64) -> bool {
         let Some(lookup) = self.lookups.get(number) else { return false };
-        let Some(datagram) = lookup.trial_packet().cloned() else { return false };
+        let Some(datagram) = lookup.trial_packet(now).cloned() else { return false };
         let most = match self.others_deny(now, lookup) {
             true => FIRST_TRIALS << lookup.trial_rounds.min(MOST_TRIAL_DOUBLINGS),
             false => MOST_TRIALS.saturating_sub(lookup.trials),
@@ -301,7 +305,7 @@
         }
         let is_first = lookup.ended_at.replace(now).is_none();
         let (started, began_at) = (lookup.started, lookup.began_at.unwrap_or(now));
-        lookup.take_waiting();
+        lookup.take_waiting(now);
         self.repair.note_settled(now, began_at, number);
         let age = now.saturating_sub(started);
         if is_first {
@@ -345,7 +349,7 @@
         let Some(mut lookup) = self.finish_lookup(now, number) else { return };
         self.counters.lookups_found += 1;
         self.latency.lookup.observe(now.saturating_sub(lookup.started));
-        for datagram in lookup.take_waiting() {
+        for datagram in lookup.take_waiting(now) {
             self.counters.packets_forwarded += 1;
             let message = Message::Forward { datagram };
             self.outputs.push_back(Output::ToPeer { to: from, message });
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -16,6 +16,7 @@
 mod questions;
 mod repair;
 mod store_watch;
+mod unrouted;
 mod verdicts;
 
 use self::errands::Errands;
@@ -24,6 +25,7 @@
 use self::questions::Questions;
 use self::repair::Repair;
 use self::store_watch::StoreWatch;
+use self::unrouted::Unrouted;
 use self::verdicts::Acquaintance;
 use crate::configuration::{CarriedConfiguration, RoutingTable};
 use crate::counters::CarriedBalancerCounters;
@@ -60,13 +62,8 @@
 const MOST_FREE_ASKED: usize = 6;
 /// Agents asked for a place in their queue, at most.
 const MOST_QUEUE_ASKED: usize = 4;
-/// While a service comes back, a flow that nobody has room for is kept for so long: what was asked
-/// while it was away comes all at once, and a caller that is refused has used up its tries at once.
-const HELD_LASTS: Duration = Duration::from_millis(350);
-/// Share of what a service works off that is left for flows that are kept.
-const HELD_SHARE: f64 = 0.6;
-/// Time between two looks for room.
-const HELD_INTERVAL: Duration = Duration::from_millis(15);
+/// The agent's word that a flow has waited in vain is here so long after.
+const LINE_GRACE: Duration = Duration::from_millis(40);
 /// Share of the aim for which a flow waits for an agent to ask.
 const SEARCH_SHARE: f64 = 0.2;
 /// Share of the aim within which an agent may still queue a request; the rest is for the ways and
@@ -119,6 +116,8 @@
     policies: Policies,
     flows: FlowCache,
     openings: Openings,
+    /// Flows that were asked for before any configuration was known.
+    unrouted: Unrouted,
     lookups: Pending<Lookup>,
     questions: Questions,
     repair: Repair,
@@ -142,12 +141,16 @@
         let mut random = ChaCha8Rng::seed_from_u64(settings.seed);
         CarriedBalancer {
             format,
-            repair: Repair::new(settings.node.link_mbps),
+            repair: Repair::new(
+                settings.node.link_mbps,
+                settings.policies.has(Policy::RepairBudget),
+            ),
             standing: Standing::new(settings.node),
             routes: RoutingTable::default(),
             pool: Pool::new(settings.policies),
             policies: settings.policies,
             flows: FlowCache::default(),
+            unrouted: Unrouted::default(),
             openings: Openings::new(random.random()),
             lookups: Pending::new(random.random()),
             questions: Questions::default(),
@@ -236,6 +239,7 @@
         self.pool.evacuate(&self.standing.configuration.evacuated);
         self.fence.lift(now);
         self.counters.configurations_adopted += 1;
+        self.unrouted.note_routes(now);
         self.standing.membership.hurry(now);
         true
     }
@@ -269,6 +273,9 @@
             Some(Message::Declined { number, reason, report }) => {
                 self.handle_declined(now, from, number, reason, report);
             }
+            Some(Message::Queued { number, report }) => {
+                self.handle_queued(now, from, number, report);
+            }
             Some(Message::Found { up_ms, words }) => self.handle_found(now, from, up_ms, &words),
             Some(Message::Ended { flow }) => self.handle_ended(now, from, flow.into()),
             Some(Message::NotHeld { datagram }) => self.handle_not_held(now, from, &datagram),
@@ -316,6 +323,7 @@
             self.lookups.next_wake_up(),
             self.questions.next_round(),
             self.repair.next_look(),
+            self.unrouted.next_due(),
             self.standing.membership.next_due(),
             self.errands.next(),
             Some(self.next_store_step()),
@@ -333,6 +341,7 @@
         while let Some(number) = self.lookups.pop_due(now) {
             self.wake_lookup(now, number);
         }
+        self.open_kept(now);
         self.begin_searches(now);
         self.send_questions(now);
         for (peer, wants_reply) in self.standing.membership.take_due(now) {
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -24,7 +24,7 @@
         }
         if let Some(number) = self.openings.number_of(&flow) {
             self.openings.note_copy(came_at, number, segment.acknowledgement);
-            return;
+            return self.check_line(now, number);
         }
         if let Some(agent) = self.flows.agent(&flow) {
             if segment.acknowledgement > 0 && self.may_repeat(now, agent, &flow) {
@@ -32,10 +32,21 @@
             }
             self.flows.remove(&flow, agent);
         }
-        let Some(route) = self.routes.route(&flow.service) else {
+        let datagram = datagram.to_vec();
+        let opened =
+            Opened { segment: *segment, datagram, came_at, started: now, first_came: came_at };
+        self.open(now, opened);
+    }
+
+    /// Begins to look for a place for a new flow.
+    pub(super) fn open(&mut self, now: Duration, opened: Opened) {
+        let segment = opened.segment;
+        let address = segment.flow().service;
+        let Some(route) = self.routes.route(&address) else {
             self.counters.packets_without_route += 1;
-            if !self.routes.is_empty() {
-                self.refuse(now, segment, Refusal::NoRoute, None);
+            match self.routes.is_empty() {
+                true => self.unrouted.keep(opened),
+                false => self.refuse(now, &segment, Refusal::NoRoute, None),
             }
             return;
         };
@@ -44,18 +55,25 @@
             milliseconds => Duration::from_millis(u64::from(milliseconds)),
         };
         if self.openings.is_full() {
-            return self.refuse(now, segment, Refusal::Busy, None);
+            return self.refuse(now, &segment, Refusal::Busy, None);
         }
-        let regions = route.regions.clone();
-        let Some(service) = self.routes.next_service(&flow.service) else {
-            return self.refuse(now, segment, Refusal::NoRoute, None);
+        let (regions, priority) = (route.regions.clone(), route.priority);
+        let Some(service) = self.routes.next_service(&address) else {
+            return self.refuse(now, &segment, Refusal::NoRoute, None);
         };
         self.counters.openings_started += 1;
-        let opened = Opened { segment: *segment, datagram: datagram.to_vec(), came_at };
-        let number = self.openings.start(now, opened, Wanted { service, regions, aim });
+        let wanted = Wanted { service, regions, aim, priority };
+        let number = self.openings.start(now, opened, wanted);
         self.advance(now, number);
     }
 
+    /// Begins to look for places for flows that were asked for before any configuration was known.
+    pub(super) fn open_kept(&mut self, now: Duration) {
+        while let Some(opened) = self.unrouted.pop(now) {
+            self.open(now, opened);
+        }
+    }
+
     /// Whether a repeated opening packet may go where the flow was placed: the agent seems to live
     /// and the address still stands for its service.
     pub(super) fn may_repeat(&self, now: Duration, agent: SocketAddrV4, flow: &FlowKey) -> bool {
@@ -97,6 +115,10 @@
         let is_last_free = opening.offers + 1 >= FREE_OFFERS;
         loop {
             let is_late = opening.is_late(now) && self.pool.is_recovering(now, &opening.service);
+            let has_line = self.policies.has(Policy::Line) && opening.patience(now).is_some();
+            if opening.wants_line || (has_line && (is_late || is_scarce)) {
+                break;
+            }
             // A place in the queue is for those that still meet their aim.
             let may_queue = !is_late && self.policies.has(Policy::SecondRound);
             opening.wants_queue |= (is_scarce || is_last_free) && may_queue;
@@ -131,9 +153,12 @@
         let interval = self.standing.membership.interval();
         let Some(opening) = self.openings.get_mut(number) else { return };
         let age = opening.age(now);
+        let is_late = opening.is_late(now) && self.pool.is_recovering(now, &opening.service);
+        let is_scarce = is_late || self.pool.is_budget_spent(now, &opening.service);
         let is_full = opening.was_declined(DeclineReason::Busy)
             || opening.was_declined(DeclineReason::Returned)
             || opening.was_declined(DeclineReason::Cold)
+            || (is_scarce && self.policies.has(Policy::Line))
             || self.pool.is_known_full(now, interval, &opening.service);
         if !is_full && self.policies.has(Policy::LastResort) {
             let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
@@ -151,16 +176,20 @@
             }
         }
         let has_unanswered = opening.has_unanswered();
+        let is_young = self.unrouted.is_young(now);
         let is_evacuated = self.pool.is_evacuated(&opening.service);
-        if is_full && age < HELD_LASTS && self.may_hold(now, number) {
-            return self.hold(now, number);
+        if is_full && self.join_line(now, number) {
+            return;
         }
         let Some(opening) = self.openings.get_mut(number) else { return };
         let refusal = match (has_unanswered, is_full) {
             (true, _) if opening.may_be_placed(now) => None,
             (true, _) => Some(Refusal::Unanswered),
             (false, true) => Some(Refusal::Busy),
-            (false, false) if age < opening.aim.mul_f64(SEARCH_SHARE) && !is_evacuated => None,
+            (false, false) if is_evacuated => Some(Refusal::Unavailable),
+            (false, false) if age < opening.aim.mul_f64(SEARCH_SHARE) => None,
+            // Agents are being heard of: the list of nodes came with the first configuration.
+            (false, false) if is_young && opening.patience(now).is_some() => None,
             (false, false) => Some(Refusal::Unavailable),
         };
         match refusal {
@@ -177,23 +206,65 @@
         }
     }
 
-    /// Whether a flow that nobody has room for is kept: its service is just coming back, and no more
-    /// are kept than this balancer's share of what the service can work off beside new requests.
-    fn may_hold(&self, now: Duration, number: u64) -> bool {
-        let Some(opening) = self.openings.get(number) else { return false };
-        let is_recovering = self.pool.is_recovering(now, &opening.service);
-        if !is_recovering || !self.policies.has(Policy::KeepFlows) {
+    /// Offers a flow that nobody has room for to an agent where it may wait; `false` when there is
+    /// none, or too little time.
+    fn join_line(&mut self, now: Duration, number: u64) -> bool {
+        if !self.policies.has(Policy::Line) {
+            return false;
+        }
+        let interval = self.standing.membership.interval();
+        let Some(opening) = self.openings.get_mut(number) else { return false };
+        if opening.patience(now).is_none() || opening.lines_left() == 0 {
+            return false;
+        }
+        let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
+            !opening.has_asked_line(agent) && view.is_in(&opening.regions)
+        };
+        let random = &mut self.random;
+        let noise = || random.random::<f64>();
+        let ranking = Ranking::of(&opening.flow());
+        let shortest =
+            self.pool.shortest_line(now, interval, &opening.service, ranking, may_ask, noise);
+        let Some(agent) = shortest else { return false };
+        // Each flow may wait in some line; that another one is shorter is worth an offer in calm only.
+        let is_paid = self.pool.take_offer(now, &opening.service, opening.offers);
+        if !is_paid && opening.has_asked_any_line() {
             return false;
         }
-        let balancers = 1 + self.standing.membership.balancers();
-        let share = self.pool.throughput(now, &opening.service) / balancers as f64;
-        let most = share * HELD_LASTS.as_secs_f64() * HELD_SHARE;
-        opening.was_held || (self.openings.held() as f64) < most
+        opening.wants_line = true;
+        self.offer(now, number, agent);
+        true
     }
 
-    fn hold(&mut self, now: Duration, number: u64) {
-        self.counters.openings_held += u64::from(self.openings.hold(number));
-        self.openings.wake_at(number, now + HELD_INTERVAL);
+    /// An agent has a flow wait until its back end has room.
+    pub(super) fn handle_queued(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        number: u64,
+        report: LoadReport,
+    ) {
+        self.pool.take_report(now, from, report);
+        let Some(opening) = self.openings.get_mut(number) else { return };
+        let Some(asked) = opening.last_offer_to(from) else { return };
+        asked.answer = Answer::Queued;
+        self.counters.openings_queued += 1;
+        // The agent tells before; if it does not, the caller's try is over.
+        let patience = opening.patience(now).unwrap_or_default();
+        self.openings.wake_at(number, now + patience + LINE_GRACE);
+    }
+
+    /// A copy came of a flow that waits at an agent: while that agent seems to be gone, another one
+    /// is to take the flow.
+    fn check_line(&mut self, now: Duration, number: u64) {
+        let interval = self.standing.membership.interval();
+        let Some(opening) = self.openings.get_mut(number) else { return };
+        let Some(agent) = opening.queued_at() else { return };
+        let is_gone = self.pool.view(&agent).is_none_or(|view| view.is_suspect(now, interval));
+        if is_gone && let Some(asked) = opening.last_offer_to(agent) {
+            asked.answer = Answer::Unanswered;
+            self.advance(now, number);
+        }
     }
 
     pub(super) fn offer(&mut self, now: Duration, number: u64, agent: SocketAddrV4) {
@@ -202,6 +273,11 @@
         let budget_ms = budget.as_millis() as u32;
         let is_late = opening.is_late(now) && self.pool.is_recovering(now, &opening.service);
         let admission = match (opening.is_last_resort, opening.wants_queue) {
+            _ if opening.wants_line => Admission::Line {
+                within_ms: if is_late { 0 } else { budget_ms.min(u32::from(u16::MAX)) as u16 },
+                patience_ms: opening.patience(now).unwrap_or_default().as_millis() as u16,
+                priority: opening.priority,
+            },
             (true, _) => Admission::Failing(budget_ms),
             (false, true) => Admission::Within(budget_ms),
             (false, false) if is_late => Admission::Spare,
@@ -263,6 +339,7 @@
             let answer = match asked.answer {
                 Answer::Pending => "pending",
                 Answer::Unanswered => "unanswered",
+                Answer::Queued => "queued",
                 Answer::Declined(reason) => reason.name(),
             };
             let view = self.pool.view(&asked.agent);
@@ -331,8 +408,12 @@
     pub(super) fn wake_opening(&mut self, now: Duration, number: u64) {
         let is_late = self.lateness.is_late(now);
         let Some(opening) = self.openings.get_mut(number) else { return };
-        if opening.is_held {
-            opening.begin_again();
+        if opening.queued_at().is_some() {
+            // Its agent, or what it said, is lost; whether it has opened is not known here.
+            if let Some(opening) = self.openings.finish(number) {
+                self.give_up(now, &opening, Refusal::Unanswered);
+            }
+            return;
         }
         for asked in &mut opening.asked {
             if asked.answer != Answer::Pending {
--- a/crates/carried/src/balancer/repair.rs
+++ b/crates/carried/src/balancer/repair.rs
@@ -42,6 +42,7 @@
 /// The searches that wait, and how many may be under way.
 #[derive(Debug)]
 pub(super) struct Repair {
+    is_bounded: bool,
     window: f64,
     halved_at: Duration,
     /// Searches under way, by when they began.
@@ -59,10 +60,12 @@
 }
 
 impl Repair {
-    /// For a process whose link carries so many megabits a second.
-    pub(super) fn new(link_mbps: u32) -> Self {
+    /// For a process whose link carries so many megabits a second; without bounds where that is asked
+    /// for.
+    pub(super) fn new(link_mbps: u32, is_bounded: bool) -> Self {
         let link_rate = f64::from(link_mbps.max(1)) * BYTES_A_MEGABIT * LINK_SHARE;
         Repair {
+            is_bounded,
             window: FIRST_WINDOW,
             halved_at: Duration::ZERO,
             active: BTreeSet::new(),
@@ -139,7 +142,8 @@
     /// The next search to look at, if one more may begin.
     pub(super) fn pop(&mut self, now: Duration) -> Option<u64> {
         self.retire(now);
-        if self.active.len() as f64 >= self.window || !self.may_send(now) {
+        let is_full = self.is_bounded && self.active.len() as f64 >= self.window;
+        if is_full || !self.may_send(now) {
             return None;
         }
         self.urgent.pop_front().or_else(|| self.others.pop_front())
@@ -156,7 +160,7 @@
         self.counted_at = now;
         let most = self.link_rate * LINK_BURST.as_secs_f64();
         self.link_left = (self.link_left + elapsed * self.link_rate).min(most);
-        self.link_left >= 0.0
+        self.link_left >= 0.0 || !self.is_bounded
     }
 
     /// A search has sent so many bytes.
--- a/crates/carried/src/balancer/verdicts.rs
+++ b/crates/carried/src/balancer/verdicts.rs
@@ -96,7 +96,10 @@
         let presumed = with_backend().filter(|(_, view)| view.memory() == FlowMemory::Presumed);
         let presumed = presumed.count();
         let is_joint = 20 * together >= 19 * self.pool.len();
-        let all_lost_power = is_joint && presumed >= LEAST_PRESUMED && 2 * presumed >= heard;
+        let all_lost_power = self.policies.has(Policy::PowerLoss)
+            && is_joint
+            && presumed >= LEAST_PRESUMED
+            && 2 * presumed >= heard;
         let restarted_at = all_lost_power.then_some(middle);
         let before = std::mem::replace(&mut self.acquaintance.restarted_at, restarted_at);
         if before.is_some() != all_lost_power {
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -45,8 +45,8 @@
         openings_refused_no_route,
         /// Flows given up because no agent has answered.
         openings_given_up,
-        /// Flows kept until an agent has room.
-        openings_held,
+        /// Flows that wait at an agent until its back end has room.
+        openings_queued,
         /// Opening packets dropped right after a standstill; their copies are taken.
         openings_fenced,
         /// Times that the process stood still.
@@ -115,6 +115,10 @@
         standstills,
         /// New flows passed to the back end.
         offers_taken,
+        /// New flows that had to wait until the back end had room.
+        flows_queued,
+        /// Of those, such as were declined when their callers' tries were over.
+        flows_expired,
         /// Offers declined because the back end has enough to do.
         declined_busy,
         /// Offers declined because the back end sent the opening packet back.
@@ -181,6 +185,8 @@
         flows,
         /// Requests that wait for an answer.
         waiting,
+        /// New flows that wait until the back end has room.
+        in_line,
         /// Nodes known.
         peers,
         /// Mean time of a request at the back end, in microseconds.
--- a/crates/carried/src/latency.rs
+++ b/crates/carried/src/latency.rs
@@ -53,6 +53,8 @@
     pub(crate) handshake: Histogram,
     /// From a request's first packet to the first one of its answer.
     pub(crate) answer: Histogram,
+    /// Time that flows have waited until there was room.
+    pub(crate) line: Histogram,
 }
 
 impl Default for AgentLatency {
@@ -66,6 +68,10 @@
                 "answer_seconds",
                 "From a request passed to the back end until the first packet of its answer.",
             ),
+            line: Histogram::seconds(
+                "line_seconds",
+                "Time that new flows have waited until the back end had room.",
+            ),
         }
     }
 }
@@ -73,6 +79,6 @@
 impl AgentLatency {
     /// All of them.
     pub fn histograms(&self) -> Vec<Histogram> {
-        vec![self.handshake.clone(), self.answer.clone()]
+        vec![self.handshake.clone(), self.answer.clone(), self.line.clone()]
     }
 }
--- a/crates/carried/src/lookup.rs
+++ b/crates/carried/src/lookup.rs
@@ -34,7 +34,8 @@
 const LAST_PAUSE: Duration = Duration::from_millis(640);
 /// Doublings after which the pause grows no more.
 const MOST_PAUSES: u32 = 8;
-/// What agents have said holds for so long: a port may be used again meanwhile.
+/// What agents have said holds for so long, and packets that have waited for longer are left to their
+/// callers' repetitions, which come within 1.6 s: a port may be used again meanwhile.
 const SAID_LASTS: Duration = Duration::from_millis(1_500);
 /// A search ends so long after the caller's last packet.
 pub(crate) const LASTS: Duration = Duration::from_secs(4);
@@ -59,7 +60,8 @@
     pub(crate) segment: Segment,
     pub(crate) started: Duration,
     last_packet: Duration,
-    waiting: Vec<Vec<u8>>,
+    /// Packets with when each came.
+    waiting: Vec<(Duration, Vec<u8>)>,
     said: BTreeMap<SocketAddrV4, Said>,
     /// Batches asked so far.
     pub(crate) batches: u32,
@@ -84,7 +86,7 @@
             segment,
             started: now,
             last_packet: now,
-            waiting: vec![datagram.to_vec()],
+            waiting: vec![(now, datagram.to_vec())],
             said: BTreeMap::new(),
             batches: 0,
             trials: 0,
@@ -110,7 +112,7 @@
             self.segment = *segment;
         }
         if self.waiting.len() < MOST_WAITING {
-            self.waiting.push(datagram.to_vec());
+            self.waiting.push((now, datagram.to_vec()));
         }
         // What was tried long ago without a reaction may be tried once more.
         for word in self.said.values_mut() {
@@ -122,14 +124,21 @@
         self.next_ask = self.next_ask.min(now + FIRST_PAUSE);
     }
 
-    /// Takes the packets that wait.
-    pub(crate) fn take_waiting(&mut self) -> Vec<Vec<u8>> {
-        std::mem::take(&mut self.waiting)
+    /// Takes the packets that wait and are not old.
+    pub(crate) fn take_waiting(&mut self, now: Duration) -> Vec<Vec<u8>> {
+        let waiting = std::mem::take(&mut self.waiting).into_iter();
+        waiting.filter(|(came_at, _)| is_recent(now, *came_at)).map(|(_, packet)| packet).collect()
+    }
+
+    /// Whether its caller has sent something lately.
+    pub(crate) fn is_recent(&self, now: Duration) -> bool {
+        is_recent(now, self.last_packet)
     }
 
     /// A packet that a back end which holds the flow reacts to.
-    pub(crate) fn trial_packet(&self) -> Option<&Vec<u8>> {
-        self.demands_answer().then(|| self.waiting.last()).flatten()
+    pub(crate) fn trial_packet(&self, now: Duration) -> Option<&Vec<u8>> {
+        let last = self.waiting.last().filter(|(came_at, _)| is_recent(now, *came_at));
+        last.filter(|_| self.demands_answer()).map(|(_, packet)| packet)
     }
 
     /// Whether the caller waits for something, and has not left.
@@ -197,3 +206,7 @@
         now.saturating_sub(self.last_packet) >= LASTS
     }
 }
+
+fn is_recent(now: Duration, came_at: Duration) -> bool {
+    now.saturating_sub(came_at) < SAID_LASTS
+}
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -240,11 +240,6 @@
         self.peers.len()
     }
 
-    /// How many other balancers are known.
-    pub(crate) fn balancers(&self) -> usize {
-        self.peers.values().filter(|peer| peer.role == NodeRole::Balancer).count()
-    }
-
     /// Where this node stands among the balancers heard lately.
     pub(crate) fn places(&self, now: Duration) -> Places {
         let patience = self.interval() * ALIVE_INTERVALS;
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -28,6 +28,16 @@
     Failing(u32),
     /// Only when slots are to spare: the request is late already.
     Spare,
+    /// When there is room, or when the request can still be answered in time; until then it waits in
+    /// the agent's line.
+    Line {
+        /// In time is within so many milliseconds.
+        within_ms: u16,
+        /// The caller's try lasts for so many milliseconds more.
+        patience_ms: u16,
+        /// How urgent the route's requests are; 0 is the most urgent.
+        priority: u8,
+    },
 }
 
 /// Whether the back end beside an agent takes new flows.
@@ -61,6 +71,8 @@
     pub capacity: u16,
     /// Requests that wait for an answer, those in work included.
     pub waiting: u16,
+    /// New flows that wait until the back end has room.
+    pub in_line: u16,
     /// Mean time from a request to its answer when slots were free, in microseconds; 0 before any
     /// was measured.
     pub work_us: u32,
@@ -115,6 +127,11 @@
 }
 
 impl DeclineReason {
+    /// Whether the agent may have room in a moment.
+    pub(crate) fn may_pass(self) -> bool {
+        matches!(self, DeclineReason::Busy | DeclineReason::Returned | DeclineReason::Cold)
+    }
+
     /// The reason's name in logs.
     pub fn name(self) -> &'static str {
         match self {
@@ -220,6 +237,13 @@
         /// The agent's load.
         report: LoadReport,
     },
+    /// Agent to balancer: the flow waits until the back end has room; `Placed` or `Declined` follows.
+    Queued {
+        /// The offer's number.
+        number: u64,
+        /// The agent's load.
+        report: LoadReport,
+    },
     /// Agent to balancer: not taken, and nothing of it has run.
     Declined {
         /// The offer's number.
--- a/crates/carried/src/offer_budget.rs
+++ b/crates/carried/src/offer_budget.rs
@@ -13,6 +13,8 @@
 const EARNED: f64 = 1.0;
 /// Repeated offers a second that cost nothing, so that a service in which nothing is placed is tried.
 const EARNED_A_SECOND: f64 = 10.0;
+/// Repeated offers that one flow may need.
+const NEEDED: f64 = 2.0;
 /// Most that is saved: the repeated offers of a few flows that come together.
 const MOST: f64 = 40.0;
 
@@ -43,10 +45,10 @@
         self.earn(EARNED);
     }
 
-    /// Whether there is nothing left for a repeated offer.
+    /// Whether less is left than one flow may need: a queue at a third agent, and a line.
     pub(crate) fn is_spent(&mut self, now: Duration) -> bool {
         self.count(now);
-        self.left < 1.0
+        self.left < NEEDED
     }
 
     /// Takes what one offer costs, the flow having made `made` before; `false` when it may not be
@@ -55,7 +57,8 @@
         if made < FREE_OFFERS {
             return true;
         }
-        if self.is_spent(now) {
+        self.count(now);
+        if self.left < 1.0 {
             return false;
         }
         self.left -= 1.0;
--- a/crates/carried/src/opening.rs
+++ b/crates/carried/src/opening.rs
@@ -14,6 +14,15 @@
 /// How long a caller has waited when it sends each copy of its opening packet.
 const COPIED_AFTER: [Duration; 3] =
     [Duration::ZERO, Duration::from_millis(200), Duration::from_millis(600)];
+/// A caller gives a try up so long after its opening packet.
+pub(crate) const TRY_LASTS: Duration = Duration::from_millis(1_400);
+/// What is left of a try when a flow leaves an agent's line at the latest: the ways to the back end and
+/// to the caller, some 10 ms in all, and a queue in front of a small balancer.
+const TRY_MARGIN: Duration = Duration::from_millis(80);
+/// With less left, waiting is not worth an offer.
+const LEAST_PATIENCE: Duration = Duration::from_millis(20);
+/// Agents that a flow is offered to for their lines, at most: one that has just filled up, and another.
+const MOST_LINES: usize = 2;
 /// Share of the aim after which a request is taken to be late: its work is still to come.
 const LATE_SHARE: f64 = 0.5;
 /// A caller may be reset only so long after each copy came: it sends the next one a little later.
@@ -30,6 +39,8 @@
     Pending,
     /// Nothing in time.
     Unanswered,
+    /// It waits there until the back end has room.
+    Queued,
     /// No.
     Declined(DeclineReason),
 }
@@ -48,6 +59,11 @@
     fn wanted_queue(&self) -> bool {
         !matches!(self.admission, Admission::FreeSlot | Admission::Spare)
     }
+
+    /// Whether a place in the agent's line was asked for.
+    fn wanted_line(&self) -> bool {
+        matches!(self.admission, Admission::Line { .. })
+    }
 }
 
 /// An opening packet as it came.
@@ -57,6 +73,32 @@
     pub(crate) datagram: Vec<u8>,
     /// No later than this it came; it may have waited in a socket.
     pub(crate) came_at: Duration,
+    /// From then on it has waited here.
+    pub(crate) started: Duration,
+    /// No later than this its first copy here came; the caller's try lasts from then on.
+    pub(crate) first_came: Duration,
+}
+
+/// How long a caller goes on with its try of which `opening`, the first copy that came here, came no
+/// later than `first_came`; nothing when that is too little.
+fn patience(now: Duration, opening: &Segment, first_came: Duration) -> Option<Duration> {
+    let copied = COPIED_AFTER.get(opening.acknowledgement as usize);
+    let copied = copied.copied().unwrap_or(COPIED_AFTER[COPIED_AFTER.len() - 1]);
+    let lasts = TRY_LASTS.saturating_sub(copied).saturating_sub(TRY_MARGIN);
+    let left = lasts.saturating_sub(now.saturating_sub(first_came));
+    (left >= LEAST_PATIENCE).then_some(left)
+}
+
+impl Opened {
+    /// Whether its caller goes on with its try for long enough.
+    pub(crate) fn is_waited_for(&self, now: Duration) -> bool {
+        patience(now, &self.segment, self.first_came).is_some()
+    }
+
+    /// Whether another packet is a copy of this one.
+    pub(crate) fn is_copy(&self, other: &Opened) -> bool {
+        self.segment.sequence == other.segment.sequence
+    }
 }
 
 /// What a new flow wants of a back end.
@@ -67,6 +109,8 @@
     pub(crate) regions: Vec<String>,
     /// Within this time the answer is worth all that it can be.
     pub(crate) aim: Duration,
+    /// How urgent its requests are; 0 is the most urgent.
+    pub(crate) priority: u8,
 }
 
 /// A new flow on its way to a back end.
@@ -78,20 +122,21 @@
     /// Regions that its back end may be in; any where none is named.
     pub(crate) regions: Vec<String>,
     pub(crate) aim: Duration,
+    pub(crate) priority: u8,
     pub(crate) started: Duration,
+    /// No later than this its first copy here came.
+    first_came: Duration,
     /// No later than this the last copy of the opening packet came; it may have waited in a socket.
     copied_at: Duration,
     /// Which copy that was.
     copy: u32,
-    /// Kept until an agent has room, since the service is just coming back.
-    pub(crate) is_held: bool,
-    /// Was kept at least once.
-    pub(crate) was_held: bool,
     pub(crate) asked: Vec<Asked>,
     /// Offers made so far, those of rounds that are over included.
     pub(crate) offers: u32,
     /// Nobody has a free slot: whoever can answer in time is asked.
     pub(crate) wants_queue: bool,
+    /// It is offered to agents in whose line it may wait.
+    pub(crate) wants_line: bool,
     /// No back end of the service is there but ones that fail.
     pub(crate) is_last_resort: bool,
 }
@@ -129,6 +174,36 @@
         waited + self.age(now) >= self.aim.mul_f64(LATE_SHARE)
     }
 
+    /// How long the flow may wait for room: as long as its caller's try lasts. Nothing when that is
+    /// too little.
+    pub(crate) fn patience(&self, now: Duration) -> Option<Duration> {
+        patience(now, &self.segment, self.first_came)
+    }
+
+    /// Lines that the flow may still be offered to.
+    pub(crate) fn lines_left(&self) -> usize {
+        MOST_LINES.saturating_sub(self.asked.iter().filter(|asked| asked.wanted_line()).count())
+    }
+
+    /// Whether the flow was offered to a line.
+    pub(crate) fn has_asked_any_line(&self) -> bool {
+        self.asked.iter().any(Asked::wanted_line)
+    }
+
+    /// Whether an agent was asked for a place in its line, or cannot give one.
+    pub(crate) fn has_asked_line(&self, agent: &SocketAddrV4) -> bool {
+        let is_busy = |answer| matches!(answer, Answer::Declined(reason) if reason.may_pass());
+        self.asked
+            .iter()
+            .any(|asked| asked.agent == *agent && (asked.wanted_line() || !is_busy(asked.answer)))
+    }
+
+    /// The agent in whose line it waits.
+    pub(crate) fn queued_at(&self) -> Option<SocketAddrV4> {
+        let queued = self.asked.iter().find(|asked| asked.answer == Answer::Queued);
+        queued.map(|asked| asked.agent)
+    }
+
     /// Whether an agent that has said nothing so far may have placed the flow not long ago.
     pub(crate) fn may_be_placed(&self, now: Duration) -> bool {
         self.asked.iter().any(|asked| {
@@ -137,13 +212,6 @@
         })
     }
 
-    /// Asks everybody again, but for those that have not answered.
-    pub(crate) fn begin_again(&mut self) {
-        self.is_held = false;
-        self.wants_queue = false;
-        self.asked.retain(|asked| asked.answer == Answer::Unanswered);
-    }
-
     /// Whether an agent is not to be asked (again) in the round under way.
     pub(crate) fn has_asked(&self, agent: &SocketAddrV4) -> bool {
         self.asked.iter().any(|asked| {
@@ -165,8 +233,10 @@
         self.asked.iter().filter(in_round).count()
     }
 
+    /// Whether an agent's answer is to come.
     pub(crate) fn is_pending(&self) -> bool {
-        self.asked.iter().any(|asked| asked.answer == Answer::Pending)
+        let is_pending = |answer| matches!(answer, Answer::Pending | Answer::Queued);
+        self.asked.iter().any(|asked| is_pending(asked.answer))
     }
 
     pub(crate) fn has_unanswered(&self) -> bool {
@@ -192,8 +262,6 @@
 #[derive(Debug)]
 pub(crate) struct Openings {
     pending: Pending<Opening>,
-    /// Openings under way that were kept at least once.
-    held: usize,
 }
 
 /// Most openings under way; more are refused at once.
@@ -203,7 +271,7 @@
     /// Numbers its openings from `first` on: an answer to an earlier process of the balancer must
     /// not be taken for one to this process.
     pub(crate) fn new(first: u64) -> Self {
-        Openings { pending: Pending::new(first), held: 0 }
+        Openings { pending: Pending::new(first) }
     }
 
     pub(crate) fn is_full(&self) -> bool {
@@ -215,49 +283,32 @@
     }
 
     pub(crate) fn start(&mut self, now: Duration, opened: Opened, wanted: Wanted) -> u64 {
-        let Opened { segment, datagram, came_at } = opened;
-        let Wanted { service, regions, aim } = wanted;
+        let Opened { segment, datagram, came_at, started, first_came } = opened;
+        let Wanted { service, regions, aim, priority } = wanted;
         let opening = Opening {
             segment,
             datagram,
             service,
             regions,
             aim,
-            started: now,
+            priority,
+            started,
+            first_came,
             copied_at: came_at,
             copy: segment.acknowledgement,
-            is_held: false,
-            was_held: false,
             asked: Vec::new(),
             offers: 0,
             wants_queue: false,
+            wants_line: false,
             is_last_resort: false,
         };
         self.pending.start(now, segment.flow(), opening)
     }
 
-    pub(crate) fn get(&self, number: u64) -> Option<&Opening> {
-        self.pending.get(number)
-    }
-
     pub(crate) fn get_mut(&mut self, number: u64) -> Option<&mut Opening> {
         self.pending.get_mut(number)
     }
 
-    /// How many under way were kept at least once.
-    pub(crate) fn held(&self) -> usize {
-        self.held
-    }
-
-    /// Keeps an opening until its next wake-up; `true` the first time.
-    pub(crate) fn hold(&mut self, number: u64) -> bool {
-        let Some(opening) = self.pending.get_mut(number) else { return false };
-        opening.is_held = true;
-        let is_first = !std::mem::replace(&mut opening.was_held, true);
-        self.held += usize::from(is_first);
-        is_first
-    }
-
     /// A copy of the opening packet came.
     pub(crate) fn note_copy(&mut self, came_at: Duration, number: u64, copy: u32) {
         if let Some(opening) = self.pending.get_mut(number) {
@@ -267,9 +318,7 @@
     }
 
     pub(crate) fn finish(&mut self, number: u64) -> Option<Opening> {
-        let opening = self.pending.finish(number)?;
-        self.held -= usize::from(opening.was_held);
-        Some(opening)
+        self.pending.finish(number)
     }
 
     pub(crate) fn wake_at(&mut self, number: u64, at: Duration) {
--- a/crates/carried/src/policy.rs
+++ b/crates/carried/src/policy.rs
@@ -26,8 +26,8 @@
     Breaker,
     /// A queue takes what can be answered in time.
     QueueLimit,
-    /// Flows that nobody has room for are kept while their service comes back.
-    KeepFlows,
+    /// Flows that nobody has room for wait at an agent until it has.
+    Line,
     /// A balancer that stood still takes no new flow before it knows better.
     Fence,
     /// Agents read the shared store for balancers that it refuses.
@@ -42,11 +42,15 @@
     OwnLateness,
     /// Repeated offers are bounded by the flows placed.
     OfferBudget,
+    /// Searches for forgotten flows take a bounded share of the process and its link.
+    RepairBudget,
+    /// Where everything has lost power, flows of before are over.
+    PowerLoss,
 }
 
 impl Policy {
     /// Every mechanism.
-    pub const ALL: [Policy; 17] = [
+    pub const ALL: [Policy; 19] = [
         Policy::OwnZone,
         Policy::SecondRound,
         Policy::LastResort,
@@ -56,7 +60,7 @@
         Policy::WeighWork,
         Policy::Breaker,
         Policy::QueueLimit,
-        Policy::KeepFlows,
+        Policy::Line,
         Policy::Fence,
         Policy::StoreErrands,
         Policy::TellOver,
@@ -64,6 +68,8 @@
         Policy::FewWatchers,
         Policy::OwnLateness,
         Policy::OfferBudget,
+        Policy::RepairBudget,
+        Policy::PowerLoss,
     ];
 
     /// The name in settings.
@@ -78,7 +84,7 @@
             Policy::WeighWork => "weigh-work",
             Policy::Breaker => "breaker",
             Policy::QueueLimit => "queue-limit",
-            Policy::KeepFlows => "keep-flows",
+            Policy::Line => "line",
             Policy::Fence => "fence",
             Policy::StoreErrands => "store-errands",
             Policy::TellOver => "tell-over",
@@ -86,6 +92,8 @@
             Policy::FewWatchers => "few-watchers",
             Policy::OwnLateness => "own-lateness",
             Policy::OfferBudget => "offer-budget",
+            Policy::RepairBudget => "repair-budget",
+            Policy::PowerLoss => "power-loss",
         }
     }
 
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -164,6 +164,36 @@
     /// The best agent to offer a new flow of `service` to, among those that `may_ask` names.
     /// `noise` gives numbers from 0 to 1: they break ties.
     pub(crate) fn best(
+        &self,
+        now: Duration,
+        interval: Duration,
+        service: &str,
+        ranking: Ranking,
+        may_ask: impl Fn(&AgentId, &AgentView) -> bool,
+        noise: impl FnMut() -> f64,
+    ) -> Option<AgentId> {
+        let cost = |view: &AgentView, typical: &Typical| view.cost(now, typical, self.policies);
+        self.cheapest(now, interval, service, ranking, may_ask, noise, cost)
+    }
+
+    /// The agent of `service` where a flow waits for the shortest time until there is room.
+    pub(crate) fn shortest_line(
+        &self,
+        now: Duration,
+        interval: Duration,
+        service: &str,
+        ranking: Ranking,
+        may_ask: impl Fn(&AgentId, &AgentView) -> bool,
+        noise: impl FnMut() -> f64,
+    ) -> Option<AgentId> {
+        let cost =
+            |view: &AgentView, typical: &Typical| view.line_cost(now, typical, self.policies);
+        self.cheapest(now, interval, service, ranking, may_ask, noise, cost)
+    }
+
+    /// The agent of the least cost among the first in a flow's ranking.
+    #[allow(clippy::too_many_arguments)]
+    fn cheapest(
         &self,
         now: Duration,
         interval: Duration,
@@ -171,6 +201,7 @@
         ranking: Ranking,
         may_ask: impl Fn(&AgentId, &AgentView) -> bool,
         mut noise: impl FnMut() -> f64,
+        cost: impl Fn(&AgentView, &Typical) -> f64,
     ) -> Option<AgentId> {
         let alive = || self.accepting(service).filter(|(_, view)| !view.is_suspect(now, interval));
         let typical = Typical::of(alive().map(|(_, view)| view));
@@ -181,10 +212,9 @@
             true => sample(candidates),
             false => candidates,
         };
-        let cost = |view: &AgentView| view.cost(now, &typical, self.policies);
         let costs = candidates
             .into_iter()
-            .map(|(_, agent, view)| (cost(view) * (1.0 + NOISE_SHARE * noise()), *agent));
+            .map(|(_, agent, view)| (cost(view, &typical) * (1.0 + NOISE_SHARE * noise()), *agent));
         costs.min_by(|a, b| a.0.total_cmp(&b.0)).map(|(_, agent)| agent)
     }
 
@@ -221,12 +251,6 @@
         self.accepting(service).any(|(_, view)| view.has_just_come(now))
     }
 
-    /// Requests that a service works off in a second, as far as is known.
-    pub(crate) fn throughput(&self, now: Duration, service: &str) -> f64 {
-        let typical = Typical::of(self.accepting(service).map(|(_, view)| view));
-        self.accepting(service).map(|(_, view)| view.throughput(now, &typical, self.policies)).sum()
-    }
-
     /// Whether every agent of a service that takes new flows has just said that it is full.
     pub(crate) fn is_known_full(&self, now: Duration, interval: Duration, service: &str) -> bool {
         let mut alive =
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -311,16 +311,19 @@
         drift(measured, typical.work, age / WORK_HALF_SECONDS).max(LEAST_WORK_SECONDS)
     }
 
-    /// Requests that it works off in a second, as far as is known.
-    pub(crate) fn throughput(&self, now: Duration, typical: &Typical, policies: Policies) -> f64 {
-        self.capacity() / (self.work(now, typical, policies) * self.slowness(policies))
-    }
-
     fn slowness(&self, policies: Policies) -> f64 {
         let is_slow = self.report.is_cold && policies.has(Policy::WeighCold);
         if is_slow { COLD_FACTOR } else { 1.0 }
     }
 
+    /// Seconds until a flow that waits there until there is room is answered, as far as is known.
+    pub(crate) fn line_cost(&self, now: Duration, typical: &Typical, policies: Policies) -> f64 {
+        let ahead = f64::from(self.report.waiting) + f64::from(self.report.in_line);
+        let rounds = (ahead + f64::from(self.placed_since) + 1.0) / self.capacity();
+        self.work(now, typical, policies) * self.slowness(policies) * rounds
+            + self.location.distance.seconds(typical.work, policies)
+    }
+
     /// Seconds until a new request there would be answered, as far as is known.
     pub(crate) fn cost(&self, now: Duration, typical: &Typical, policies: Policies) -> f64 {
         let work = self.work(now, typical, policies);
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -125,6 +125,22 @@
     assert_eq!(sent_to_backend(&outputs(&mut agent)), 1);
 }
 
+#[test]
+fn data_of_the_port_s_next_flow_stays_out_though_both_back_ends_began_with_one_number() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    open(&mut agent, milliseconds(1), 1, 500);
+    let forward = |segment: &Segment| Message::Forward { datagram: packet(segment) }.encode();
+    agent.handle_peer(milliseconds(2), balancer_address(), &forward(&data(1, 101, 501)));
+    assert_eq!(sent_to_backend(&outputs(&mut agent)), 2);
+    let next = data(1, 1_330_307_754, 501);
+    agent.handle_peer(milliseconds(1_500), balancer_address(), &forward(&next));
+    let not_held = Message::NotHeld { datagram: packet(&next) };
+    assert_eq!(outputs(&mut agent), [to_balancer(not_held)]);
+    agent.handle_peer(milliseconds(1_501), balancer_address(), &forward(&data(1, 111, 501)));
+    assert_eq!(sent_to_backend(&outputs(&mut agent)), 1, "the flow's own data goes on");
+}
+
 #[test]
 fn a_trial_of_a_forgotten_flow_resets_nobody() {
     let mut agent = agent(false);
--- a/crates/carried/tests/balancer.rs
+++ b/crates/carried/tests/balancer.rs
@@ -16,6 +16,7 @@
         condition: BackendCondition::Accepting,
         capacity: 4,
         waiting,
+        in_line: 0,
         work_us: 20_000,
         measured_ms_ago: 0,
         is_cold: false,
@@ -70,7 +71,7 @@
 }
 
 #[test]
-fn one_agent_is_asked_for_a_slot_then_each_for_a_place_in_its_queue_then_the_caller_is_told() {
+fn a_slot_is_asked_for_then_each_queue_then_two_lines_and_then_the_caller_is_told() {
     let mut balancer = settled_balancer(3);
     balancer.handle_caller(SETTLED, &packet(&opening(1)));
     let mut asked = Vec::new();
@@ -81,24 +82,29 @@
             break;
         };
         assert!(!has_reset(&outputs));
-        asked.push((offer.0, wants_slot(&outputs)));
+        asked.push((offer.0, wanted(&outputs)));
         decline(&mut balancer, SETTLED + milliseconds(1), offer);
     }
-    assert!(asked[0].1, "a free slot is looked for first");
-    assert!(asked[1..].iter().all(|(_, wants_slot)| !wants_slot), "{asked:?}");
-    let mut queues: Vec<SocketAddrV4> = asked[1..].iter().map(|(agent, _)| *agent).collect();
+    let kinds: Vec<&str> = asked.iter().map(|(_, wanted)| *wanted).collect();
+    assert_eq!(kinds, ["slot", "queue", "queue", "queue", "line", "line"]);
+    let mut queues: Vec<SocketAddrV4> = asked[1..4].iter().map(|(agent, _)| *agent).collect();
     queues.sort_unstable();
     assert_eq!(queues, [1, 2, 3].map(agent_address), "each queue once");
+    assert_ne!(asked[4].0, asked[5].0, "each line once");
 }
 
-/// Whether the offer among outputs asks for a free slot.
-fn wants_slot(outputs: &[Output]) -> bool {
-    outputs.iter().any(|output| match output {
-        Output::ToPeer { message: Message::Offer { admission, .. }, .. } => {
-            *admission == loftdrift_carried::Admission::FreeSlot
-        }
-        _ => false,
-    })
+/// What the offer among outputs asks for.
+fn wanted(outputs: &[Output]) -> &'static str {
+    let admission = outputs.iter().find_map(|output| match output {
+        Output::ToPeer { message: Message::Offer { admission, .. }, .. } => Some(*admission),
+        _ => None,
+    });
+    match admission {
+        Some(loftdrift_carried::Admission::FreeSlot) => "slot",
+        Some(loftdrift_carried::Admission::Within(_)) => "queue",
+        Some(loftdrift_carried::Admission::Line { .. }) => "line",
+        _ => "other",
+    }
 }
 
 #[test]
@@ -111,7 +117,7 @@
         for _ in 0..2 {
             let outputs = outputs_of(&mut balancer);
             let Some(offer) = offers(&outputs).first().copied() else { break };
-            match wants_slot(&outputs) {
+            match wanted(&outputs) == "slot" {
                 true => decline(&mut balancer, now, offer),
                 false => {
                     let placed = Message::Placed { number: offer.1, report: load(SERVICE, 5) };
@@ -279,12 +285,14 @@
     tell(&mut balancer, milliseconds(1), 1, load(SERVICE, 4));
     tell(&mut balancer, milliseconds(1), 2, load(SERVICE, 4));
     balancer.handle_caller(milliseconds(2), &packet(&opening(1)));
-    let mut offers_made = 0;
-    while let Some(offer) = offers(&outputs_of(&mut balancer)).first().copied() {
-        offers_made += 1;
+    let mut asked = Vec::new();
+    loop {
+        let outputs = outputs_of(&mut balancer);
+        let Some(offer) = offers(&outputs).first().copied() else { break };
+        asked.push(wanted(&outputs));
         decline(&mut balancer, milliseconds(3), offer);
     }
-    assert_eq!(offers_made, 2, "one a queue, none a slot");
+    assert_eq!(asked, ["queue", "queue", "line", "line"], "none a slot");
 }
 
 #[test]
--- a/crates/carried/tests/store_watch.rs
+++ b/crates/carried/tests/store_watch.rs
@@ -132,6 +132,7 @@
         measured_ms_ago: 5_000,
         begun_ms_ago: young_ms,
         up_ms: young_ms,
+        in_line: 200,
         ..LoadReport::default()
     };
     let heartbeat = Heartbeat {
