A flow whose line has gone is offered to a failing back end as such

Cause, read in the code: a flow that was offered to a line once went on asking for lines. Where the agent of that line left and only back ends that fail were there, it asked one of those for its line, was declined, and the last resort was lost. The test is red before (Line in place of Failing). Ruled out: other declines, which leave the flow to lines by intent.

--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -165,6 +165,7 @@
                 !opening.has_asked(agent) && view.is_in(&opening.regions)
             };
             if let Some(agent) = self.pool.suspect(now, interval, &opening.service, may_ask) {
+                opening.wants_line = false;
                 return self.offer(now, number, agent);
             }
             let may_ask = |agent: &SocketAddrV4, view: &AgentView| {
@@ -172,6 +173,7 @@
             };
             if let Some(agent) = self.pool.failing(now, interval, &opening.service, may_ask) {
                 opening.is_last_resort = true;
+                opening.wants_line = false;
                 return self.offer(now, number, agent);
             }
         }
--- a/crates/carried/tests/line.rs
+++ b/crates/carried/tests/line.rs
@@ -430,6 +430,29 @@
     assert_ne!(next, agent);
 }
 
+#[test]
+fn a_flow_whose_line_has_gone_is_offered_to_a_failing_back_end_as_the_last_resort() {
+    let mut balancer = new_balancer(1);
+    tell(&mut balancer, milliseconds(0), 1, load(8));
+    tell(&mut balancer, milliseconds(0), 2, failing());
+    outputs_of(&mut balancer);
+    let copy = Segment { acknowledgement: 1, ..opening(1) };
+    balancer.handle_caller(milliseconds(1), &packet(&copy));
+    let (agent, number, _) = until_line(&mut balancer, 2);
+    assert_eq!(agent, agent_address(1));
+    let leaving = LoadReport { condition: BackendCondition::Leaving, ..load(8) };
+    let reason = DeclineReason::NotAccepting;
+    let declined = Message::Declined { number, reason, report: leaving };
+    balancer.handle_peer(milliseconds(3), agent, &declined.encode());
+    let (to, _, admission) = made(&outputs_of(&mut balancer)).expect("an offer");
+    assert_eq!(to, agent_address(2));
+    assert!(matches!(admission, Admission::Failing(_)), "{admission:?}");
+}
+
+fn failing() -> LoadReport {
+    LoadReport { condition: BackendCondition::Failing, ..load(0) }
+}
+
 /// A balancer without any configuration that hears callers.
 fn unconfigured() -> CarriedBalancer {
     CarriedBalancer::new(balancer_settings(1), PlainFormat)
