--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -87,8 +87,8 @@
     pub begun_ms_ago: Option<u32>,
     /// Which flows of its back end the agent knows.
     pub memory: FlowMemory,
-    /// Milliseconds since the agent's process started, while no flow of before can live; told by young
-    /// processes only, since nobody asks of old ones.
+    /// Milliseconds since the agent's process started; `None` once it has run for as long as a flow
+    /// lasts. By it balancers tell whether all processes started together.
     pub up_ms: Option<u32>,
 }
 
