--- a/crates/carried/src/balancer/repair.rs
+++ b/crates/carried/src/balancer/repair.rs
@@ -35,6 +35,7 @@
 const ACTIVE_LASTS: Duration = Duration::from_millis(150);
 /// Time between two looks at the searches that wait: their questions share messages.
 const LOOK_INTERVAL: Duration = Duration::from_millis(4);
+
 /// The searches that wait, and how many may be under way.
 #[derive(Debug)]
 pub(super) struct Repair {
