Back ends that start again under their id; words of other writers change nothing

Cause: a start of a back end was named by its id alone. One that crashed and came back under its id was passed over until its heartbeats' number had passed the old one; one that had left or gone was refused for good (read in the code). A heartbeat that named another service put the agent's load under that service, so that a packet of one could reach the other's back end.

Ruled out: numbers alone and times of arrival, which cannot tell a late word from a restart; comparing births across ids, whose clocks differ.

Change: id and birth together name a start (carried/incarnation); of two under one id the one born later wins in any order. The service is the one of the settings; what contradicts it is refused (409) and counted.

--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -28,6 +28,7 @@
 use crate::breaker::{Breaker, BreakerState};
 use crate::configuration::CarriedConfiguration;
 use crate::counters::CarriedAgentCounters;
+use crate::incarnation::Incarnation;
 use crate::latency::AgentLatency;
 use crate::load::WorkMeter;
 use crate::membership::{Membership, Node};
@@ -103,6 +104,8 @@
     format: F,
     standing: Standing,
     backend: Backend,
+    /// Whose heartbeat named another service last.
+    foreign_writer: Option<String>,
     flows: FlowTable<CarriedFlow>,
     /// New flows that wait until the back end has room.
     line: Line,
@@ -145,6 +148,7 @@
         CarriedAgent {
             standing: Standing::new(settings.node.clone()),
             backend: Backend::new(settings.service.clone()),
+            foreign_writer: None,
             may_have_forgotten: !settings.is_first_start,
             cold_gate: match settings.is_first_start {
                 true => ColdGate::default(),
@@ -290,9 +294,14 @@
         self.counters.backend_reports += 1;
         let is_first = !self.backend.has_reported();
         let outcome = self.backend.take_report(now, report);
+        if outcome == ReportOutcome::Foreign {
+            self.note_foreign(report);
+            return outcome;
+        }
+        let is_first = is_first && self.backend.has_reported();
         if is_first {
             log::info!(
-                backend = report.id.as_str(), sequence = report.sequence,
+                backend:% = report.incarnation, sequence = report.sequence,
                 warm_up_left_ms = report.warm_up_left.as_millis() as u64, flows = self.flows.busy();
                 "backend_heard"
             );
@@ -307,6 +316,7 @@
         }
         match outcome {
             ReportOutcome::Started => {
+                log::info!(backend:% = report.incarnation, sequence = report.sequence; "backend_started");
                 self.begun_at = Some(now);
                 self.seems_fresh = false;
                 self.doubt_flows(now);
@@ -315,10 +325,10 @@
             ReportOutcome::Doubted => {
                 self.counters.backend_reports_doubted += 1;
                 log::info!(
-                    backend = report.id.as_str(), sequence = report.sequence; "backend_doubted"
+                    backend:% = report.incarnation, sequence = report.sequence; "backend_doubted"
                 );
             }
-            ReportOutcome::Updated => {}
+            ReportOutcome::Updated | ReportOutcome::Foreign => {}
         }
         if matches!(outcome, ReportOutcome::Started | ReportOutcome::Updated) {
             self.silent_until = None;
@@ -326,21 +336,39 @@
             self.may_be_cold = self.is_evacuated();
             self.watch.note_sign();
         }
-        self.tell_change(now, &report.id);
+        self.tell_change(now, &report.incarnation.id);
         self.serve_line(now);
         outcome
     }
 
+    /// Counts a heartbeat of another service's back end; the first one of each writer is told.
+    fn note_foreign(&mut self, report: &BackendReport) {
+        self.counters.backend_reports_foreign += 1;
+        if self.foreign_writer.as_ref() != Some(&report.incarnation.id) {
+            log::warn!(
+                backend:% = report.incarnation, says = report.service.as_str(),
+                serves = self.backend.service();
+                "backend_report_foreign"
+            );
+            self.foreign_writer = Some(report.incarnation.id.clone());
+        }
+    }
+
     /// Whether the back end whose first heartbeat this is seems to have started beside this process.
     fn seems_fresh(&self, now: Duration, report: &BackendReport) -> bool {
         let is_cold = !report.warm_up_left.is_zero();
         is_cold && report.sequence <= SOON_SEQUENCE && now <= SOON
     }
 
+    /// Notes that a back end's word could not be read.
+    pub fn note_unreadable(&mut self) {
+        self.counters.backend_reports_unreadable += 1;
+    }
+
     /// Takes the back end's word that it leaves.
-    pub fn take_departure(&mut self, now: Duration, id: &str) {
-        self.backend.take_departure(id);
-        self.tell_change(now, id);
+    pub fn take_departure(&mut self, now: Duration, gone: &Incarnation) {
+        self.backend.take_departure(gone);
+        self.tell_change(now, &gone.id);
         self.serve_line(now);
     }
 
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -163,6 +163,10 @@
         backend_reports_outdated,
         /// Heartbeats of another start than the known one, not believed yet.
         backend_reports_doubted,
+        /// Heartbeats that named another service than the back end's own; nothing came of them.
+        backend_reports_foreign,
+        /// Words of a back end that could not be read; nothing came of them.
+        backend_reports_unreadable,
         /// Times that the back end fell silent.
         backend_silences,
         /// Questions whether anybody listens at the back end's port.
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -14,6 +14,7 @@
 mod configuration;
 mod counters;
 mod flow_cache;
+mod incarnation;
 mod input_age;
 mod latency;
 mod load;
@@ -38,6 +39,7 @@
 pub use balancer::{CarriedBalancer, CarriedBalancerSettings};
 pub use configuration::{CarriedConfiguration, Part, Route, ServiceSettings};
 pub use counters::{CarriedAgentCounters, CarriedBalancerCounters};
+pub use incarnation::Incarnation;
 pub use input_age::InputAge;
 pub use membership::{Membership, Node, Peer};
 pub use message::{
--- a/crates/carried/tests/agent.rs
+++ b/crates/carried/tests/agent.rs
@@ -95,7 +95,7 @@
 #[test]
 fn a_back_end_that_left_unannounced_is_not_revived_by_its_late_heartbeat() {
     let mut agent = agent(false);
-    agent.take_departure(milliseconds(1), "one");
+    agent.take_departure(milliseconds(1), &gone("one"));
     agent.take_report(milliseconds(2), &report("one", 7, true));
     agent.handle_peer(milliseconds(3), balancer_address(), &offer(1, 1, Admission::FreeSlot));
     assert_eq!(declined(&outputs(&mut agent)), Some(DeclineReason::NotAccepting));
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -4,8 +4,8 @@
 use loftdrift_carried::{
     Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer,
     CarriedBalancerSettings, CarriedConfiguration, DeclineReason, FlowName, FlowQuestion, FlowWord,
-    Heartbeat, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat, Policies, Route,
-    Segment, ServiceSettings, Word,
+    Heartbeat, Incarnation, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat,
+    Policies, Route, Segment, ServiceSettings, Word,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -85,7 +85,7 @@
 
 pub fn report(id: &str, sequence: u64, is_ready: bool) -> BackendReport {
     BackendReport {
-        id: id.to_owned(),
+        incarnation: Incarnation::without_birth(id),
         service: SERVICE.to_owned(),
         capacity: 4,
         is_ready,
@@ -94,6 +94,11 @@
     }
 }
 
+/// A start that tells no birth and is gone.
+pub fn gone(id: &str) -> Incarnation {
+    Incarnation::without_birth(id)
+}
+
 pub fn opening(port: u16) -> Segment {
     Segment { opens: true, sequence: 100, ..Segment::between(caller(port), service_address()) }
 }
--- a/crates/lab/src/carried/backend.rs
+++ b/crates/lab/src/carried/backend.rs
@@ -1,7 +1,7 @@
 //! A simulated back end: slots, a short queue, flows of its own.
 
 use super::fault::FailureMode;
-use loftdrift_carried::{BackendReport, PlainFormat, Segment, SegmentFormat};
+use loftdrift_carried::{BackendReport, Incarnation, PlainFormat, Segment, SegmentFormat};
 use loftdrift_wire::FlowKey;
 use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
@@ -99,7 +99,7 @@
     pub(super) fn report(&mut self) -> BackendReport {
         self.sequence += 1;
         BackendReport {
-            id: format!("start-{}", self.start),
+            incarnation: Incarnation::without_birth(format!("start-{}", self.start)),
             service: self.service.to_owned(),
             capacity: self.slots as u16,
             is_ready: !self.is_leaving,
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -3,8 +3,8 @@
 use crate::command::{Measures, MemberNews, NodeStatus};
 use crate::core::Core;
 use loftdrift_carried::{
-    BackendReport, CarriedAgent, CarriedConfiguration, Output, ProbeOutcome, SegmentFormat,
-    Snapshot,
+    BackendReport, CarriedAgent, CarriedConfiguration, Incarnation, Output, ProbeOutcome,
+    ReportOutcome, SegmentFormat, Snapshot,
 };
 use loftdrift_counters::CounterSet;
 use std::net::SocketAddrV4;
@@ -92,12 +92,16 @@
         self.agent.start_draining(now);
     }
 
-    fn take_report(&mut self, now: Duration, report: &BackendReport) {
-        self.agent.take_report(now, report);
+    fn take_report(&mut self, now: Duration, report: &BackendReport) -> ReportOutcome {
+        self.agent.take_report(now, report)
     }
 
-    fn take_departure(&mut self, now: Duration, id: &str) {
-        self.agent.take_departure(now, id);
+    fn note_unreadable(&mut self) {
+        self.agent.note_unreadable();
+    }
+
+    fn take_departure(&mut self, now: Duration, gone: &Incarnation) {
+        self.agent.take_departure(now, gone);
     }
 
     fn take_health(&mut self, now: Duration, is_healthy: bool) {
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,6 +1,9 @@
 //! What tasks say to the one that owns the core, and what that one publishes.
 
-use loftdrift_carried::{BackendReport, CarriedConfiguration, NodeRole, ProbeOutcome, Snapshot};
+use loftdrift_carried::{
+    BackendReport, CarriedConfiguration, Incarnation, NodeRole, ProbeOutcome, ReportOutcome,
+    Snapshot,
+};
 use loftdrift_counters::{Histogram, Sample};
 use std::net::SocketAddrV4;
 use tokio::sync::oneshot;
@@ -18,10 +21,12 @@
     GiveSnapshot(oneshot::Sender<Snapshot>),
     /// Give what was counted and measured.
     GiveMeasures(oneshot::Sender<Measures>),
-    /// The back end's heartbeat; answered once it is in force.
-    Report(BackendReport, oneshot::Sender<()>),
+    /// The back end's heartbeat; answered with what it changed, once that is in force.
+    Report(BackendReport, oneshot::Sender<ReportOutcome>),
     /// The back end leaves; answered once it is in force.
-    Departure(String, oneshot::Sender<()>),
+    Departure(Incarnation, oneshot::Sender<()>),
+    /// A word of the back end could not be read.
+    Unreadable,
     /// The back end's answer about its health.
     Health(bool),
     /// What became of an attempt to connect to the back end.
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -1,7 +1,9 @@
 //! What the shell needs of a core, whatever its role.
 
 use crate::command::{Measures, MemberNews, NodeStatus};
-use loftdrift_carried::{BackendReport, CarriedConfiguration, Output, ProbeOutcome, Snapshot};
+use loftdrift_carried::{
+    BackendReport, CarriedConfiguration, Incarnation, Output, ProbeOutcome, ReportOutcome, Snapshot,
+};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -33,9 +35,13 @@
     /// Whether the shared store has answered.
     fn note_store(&mut self, now: Duration, answers: bool);
     /// A back end's heartbeat; no core but an agent's is sent any.
-    fn take_report(&mut self, _now: Duration, _report: &BackendReport) {}
+    fn take_report(&mut self, _now: Duration, _report: &BackendReport) -> ReportOutcome {
+        ReportOutcome::Foreign
+    }
+    /// A back end's word that could not be read.
+    fn note_unreadable(&mut self) {}
     /// A back end's departure.
-    fn take_departure(&mut self, _now: Duration, _id: &str) {}
+    fn take_departure(&mut self, _now: Duration, _gone: &Incarnation) {}
     /// A back end's health.
     fn take_health(&mut self, _now: Duration, _is_healthy: bool) {}
     /// What became of an attempt to connect to the back end.
--- a/crates/node/src/interface.rs
+++ b/crates/node/src/interface.rs
@@ -1,6 +1,6 @@
 //! What a node is asked over HTTP, apart from how it is written.
 
-use loftdrift_carried::BackendReport;
+use loftdrift_carried::{BackendReport, Incarnation};
 
 /// A request, as it was received.
 #[derive(Clone, Copy, Debug)]
@@ -21,10 +21,7 @@
     /// A back end's heartbeat.
     Report(BackendReport),
     /// A back end leaves or is gone.
-    Departure {
-        /// Names the back end's start.
-        id: String,
-    },
+    Departure(Incarnation),
     /// Of a known kind, but its content cannot be read, for this reason.
     Malformed(String),
     /// None of these.
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -20,7 +20,7 @@
 use hyper::body::Incoming;
 use loftdrift_carried::{
     CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings, InputAge,
-    NodeRole, SegmentFormat,
+    NodeRole, ReportOutcome, SegmentFormat,
 };
 use loftdrift_http::{Answer, text_answer};
 use std::net::SocketAddrV4;
@@ -249,35 +249,47 @@
     match interface.read(Request { method, path: head.uri.path(), body: &body }) {
         RequestKind::Readiness if is_ready => text_answer(StatusCode::OK, ""),
         RequestKind::Readiness => text_answer(StatusCode::SERVICE_UNAVAILABLE, ""),
-        RequestKind::Report(report) => tell(&commands, |done| Command::Report(report, done)).await,
-        RequestKind::Departure { id } => tell(&commands, |done| Command::Departure(id, done)).await,
+        RequestKind::Report(report) => {
+            match tell(&commands, |done| Command::Report(report, done)).await {
+                Some(ReportOutcome::Foreign) => text_answer(StatusCode::CONFLICT, ""),
+                outcome => acknowledge(outcome.map(|_| ())),
+            }
+        }
+        RequestKind::Departure(gone) => {
+            acknowledge(tell(&commands, |done| Command::Departure(gone, done)).await)
+        }
         RequestKind::Malformed(reason) => {
             log::warn!(reason = reason.as_str(), path = head.uri.path(); "request_malformed");
+            // Only counted: where the queue is full the answer does not wait for it.
+            let _ = commands.try_send(Command::Unreadable);
             text_answer(StatusCode::BAD_REQUEST, reason)
         }
         RequestKind::Unknown => text_answer(StatusCode::NOT_FOUND, ""),
     }
 }
 
-/// Has the core take something and answers once it is in force.
-async fn tell(
+/// Has the core take something; `None` when it has not done so in time.
+async fn tell<T>(
     commands: &mpsc::Sender<Command>,
-    command: impl FnOnce(oneshot::Sender<()>) -> Command,
-) -> Answer {
+    command: impl FnOnce(oneshot::Sender<T>) -> Command,
+) -> Option<T> {
     let (done, taken) = oneshot::channel();
     let told = async {
         commands.send(command(done)).await.ok()?;
         taken.await.ok()
     };
-    match tokio::time::timeout(COMMAND_TIMEOUT, told).await {
-        Ok(Some(())) => {
-            let mut answer = text_answer(StatusCode::OK, "{}");
-            let json = hyper::header::HeaderValue::from_static("application/json");
-            answer.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
-            answer
-        }
-        _ => text_answer(StatusCode::SERVICE_UNAVAILABLE, ""),
+    tokio::time::timeout(COMMAND_TIMEOUT, told).await.ok().flatten()
+}
+
+/// Answers a back end whose word the core has taken, or has not taken in time.
+fn acknowledge(taken: Option<()>) -> Answer {
+    if taken.is_none() {
+        return text_answer(StatusCode::SERVICE_UNAVAILABLE, "");
     }
+    let mut answer = text_answer(StatusCode::OK, "{}");
+    let json = hyper::header::HeaderValue::from_static("application/json");
+    answer.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
+    answer
 }
 
 async fn bind_udp(what: &str, address: SocketAddrV4) -> Result<UdpSocket> {
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -164,11 +164,11 @@
             Command::GiveSnapshot(answer) => drop(answer.send(self.core.snapshot())),
             Command::GiveMeasures(answer) => drop(answer.send(self.core.measures(now))),
             Command::Report(report, answer) => {
-                self.core.take_report(now, &report);
-                let _ = answer.send(());
+                let _ = answer.send(self.core.take_report(now, &report));
             }
-            Command::Departure(id, answer) => {
-                self.core.take_departure(now, &id);
+            Command::Unreadable => self.core.note_unreadable(),
+            Command::Departure(gone, answer) => {
+                self.core.take_departure(now, &gone);
                 let _ = answer.send(());
             }
         }
