Heartbeats of nodes that started together are spread over their interval

Cause: a node sends a peer's next heartbeat one interval after the last. Nodes that start together learn of all others at one moment, so that each spoke to all of them at one moment and then to nobody for an interval: 30 s at 986 nodes. Nobody heard of a newer configuration in between but by chance (news goes to 32 peers).

Ruled out: fetches that were refused (a node is told again with the next heartbeat, which did not come), an old reading that was confirmed, a digest that is the same for two revisions (read in the code and in the logs).

Change: each pair of nodes has a phase of its own within the interval. The lab tells the longest time in which a node lacked a change.

--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -4,8 +4,14 @@
 //! that comes back with nothing in memory hears from the others within an interval. The interval
 //! grows with the number of peers: a node's heartbeats never take more than a fixed number of bytes
 //! a second. In large systems it is the data path that tells which agents answer.
+//!
+//! Each pair of nodes has a phase of its own within the interval. Nodes that start together would else
+//! speak to everybody at one moment and be silent until the next: at 986 nodes for 30 s, in which nobody
+//! hears of a newer configuration. So a node hears balancers at a steady rate at any size: 33 heartbeats
+//! a second times the share of balancers among all nodes.
 
 use crate::message::{Heartbeat, NodeRole};
+use crate::rank::draw;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -32,6 +38,9 @@
 /// News goes to so many peers at once; the others hear it from those, or within an interval.
 const NEWS_FAN_OUT: usize = 32;
 
+/// What a moment may miss its own phase by, as a share of the interval: the rounding of times.
+const LEAST_PHASE: f64 = 1e-3;
+
 /// A node, as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Node {
@@ -202,11 +211,17 @@
             }
             taken.push((address, peer.heard_at.is_none()));
             let is_quiet = silence > interval * QUIET_INTERVALS;
-            self.reschedule(address, now + interval * if is_quiet { QUIET_FACTOR } else { 1 });
+            let regular = interval * if is_quiet { QUIET_FACTOR } else { 1 };
+            self.reschedule(address, next_in_phase(now, regular, self.phase(&address)));
         }
         taken
     }
 
+    /// Where in each interval this node speaks to a peer, from 0 to 1.
+    fn phase(&self, peer: &SocketAddrV4) -> f64 {
+        draw(&self.me.address, peer, 0) as f64 / u64::MAX as f64
+    }
+
     /// Has a heartbeat with news sent to a bounded number of peers at once, to others each time.
     pub fn hurry(&mut self, now: Duration) {
         let from = self.news_reached.map_or(Bound::Unbounded, Bound::Excluded);
@@ -266,3 +281,12 @@
         self.peers.iter()
     }
 }
+
+/// The next moment after `now` that stands at this phase of an interval.
+fn next_in_phase(now: Duration, interval: Duration, phase: f64) -> Duration {
+    let passed = (now.as_secs_f64() / interval.as_secs_f64()).fract();
+    let left = (phase - passed).rem_euclid(1.0);
+    // The moment that has just come is not the next one.
+    let left = if left < LEAST_PHASE { left + 1.0 } else { left };
+    now + interval.mul_f64(left)
+}
--- a/crates/carried/src/rank.rs
+++ b/crates/carried/src/rank.rs
@@ -21,11 +21,19 @@
 
     /// An agent's rank; the lowest comes first.
     pub(crate) fn rank(self, agent: &SocketAddrV4) -> u64 {
-        let address = u64::from(agent.ip().to_bits()) << 16 | u64::from(agent.port());
-        mix(self.0 ^ mix(address))
+        mix(self.0 ^ mix(address_bits(agent)))
     }
 }
 
+/// A number drawn from two addresses and a count, the same at every call.
+pub(crate) fn draw(one: &SocketAddrV4, other: &SocketAddrV4, count: u64) -> u64 {
+    mix(mix(address_bits(one)) ^ mix(!address_bits(other)).rotate_left(1) ^ mix(count))
+}
+
+fn address_bits(address: &SocketAddrV4) -> u64 {
+    u64::from(address.ip().to_bits()) << 16 | u64::from(address.port())
+}
+
 fn mix(mut bits: u64) -> u64 {
     bits = (bits ^ (bits >> 30)).wrapping_mul(MIX[0]);
     bits = (bits ^ (bits >> 27)).wrapping_mul(MIX[1]);
--- a/crates/lab/src/carried/outcome.rs
+++ b/crates/lab/src/carried/outcome.rs
@@ -1,6 +1,8 @@
 //! What callers and back ends of a simulated day saw.
 
-/// Counts of one day. All but the first seven must stay 0.
+use std::time::Duration;
+
+/// Counts of one day. All but the first eight must stay 0.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct CarriedOutcome {
     /// Requests asked.
@@ -17,6 +19,8 @@
     pub store_calls: u64,
     /// Agents that balancers held for dead, in the last process of each balancer.
     pub suspicions: u64,
+    /// Longest time after a change at which a node that ran, and was not cut off, had not got it.
+    pub slowest_change: Duration,
     /// Open flows that were reset though their back end lived.
     pub broken_flows: u64,
     /// Answers of another request.
@@ -39,9 +43,17 @@
     /// Whether every rule was kept.
     pub fn keeps_the_rules(&self) -> bool {
         let CarriedOutcome {
-            asked, served, refused, failed, lost, store_calls, suspicions, ..
+            asked,
+            served,
+            refused,
+            failed,
+            lost,
+            store_calls,
+            suspicions,
+            slowest_change,
+            ..
         } = *self;
         let kept = CarriedOutcome { asked, served, refused, failed, lost, ..Default::default() };
-        *self == CarriedOutcome { store_calls, suspicions, ..kept }
+        *self == CarriedOutcome { store_calls, suspicions, slowest_change, ..kept }
     }
 }
--- a/crates/lab/src/carried/process.rs
+++ b/crates/lab/src/carried/process.rs
@@ -96,6 +96,14 @@
         next.map(|at| self.started + at)
     }
 
+    /// The version of its configuration; `None` while no process runs.
+    pub(super) fn configuration_version(&self) -> Option<u64> {
+        Some(match self.core.as_ref()? {
+            Core::Balancer(balancer) => balancer.configuration_version(),
+            Core::Agent(agent) => agent.configuration_version(),
+        })
+    }
+
     pub(super) fn snapshot(&self) -> Option<Snapshot> {
         Some(match self.core.as_ref()? {
             Core::Balancer(balancer) => balancer.snapshot(),
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -121,6 +121,7 @@
     /// A change of the operator's has its own revision.
     fn note_write(&mut self) {
         self.store_revision += 3;
+        self.written_at = self.now;
         self.configuration.version = self.store_revision;
     }
 
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -34,6 +34,8 @@
 const STORE_WAY: Duration = Duration::from_millis(8);
 const STORE_LOOK: Duration = Duration::from_millis(500);
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time between two looks at which configuration each node has.
+const VERSIONS_INTERVAL: Duration = Duration::from_millis(50);
 const MOST_MISSED_PROBES: u32 = 2;
 const HEARTBEAT: Duration = Duration::from_millis(1_100);
 /// A configuration is in force, and a back end that leaves takes nothing new, after so long.
@@ -144,6 +146,7 @@
         start: u64,
     },
     Probe,
+    LookAtVersions,
     StoreLook {
         node: usize,
         starts: u64,
@@ -193,12 +196,15 @@
     backends: Vec<SimulatedBackend>,
     callers: HashMap<u64, Caller>,
     by_address: HashMap<SocketAddrV4, u64>,
+    nodes_by_address: HashMap<SocketAddrV4, usize>,
     next_port: u32,
     /// What operators have written; its version is the store's revision of the last change.
     configuration: CarriedConfiguration,
     /// Rises with each write to the store.
     store_revision: u64,
     changed_at: Duration,
+    /// When operators wrote last.
+    written_at: Duration,
     /// Since when each zone is evacuated.
     evacuated_at: HashMap<String, Duration>,
     store_down_until: Duration,
@@ -218,7 +224,8 @@
     /// A system whose machines start now.
     pub fn new(settings: CarriedWorldSettings, faults: &[TimedFault]) -> Self {
         let count = settings.balancers + settings.backends;
-        let nodes = (0..count).map(|node| Process::new(node_address(&settings, node))).collect();
+        let address = |node| node_address(&settings, node);
+        let nodes = (0..count).map(|node| Process::new(address(node))).collect();
         let mut world = CarriedWorld {
             settings,
             now: Duration::ZERO,
@@ -228,10 +235,12 @@
             backends: Vec::new(),
             callers: HashMap::new(),
             by_address: HashMap::new(),
+            nodes_by_address: (0..count).map(|node| (address(node), node)).collect(),
             next_port: 1_024,
             configuration: configuration(1, SERVICES[1]),
             store_revision: 1,
             changed_at: Duration::ZERO,
+            written_at: Duration::ZERO,
             evacuated_at: HashMap::new(),
             store_down_until: Duration::ZERO,
             balancers_refused_until: Duration::ZERO,
@@ -252,6 +261,7 @@
             world.events.push(Duration::ZERO, Event::Start { node });
         }
         world.events.push(PROBE_INTERVAL, Event::Probe);
+        world.events.push(VERSIONS_INTERVAL, Event::LookAtVersions);
         world.events.push(Duration::from_secs(1), Event::Ask);
         for timed in faults {
             world.events.push(timed.at, Event::Fault(timed.fault));
@@ -297,6 +307,7 @@
             Event::StartBackend { agent } => self.start_backend(agent),
             Event::BackendWell { agent, start } => self.backend_well(agent, start),
             Event::Probe => self.probe(),
+            Event::LookAtVersions => self.look_at_versions(),
             Event::StoreLook { node, starts } => self.store_look(node, starts),
             Event::Turn { node, starts } => self.turn(node, starts),
             Event::Thaw { node, starts } => self.resume(node, starts),
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -162,7 +162,7 @@
     }
 
     pub(super) fn node_at(&self, address: SocketAddrV4) -> Option<usize> {
-        self.nodes.iter().position(|process| process.address == address)
+        self.nodes_by_address.get(&address).copied()
     }
 
     pub(super) fn fetch(&mut self, to: usize, from: SocketAddrV4) {
@@ -183,6 +183,20 @@
         }
     }
 
+    /// Notes how long the last change has been on its way, while a node that could have it has not.
+    pub(super) fn look_at_versions(&mut self) {
+        self.events.push(self.now + VERSIONS_INTERVAL, Event::LookAtVersions);
+        let newest = self.configuration.version;
+        let is_behind = |node: &Process| {
+            let is_in_touch = node.cut_until.max(node.frozen_until) <= self.now;
+            is_in_touch && node.configuration_version().is_some_and(|version| version < newest)
+        };
+        if self.nodes.iter().any(is_behind) {
+            let since = self.now - self.written_at;
+            self.outcome.slowest_change = self.outcome.slowest_change.max(since);
+        }
+    }
+
     /// Balancers follow the configuration in the store; every node reads the list once it can.
     pub(super) fn store_look(&mut self, node: usize, starts: u64) {
         if self.nodes[node].starts != starts || self.nodes[node].core.is_none() {
--- /dev/null
+++ b/crates/lab/tests/dissemination.rs
@@ -0,0 +1,37 @@
+//! A change of the configuration reaches every node of a fleet.
+
+use loftdrift_lab::{
+    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, TimedFault,
+};
+use std::time::Duration;
+
+/// The change comes so long after every node has started, between two regular heartbeats.
+const CHANGE_AT: Duration = Duration::from_secs(6);
+/// Nodes must have a change by then: a third of the shortest bound that users set for it (3 s); the rest is
+/// for links that are full, nodes that are refused and messages that are lost.
+const EVERYWHERE_WITHIN: Duration = Duration::from_secs(1);
+
+fn play(balancers: usize, backends: usize, seed: u64) -> CarriedOutcome {
+    let settings = CarriedWorldSettings {
+        balancers,
+        backends,
+        requests_per_second: 100,
+        lasts: CHANGE_AT + Duration::from_secs(6),
+        seed,
+        ..CarriedWorldSettings::default()
+    };
+    let change = TimedFault { at: CHANGE_AT, fault: Fault::MoveRoute };
+    CarriedWorld::new(settings, &[change]).run()
+}
+
+/// Nodes that start together must not speak together ever after: at 986 nodes they would all be silent for
+/// half a minute, and hear of a change by chance alone.
+#[test]
+fn a_change_is_everywhere_within_a_second_at_any_size() {
+    for (balancers, backends) in [(10, 20), (100, 200)] {
+        let outcome = play(balancers, backends, 1);
+        assert!(outcome.keeps_the_rules(), "{balancers} balancers: {outcome:?}");
+        let took = outcome.slowest_change;
+        assert!(took <= EVERYWHERE_WITHIN, "{balancers} balancers, {backends} agents: {took:?}");
+    }
+}
