Entries of nodes stand without a lease and are audited; agents read one list

Cause: what a thousand machines cost the store grows faster than the fleet.

Ruled out: longer leases (the same number at the return), one lease a zone (nobody knows it at a first start, and the dead stay with it), agents that are known through balancers alone (a balancer that starts while an agent does may miss it for good, unless revisions are told in heartbeats).

Change: an entry stands until it is removed. The balancers that wait at the store compare its list once a minute, and at its return, with whom they hear: who is missing is told and enters itself again, who was silent for nine minutes is removed. Lists of balancers and agents stand apart. At the very first start a balancer has old lists until they are whole, as agents. The setting shortest_lease_s goes.

--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -407,6 +407,7 @@
                 self.errand_of = Some(from);
                 self.outputs.push_back(Output::ReadStore);
             }
+            Some(Message::NotListed) => self.outputs.push_back(Output::WriteEntry),
             Some(Message::Heartbeat(heartbeat)) => {
                 let (is_new, fetch) = self.standing.hear(now, from, &heartbeat);
                 self.outputs.extend(fetch);
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -7,6 +7,7 @@
 //!   have forgotten it; no choice by hash or load is made for it.
 //! - A configuration with a lower version never replaces one with a higher version.
 
+mod audit;
 mod errands;
 mod established;
 mod fence;
@@ -19,6 +20,8 @@
 mod unrouted;
 mod verdicts;
 
+use self::audit::Audit;
+pub use self::audit::ListedNode;
 use self::errands::Errands;
 use self::fence::Fence;
 use self::lateness::Lateness;
@@ -32,7 +35,7 @@
 use crate::flow_cache::FlowCache;
 use crate::latency::BalancerLatency;
 use crate::lookup::Lookup;
-use crate::membership::{Membership, Node};
+use crate::membership::{Membership, Node, Peer};
 use crate::message::{
     Admission, DeclineReason, Heartbeat, LoadReport, Message, NodeRole, Snapshot,
 };
@@ -50,7 +53,7 @@
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use std::collections::VecDeque;
+use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -123,6 +126,7 @@
     repair: Repair,
     acquaintance: Acquaintance,
     errands: Errands,
+    audit: Audit,
     fence: Fence,
     lateness: Lateness,
     /// Callers' packets that are taken now may have waited for so long in a socket.
@@ -153,6 +157,7 @@
             questions: Questions::default(),
             acquaintance: Acquaintance::default(),
             errands: Errands::default(),
+            audit: Audit::default(),
             fence: Fence::default(),
             lateness: Lateness::default(),
             input_waited: Duration::ZERO,
@@ -276,6 +281,7 @@
             Some(Message::Found { up_ms, words }) => self.handle_found(now, from, up_ms, &words),
             Some(Message::Ended { flow }) => self.handle_ended(now, from, flow.into()),
             Some(Message::NotHeld { datagram }) => self.handle_not_held(now, from, &datagram),
+            Some(Message::NotListed) => self.outputs.push_back(Output::WriteEntry),
             Some(Message::Heartbeat(heartbeat)) => self.handle_heartbeat(now, from, heartbeat),
             _ => self.counters.messages_malformed += 1,
         }
@@ -323,6 +329,7 @@
             self.unrouted.next_due(),
             self.standing.membership.next_due(),
             self.errands.next(),
+            self.audit.next(),
             Some(self.next_store_step()),
         ];
         due.into_iter().flatten().min()
--- a/crates/carried/src/balancer/store_watch.rs
+++ b/crates/carried/src/balancer/store_watch.rs
@@ -151,6 +151,7 @@
         if now >= self.store_watch.next_review.max(FIRST_REVIEW) {
             self.review_watchers(now);
         }
+        self.audit_when_due(now, self.store_watch.is_chosen);
         if self.next_reading().is_some_and(|due| due <= now) {
             self.store_watch.last_reading = Some(now);
             self.counters.store_readings += 1;
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -53,6 +53,8 @@
         standstills,
         /// Agents asked to read the shared store for this balancer.
         store_errands,
+        /// Comparisons of the shared store's list of nodes with those that live.
+        member_audits,
         /// Readings of the shared store since nobody told of a confirmation.
         store_readings,
         /// Flows left to copies of their opening packets, too late for a reset.
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -36,7 +36,7 @@
 
 pub use agent::{CarriedAgent, CarriedAgentSettings, ProbeOutcome};
 pub use backend::{BackendReport, ReportOutcome};
-pub use balancer::{CarriedBalancer, CarriedBalancerSettings};
+pub use balancer::{CarriedBalancer, CarriedBalancerSettings, ListedNode};
 pub use configuration::{CarriedConfiguration, Part, Route, ServiceSettings};
 pub use counters::{CarriedAgentCounters, CarriedBalancerCounters};
 pub use incarnation::Incarnation;
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -31,7 +31,7 @@
 /// A peer that was silent for so long is forgotten.
 const FORGET_AFTER: Duration = Duration::from_secs(600);
 /// A peer that was silent for so many intervals is not counted on.
-const ALIVE_INTERVALS: u32 = 4;
+pub(crate) const ALIVE_INTERVALS: u32 = 4;
 /// Most peers that are remembered.
 const MOST_PEERS: usize = 8_192;
 /// News goes to so many peers at once, spread evenly over all and others each time: 1,000 nodes have
@@ -83,6 +83,13 @@
     next_heartbeat: Duration,
 }
 
+impl Peer {
+    /// Whether the node has been known for so long.
+    pub(crate) fn is_settled(&self, now: Duration, lasts: Duration) -> bool {
+        now.saturating_sub(self.known_since) >= lasts
+    }
+}
+
 /// Where a balancer stands among the balancers that it hears, itself included.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Places {
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -291,6 +291,8 @@
     /// Balancer to agent: the shared store refuses the balancer; read the configuration there and
     /// tell.
     ReadStore,
+    /// Balancer to any node: the shared store's list does not name it; it is to enter itself again.
+    NotListed,
 }
 
 impl Message {
--- a/crates/carried/src/output.rs
+++ b/crates/carried/src/output.rs
@@ -24,6 +24,13 @@
     },
     /// Read the configuration in the shared store once, and tell whether it answered.
     ReadStore,
+    /// Read the shared store's list of nodes once and have it audited.
+    ReadMembers {
+        /// The newest list is needed; otherwise one that may be old will do.
+        is_urgent: bool,
+    },
+    /// Write this node's entry in the shared store's list again: it is missing there.
+    WriteEntry,
     /// Find out whether anybody listens at the back end's port; only an agent does.
     ProbeBackend,
     /// Fetch a snapshot from a node whose configuration is newer.
--- a/crates/carried/tests/store_watch.rs
+++ b/crates/carried/tests/store_watch.rs
@@ -23,22 +23,6 @@
     SocketAddrV4::new([10, 1, 0, number].into(), 7720)
 }
 
-fn heartbeat_of(zone: &str, confirmation: Option<Confirmation>, store_returns: u32) -> Heartbeat {
-    Heartbeat {
-        role: NodeRole::Balancer,
-        zone: zone.to_owned(),
-        region: "r".to_owned(),
-        incarnation: 1,
-        link_mbps: 1_000,
-        configuration: 1,
-        digest: 0,
-        confirmation,
-        store_returns,
-        report: None,
-        wants_reply: false,
-    }
-}
-
 fn hear(
     balancer: &mut CarriedBalancer,
     now: Duration,
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -3,9 +3,9 @@
 
 use loftdrift_carried::{
     Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer,
-    CarriedBalancerSettings, CarriedConfiguration, DeclineReason, FlowName, FlowQuestion, FlowWord,
-    Heartbeat, Incarnation, LoadReport, Message, Node, NodeRole, Output, Part, PlainFormat,
-    Policies, Route, Segment, ServiceSettings, Word,
+    CarriedBalancerSettings, CarriedConfiguration, Confirmation, DeclineReason, FlowName,
+    FlowQuestion, FlowWord, Heartbeat, Incarnation, LoadReport, Message, Node, NodeRole, Output,
+    Part, PlainFormat, Policies, Route, Segment, ServiceSettings, Word,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -193,6 +193,27 @@
     })
 }
 
+/// What a balancer of a zone says of itself and of the store.
+pub fn heartbeat_of(
+    zone: &str,
+    confirmation: Option<Confirmation>,
+    store_returns: u32,
+) -> Heartbeat {
+    Heartbeat {
+        role: NodeRole::Balancer,
+        zone: zone.to_owned(),
+        region: "r".to_owned(),
+        incarnation: 1,
+        link_mbps: 1_000,
+        configuration: 1,
+        digest: 0,
+        confirmation,
+        store_returns,
+        report: None,
+        wants_reply: false,
+    }
+}
+
 /// Has the agent at an address tell a balancer its load.
 pub fn hear_load(
     balancer: &mut CarriedBalancer,
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -113,6 +113,8 @@
                     let at = self.now + Duration::from_micros(60);
                     self.events.push(at, Event::Probed { agent, starts });
                 }
+                // The list of the lab's store always names every node.
+                Output::ReadMembers { .. } | Output::WriteEntry => {}
                 Output::FetchSnapshot { from } => self.fetch(node, from),
                 Output::ReadStore => {
                     let starts = self.nodes[node].starts;
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -75,7 +75,6 @@
             has_ended: self.agent.has_ended(),
             configuration: self.agent.configuration_version(),
             watches_store: false,
-            store_returns: self.agent.store_returns(),
             health_path: self.agent.health_path().filter(|_| asks).map(str::to_owned),
         }
     }
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -2,7 +2,9 @@
 
 use crate::command::{Measures, MemberNews, NodeStatus};
 use crate::core::Core;
-use loftdrift_carried::{CarriedBalancer, CarriedConfiguration, Output, SegmentFormat, Snapshot};
+use loftdrift_carried::{
+    CarriedBalancer, CarriedConfiguration, ListedNode, Output, SegmentFormat, Snapshot,
+};
 use loftdrift_counters::CounterSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -54,6 +56,10 @@
         }
     }
 
+    fn audit(&mut self, now: Duration, listed: &[ListedNode]) -> Vec<SocketAddrV4> {
+        self.balancer.audit_members(now, listed)
+    }
+
     fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
         self.balancer.take_snapshot(now, snapshot);
     }
@@ -74,7 +80,6 @@
             has_ended: false,
             configuration: self.balancer.configuration_version(),
             watches_store: self.balancer.watches_store(now),
-            store_returns: self.balancer.store_returns(),
             health_path: None,
         }
     }
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,8 +1,8 @@
 //! What tasks say to the one that owns the core, and what that one publishes.
 
 use loftdrift_carried::{
-    BackendReport, CarriedConfiguration, Incarnation, NodeRole, ProbeOutcome, ReportOutcome,
-    Snapshot,
+    BackendReport, CarriedConfiguration, Incarnation, ListedNode, NodeRole, ProbeOutcome,
+    ReportOutcome, Snapshot,
 };
 use loftdrift_counters::{Histogram, Sample};
 use std::net::SocketAddrV4;
@@ -15,6 +15,9 @@
     Adopt(CarriedConfiguration),
     /// These nodes exist.
     Learn(MemberNews),
+    /// The shared store's list, to be compared with who lives; answered with the addresses whose
+    /// entries are to be removed.
+    Audit(Vec<ListedNode>, oneshot::Sender<Vec<SocketAddrV4>>),
     /// Another node's snapshot.
     TakeSnapshot(Snapshot),
     /// Give a snapshot.
@@ -68,8 +71,6 @@
     pub configuration: u64,
     /// The node is to wait at the shared store for newer configurations.
     pub watches_store: bool,
-    /// How often the shared store has come back after an absence.
-    pub store_returns: u32,
     /// Path of the health page of the back end, while its health should be asked for.
     pub health_path: Option<String>,
 }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -2,7 +2,8 @@
 
 use crate::command::{Measures, MemberNews, NodeStatus};
 use loftdrift_carried::{
-    BackendReport, CarriedConfiguration, Incarnation, Output, ProbeOutcome, ReportOutcome, Snapshot,
+    BackendReport, CarriedConfiguration, Incarnation, ListedNode, Output, ProbeOutcome,
+    ReportOutcome, Snapshot,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -22,6 +23,10 @@
     }
     fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration);
     fn learn(&mut self, now: Duration, news: &MemberNews);
+    /// Compares the shared store's list with who lives; no core but a balancer's asks for it.
+    fn audit(&mut self, _now: Duration, _listed: &[ListedNode]) -> Vec<SocketAddrV4> {
+        Vec::new()
+    }
     fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot);
     fn snapshot(&self) -> Snapshot;
     fn measures(&self, now: Duration) -> Measures;
--- a/crates/node/src/counted_store.rs
+++ b/crates/node/src/counted_store.rs
@@ -1,9 +1,9 @@
 //! Counts what calls to the shared store come to, and how long they take.
 
 use crate::shared_store::{
-    Currency, Lease, LeaseId, Member, MemberList, OperatorChange, OperatorState, SharedStore,
-    StoreFailure,
+    Currency, Member, MemberList, OperatorChange, OperatorState, SharedStore, StoreFailure,
 };
+use loftdrift_carried::NodeRole;
 use loftdrift_counters::{CounterSet, Histogram, PublishedSet, counter_set};
 use std::future::Future;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -20,7 +20,7 @@
         calls_throttled,
         /// Calls refused for now.
         calls_refused,
-        /// Calls for something that is gone: a lease, a history.
+        /// Calls for something that is gone: an entry, a history.
         calls_gone,
         /// Calls whose answer could not be read.
         calls_unreadable,
@@ -106,23 +106,31 @@
         outcome
     }
 
-    async fn take_lease(&self, lasts: Duration) -> Result<Lease, StoreFailure> {
-        self.timed(self.store.take_lease(lasts)).await
+    async fn write_member(&self, member: &Member) -> Result<u64, StoreFailure> {
+        self.timed(self.store.write_member(member)).await
     }
 
-    async fn renew_lease(&self, lease: LeaseId) -> Result<(), StoreFailure> {
-        self.timed(self.store.renew_lease(lease)).await
-    }
-
-    async fn end_lease(&self, lease: LeaseId) -> Result<(), StoreFailure> {
-        self.timed(self.store.end_lease(lease)).await
+    async fn remove_member(
+        &self,
+        member: &Member,
+        written_at: Option<u64>,
+    ) -> Result<(), StoreFailure> {
+        self.timed(self.store.remove_member(member, written_at)).await
     }
 
-    async fn write_member(&self, member: &Member, lease: LeaseId) -> Result<u64, StoreFailure> {
-        self.timed(self.store.write_member(member, lease)).await
+    async fn read_member(
+        &self,
+        member: &Member,
+        currency: Currency,
+    ) -> Result<Option<Member>, StoreFailure> {
+        self.timed(self.store.read_member(member, currency)).await
     }
 
-    async fn read_members(&self, currency: Currency) -> Result<MemberList, StoreFailure> {
-        self.timed(self.store.read_members(currency)).await
+    async fn read_members(
+        &self,
+        role: NodeRole,
+        currency: Currency,
+    ) -> Result<MemberList, StoreFailure> {
+        self.timed(self.store.read_members(role, currency)).await
     }
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -14,6 +14,7 @@
 mod counted_store;
 mod health;
 mod interface;
+mod member_audit;
 mod metrics;
 mod operator_document;
 mod pace;
@@ -34,6 +35,6 @@
 pub use run::run;
 pub use settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
 pub use shared_store::{
-    Currency, Lease, LeaseId, Member, MemberEntry, MemberList, OperatorChange, OperatorState,
-    SharedStore, StoreFailure,
+    Currency, Member, MemberEntry, MemberList, OperatorChange, OperatorState, SharedStore,
+    StoreFailure,
 };
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -11,9 +11,11 @@
 use crate::metrics::Metrics;
 use crate::registration::Registration;
 use crate::settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
-use crate::shared_store::{Member, SharedStore};
+use crate::shared_store::{Currency, Member, SharedStore};
 use crate::shell::Shell;
-use crate::{health, probe, registration, reloading, snapshots, stopping, store_reader};
+use crate::{
+    health, member_audit, probe, registration, reloading, snapshots, stopping, store_reader,
+};
 use anyhow::{Context, Result};
 use http_body_util::{BodyExt, Limited};
 use hyper::StatusCode;
@@ -35,6 +37,8 @@
 const FETCH_QUEUE: usize = 1;
 const READING_QUEUE: usize = 1;
 const PROBE_QUEUE: usize = 1;
+const AUDIT_QUEUE: usize = 1;
+const REWRITE_QUEUE: usize = 1;
 const BITS_A_MEGABIT: f64 = 1e6;
 /// Largest body of a request, in bytes.
 const MAX_BODY_BYTES: usize = 16 * 1024;
@@ -135,6 +139,10 @@
     status: watch::Receiver<NodeStatus>,
     /// The core asks for a reading of the store.
     readings: mpsc::Receiver<()>,
+    /// The core asks for an audit of the list of nodes.
+    audits: mpsc::Receiver<Currency>,
+    /// The core has heard that the node's entry is missing.
+    missing: mpsc::Receiver<()>,
     tasks: JoinSet<()>,
 }
 
@@ -145,6 +153,8 @@
         let (fetches, fetch_queue) = mpsc::channel(FETCH_QUEUE);
         let (readings, reading_queue) = mpsc::channel(READING_QUEUE);
         let (probes, probe_queue) = mpsc::channel(PROBE_QUEUE);
+        let (audits, audit_queue) = mpsc::channel(AUDIT_QUEUE);
+        let (rewrites, missing) = mpsc::channel(REWRITE_QUEUE);
         let listener = bind_tcp("snapshots", settings.node.address).await?;
         let shell = Shell {
             core,
@@ -156,6 +166,8 @@
             fetches,
             readings,
             probes,
+            audits,
+            rewrites,
             local_age: InputAge::default(),
         };
         let mut tasks = JoinSet::new();
@@ -165,7 +177,14 @@
         tasks.spawn(snapshots::give(listener, allowance, commands.clone()));
         tasks.spawn(snapshots::fetch_named(fetch_queue, commands.clone()));
         tasks.spawn(snapshots::fetch_from_seeds(settings.seeds.clone(), commands.clone()));
-        Ok(Wiring { commands, status, readings: reading_queue, tasks })
+        Ok(Wiring {
+            commands,
+            status,
+            readings: reading_queue,
+            audits: audit_queue,
+            missing,
+            tasks,
+        })
     }
 
     async fn run<S: SharedStore, I: Interface>(
@@ -183,13 +202,13 @@
         let store_meter = store.meter();
         let reading = store_reader::read(store.clone(), self.readings, self.commands.clone());
         self.tasks.spawn(reading);
-        let (lease, held) = watch::channel(None);
+        let audit = member_audit::audit(store.clone(), self.audits, self.commands.clone());
+        self.tasks.spawn(audit);
         let registration = Registration {
             store: store.clone(),
-            member,
+            member: member.clone(),
             commands: self.commands.clone(),
-            held: lease,
-            status: self.status.clone(),
+            missing: self.missing,
             is_first_start: settings.is_first_start,
         };
         self.tasks.spawn(registration.keep());
@@ -212,8 +231,7 @@
         let outcome =
             stopping::stopped(settings.stop_grace, is_balancer, self.commands, self.status).await?;
         if status.borrow().has_ended {
-            let lease = *held.borrow();
-            registration::leave(store, lease).await;
+            registration::leave(store, &member).await;
         }
         log::info!(outcome; "stopped");
         Ok(())
--- a/crates/node/src/settings.rs
+++ b/crates/node/src/settings.rs
@@ -11,7 +11,6 @@
 const ROLE_AGENT: &str = "carried-agent";
 const DEFAULT_STOP_GRACE_SECONDS: f64 = 6.0;
 const DEFAULT_LONGEST_FLOW_SECONDS: f64 = 60.0;
-const DEFAULT_SHORTEST_LEASE_SECONDS: f64 = 1.0;
 /// No more than the configuration tells.
 const DEFAULT_COLD_OVERSHOOT: f64 = 1.0;
 /// Below this a back end is given less than it bears, above the limit means nothing.
@@ -42,8 +41,6 @@
     pub metrics: Option<SocketAddrV4>,
     /// The shared store.
     pub store: SocketAddrV4,
-    /// Shortest lease that the store gives.
-    pub shortest_lease: Duration,
     /// Nodes to ask for a snapshot at the start.
     pub seeds: Vec<SocketAddrV4>,
     /// An accepted configuration or evacuation is in force everywhere after this time.
@@ -142,7 +139,6 @@
     // A node without metrics is better than none: an address that is taken is told at the start.
     let metrics = reader.optional_address("metrics");
     let store = reader.address("store");
-    let shortest_lease = reader.seconds("shortest_lease_s", DEFAULT_SHORTEST_LEASE_SECONDS);
     let seeds = reader.addresses("seeds");
     let bound = reader.count(
         "configuration_bound_ms",
@@ -185,7 +181,6 @@
         readiness,
         metrics,
         store: store?,
-        shortest_lease: shortest_lease?,
         // Seeds are named by any of their addresses; the ports are alike on all machines.
         seeds: seeds.iter().map(|seed| SocketAddrV4::new(*seed.ip(), messages_port)).collect(),
         configuration_bound: Duration::from_millis(bound?.min(evacuation_bound?)),
--- a/crates/node/src/shared_store.rs
+++ b/crates/node/src/shared_store.rs
@@ -22,7 +22,7 @@
     /// Not now; nothing was done.
     #[error("refused for now")]
     Unavailable,
-    /// What was asked for is gone: a lease that is over, a history that is forgotten.
+    /// What was asked for is gone: an entry, a history that is forgotten.
     #[error("gone")]
     Gone,
     /// An answer that cannot be read.
@@ -41,18 +41,6 @@
     pub role: NodeRole,
 }
 
-/// Names a lease; 0 names none.
-pub type LeaseId = u64;
-
-/// A lease: the entry written with it goes with it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Lease {
-    /// Names it.
-    pub id: LeaseId,
-    /// How long it lasts after each renewal.
-    pub lasts: Duration,
-}
-
 /// How new an answer must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Currency {
@@ -62,16 +50,16 @@
     MayBeOld,
 }
 
-/// An entry with the lease that it stands under.
+/// An entry with the revision at which it was written.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MemberEntry {
     /// The node.
     pub member: Member,
-    /// Its lease.
-    pub lease: LeaseId,
+    /// The store's revision then.
+    pub revision: u64,
 }
 
-/// The list of nodes.
+/// The list of nodes of one role.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct MemberList {
     /// All entries.
@@ -119,28 +107,30 @@
         patience: Duration,
     ) -> impl Future<Output = Result<OperatorChange, StoreFailure>> + Send;
 
-    /// Takes a lease.
-    fn take_lease(
+    /// Writes a node's entry; gives the store's revision with the entry.
+    fn write_member(
         &self,
-        lasts: Duration,
-    ) -> impl Future<Output = Result<Lease, StoreFailure>> + Send;
-
-    /// Renews a lease.
-    fn renew_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+        member: &Member,
+    ) -> impl Future<Output = Result<u64, StoreFailure>> + Send;
 
-    /// Ends a lease.
-    fn end_lease(&self, lease: LeaseId) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+    /// Removes a node's entry; with a revision, only one that was written then.
+    fn remove_member(
+        &self,
+        member: &Member,
+        written_at: Option<u64>,
+    ) -> impl Future<Output = Result<(), StoreFailure>> + Send;
 
-    /// Writes a node's entry under a lease; gives the store's revision with the entry.
-    fn write_member(
+    /// Reads what stands under a node's name; `None` where that cannot be read.
+    fn read_member(
         &self,
         member: &Member,
-        lease: LeaseId,
-    ) -> impl Future<Output = Result<u64, StoreFailure>> + Send;
+        currency: Currency,
+    ) -> impl Future<Output = Result<Option<Member>, StoreFailure>> + Send;
 
-    /// Reads all entries.
+    /// Reads all entries of nodes of a role.
     fn read_members(
         &self,
+        role: NodeRole,
         currency: Currency,
     ) -> impl Future<Output = Result<MemberList, StoreFailure>> + Send;
 }
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -2,6 +2,7 @@
 
 use crate::command::{Command, NodeStatus};
 use crate::core::Core;
+use crate::shared_store::Currency;
 use loftdrift_carried::{InputAge, Output};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
@@ -44,6 +45,8 @@
     pub(crate) fetches: mpsc::Sender<SocketAddrV4>,
     pub(crate) readings: mpsc::Sender<()>,
     pub(crate) probes: mpsc::Sender<SocketAddrV4>,
+    pub(crate) audits: mpsc::Sender<Currency>,
+    pub(crate) rewrites: mpsc::Sender<()>,
     /// For how long what is read from the local socket may have waited there.
     pub(crate) local_age: InputAge,
 }
@@ -155,6 +158,7 @@
         match command {
             Command::Adopt(configuration) => self.core.adopt(now, configuration),
             Command::Learn(news) => self.core.learn(now, &news),
+            Command::Audit(listed, answer) => drop(answer.send(self.core.audit(now, &listed))),
             Command::TakeSnapshot(snapshot) => self.core.take_snapshot(now, snapshot),
             Command::Health(is_healthy) => self.core.take_health(now, is_healthy),
             Command::Probed(outcome) => self.core.take_probe(now, outcome),
@@ -193,6 +197,13 @@
                 }
                 // One reading serves all who ask meanwhile.
                 Output::ReadStore => drop(self.readings.try_send(())),
+                // One audit serves all who ask meanwhile.
+                Output::ReadMembers { is_urgent } => {
+                    let currency = if is_urgent { Currency::Newest } else { Currency::MayBeOld };
+                    let _ = self.audits.try_send(currency);
+                }
+                // One entry serves all auditors.
+                Output::WriteEntry => drop(self.rewrites.try_send(())),
                 // One that finds no place is asked for again.
                 Output::ProbeBackend => {
                     let backend = self.core.backend();
