Turns for reading the store end at two thirds of the bound at any size

Cause: a balancer that hears of no confirmation reads the store for itself when its turn comes, rank x bound / 60 after a third of the bound. The one of rank 40 comes at the bound itself, 264 of the fleet's 304 after it: the guard against a change that nobody told of protected forty balancers.

Ruled out: a shorter turn for all, at which a small system reads in vain.

Change: the turns of all take a third of the bound at most, so that they shrink with the balancers. While the store answers nobody it is asked as often as before.

Figures: the last of 30, 304 and 460 balancers reads within two thirds of the bound (test); before, that of 304 at 5.4 times the bound.

Conclusion: holds at any number; between the first reader's word and its arrival at the others, 0.3 s, some fifty of 460 read as well, once.

--- a/crates/carried/src/balancer/store_watch.rs
+++ b/crates/carried/src/balancer/store_watch.rs
@@ -31,6 +31,9 @@
 /// Balancers read for themselves one after the other, this share of the bound apart: the first one's
 /// word reaches the others in a few of these, and ten that wait may all be gone.
 const TURN_SHARE: f64 = 1.0 / 60.0;
+/// The turns of all take no longer than this share of the bound: the last one's comes at two thirds of it,
+/// whatever their number, and a third is left for its word to reach the others.
+const TURNS_SHARE: f64 = 1.0 / 3.0;
 /// First rest of a balancer that the store has not answered; it doubles each time ...
 const FIRST_REST: Duration = Duration::from_millis(100);
 /// ... up to so much for each balancer that waits: together they try the store a few times a second,
@@ -139,10 +142,12 @@
         if watch.is_chosen || !self.policies.has(Policy::FewWatchers) {
             return None;
         }
-        let turn = watch.bound.mul_f64(TURN_SHARE);
+        let balancers = watch.balancers.max(1);
+        let turn = watch.bound.mul_f64(TURN_SHARE.min(TURNS_SHARE / balancers as f64));
         let stale_after = watch.bound.mul_f64(STALE_SHARE) + turn * watch.rank as u32;
         let due = self.standing.store.confirmed_at() + stale_after;
-        let pause = watch.bound.max(turn * watch.balancers as u32);
+        // While the store answers nobody, all together ask it as often as sixty balancers would.
+        let pause = watch.bound.mul_f64((TURN_SHARE * balancers as f64).max(1.0));
         Some(watch.last_reading.map_or(due, |last| due.max(last + pause)))
     }
 
--- a/crates/carried/tests/store_watch.rs
+++ b/crates/carried/tests/store_watch.rs
@@ -150,6 +150,30 @@
     assert_eq!(made, [], "the store has answered it");
 }
 
+/// The dead stand in the order for minutes, and the fleet may be of any size: whoever comes last must
+/// still have read in time.
+#[test]
+fn the_last_of_any_number_of_balancers_reads_within_two_thirds_of_the_bound() {
+    let third = CONFIGURATION_BOUND.as_millis() as u64 / 3;
+    for balancers in [30_u16, 304, 460] {
+        let address = |number: u16| {
+            let [high, low] = number.to_be_bytes();
+            SocketAddrV4::new([10, 1, high, low].into(), 7720)
+        };
+        let mut settings = balancer_settings(1);
+        settings.node.address = address(balancers);
+        let mut last = CarriedBalancer::new(settings, PlainFormat);
+        last.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+        for number in 1..balancers {
+            let heartbeat = Message::Heartbeat(heartbeat_of("a", None, 0));
+            last.handle_peer(milliseconds(100), address(number), &heartbeat.encode());
+        }
+        let made = readings(&mut last, 100, 3 * third);
+        let in_time = made.first().is_some_and(|at| *at <= 2 * third);
+        assert!(in_time, "{balancers} balancers: {made:?}");
+    }
+}
+
 #[test]
 fn a_confirmation_that_a_peer_tells_of_keeps_a_balancer_from_reading() {
     let mut last = balancer_at(20, "a");
