Balancers that know nobody yet neither wait at the store nor ask for its newest

Ruled out: readings in turn (6 in all), errands (none).

Change: before any configuration is known old readings are asked for, at a tenth of the price: a configuration that was there before is in them, and one that comes meanwhile is told within a second by whoever has it first. A balancer ranks once it has read a whole list of nodes, or after five seconds.

--- a/crates/carried/src/balancer/store_watch.rs
+++ b/crates/carried/src/balancer/store_watch.rs
@@ -19,8 +19,9 @@
 /// Balancers that wait in the whole system, at least, where there are so many. With a third of all
 /// nodes refused by the store, all of six are with 0.14 %; all of ten in five zones with 0.002 %.
 const LEAST_IN_ALL: usize = 6;
-/// After a start nobody ranks before the others had time to say who they are; the first
-/// configuration is read meanwhile.
+/// After a start nobody ranks before it has read who there is, and the others had time to say so: a
+/// thousand balancers that know nobody would all wait at the store. The first configuration is read
+/// meanwhile.
 const FIRST_REVIEW: Duration = Duration::from_millis(1_000);
 /// Time between two looks at who waits: far below the time in which silence is noticed.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
@@ -132,17 +133,24 @@
 
     /// When [`CarriedBalancer::follow_store`] has something to do next.
     pub(super) fn next_store_step(&self) -> Duration {
-        let review = self.store_watch.next_review.max(FIRST_REVIEW);
+        let review = self.next_review();
         self.next_reading().map_or(review, |reading| reading.min(review))
     }
 
+    fn next_review(&self) -> Duration {
+        let first = self.acquaintance.enough_at().max(FIRST_REVIEW);
+        self.store_watch.next_review.max(first)
+    }
+
     /// When this balancer reads the store for itself, unless it hears of a confirmation before.
     fn next_reading(&self) -> Option<Duration> {
         let watch = &self.store_watch;
-        if watch.is_chosen || !self.policies.has(Policy::FewWatchers) {
+        // Before the first review it has no place among the others.
+        let has_place = watch.balancers > 0;
+        if watch.is_chosen || !has_place || !self.policies.has(Policy::FewWatchers) {
             return None;
         }
-        let balancers = watch.balancers.max(1);
+        let balancers = watch.balancers;
         let turn = watch.bound.mul_f64(TURN_SHARE.min(TURNS_SHARE / balancers as f64));
         let stale_after = watch.bound.mul_f64(STALE_SHARE) + turn * watch.rank as u32;
         let due = self.standing.store.confirmed_at() + stale_after;
@@ -153,7 +161,7 @@
 
     /// Looks who waits at the store, and reads it where nobody seems to.
     pub(super) fn follow_store(&mut self, now: Duration) {
-        if now >= self.store_watch.next_review.max(FIRST_REVIEW) {
+        if now >= self.next_review() {
             self.review_watchers(now);
         }
         self.audit_when_due(now, self.store_watch.is_chosen);
--- a/crates/carried/src/balancer/verdicts.rs
+++ b/crates/carried/src/balancer/verdicts.rs
@@ -61,8 +61,9 @@
         self.restarted_at.is_some_and(with)
     }
 
-    fn is_enough(&self, now: Duration) -> bool {
-        self.has_list || now >= ACQUAINTED_AFTER
+    /// From when on this balancer knows who there is, as far as it can.
+    pub(super) fn enough_at(&self) -> Duration {
+        if self.has_list { Duration::ZERO } else { ACQUAINTED_AFTER }
     }
 }
 
@@ -113,7 +114,7 @@
         self.policies.has(Policy::TellOver)
             && lookup.demands_answer()
             && is_asked_enough
-            && self.acquaintance.is_enough(now)
+            && now >= self.acquaintance.enough_at()
             && self.agents_known().all(|agent| self.denies(now, lookup, &agent))
     }
 
--- a/crates/carried/tests/store_watch.rs
+++ b/crates/carried/tests/store_watch.rs
@@ -16,6 +16,7 @@
     let settings = loftdrift_carried::CarriedBalancerSettings { node, ..balancer_settings(1) };
     let mut balancer = CarriedBalancer::new(settings, PlainFormat);
     balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+    balancer.learn_members(milliseconds(0), &[]);
     balancer
 }
 
@@ -78,6 +79,20 @@
     assert_eq!(watchers(&zones), (0..10).collect::<Vec<_>>());
 }
 
+/// Of a thousand that start together and know nobody yet all would take themselves for the first.
+#[test]
+fn a_balancer_that_has_not_read_who_there_is_waits_for_nothing_for_five_seconds() {
+    let mut balancer = new_balancer(1);
+    assert_eq!(readings(&mut balancer, 0, 4_900), []);
+    assert!(!balancer.watches_store(milliseconds(4_900)));
+    readings(&mut balancer, 4_900, 5_600);
+    assert!(balancer.watches_store(milliseconds(5_600)), "the store may have refused it the list");
+    let mut with_list = new_balancer(1);
+    with_list.learn_members(milliseconds(500), &[]);
+    readings(&mut with_list, 500, 1_100);
+    assert!(with_list.watches_store(milliseconds(1_100)));
+}
+
 #[test]
 fn those_with_the_fastest_links_wait_first() {
     // By address the first twelve are slow.
@@ -87,6 +102,7 @@
         settings.node.address = balancer_number(*number);
         settings.node.link_mbps = link(*number);
         let mut balancer = CarriedBalancer::new(settings, PlainFormat);
+        balancer.learn_members(milliseconds(0), &[]);
         balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
         for peer in (1..=20).filter(|peer| peer != number) {
             let heartbeat = Heartbeat { link_mbps: link(peer), ..heartbeat_of("a", None, 0) };
@@ -163,6 +179,7 @@
         let mut settings = balancer_settings(1);
         settings.node.address = address(balancers);
         let mut last = CarriedBalancer::new(settings, PlainFormat);
+        last.learn_members(milliseconds(0), &[]);
         last.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
         for number in 1..balancers {
             let heartbeat = Message::Heartbeat(heartbeat_of("a", None, 0));
--- a/crates/node/src/configuration_follower.rs
+++ b/crates/node/src/configuration_follower.rs
@@ -72,17 +72,18 @@
     }
 
     /// An old configuration is as good at first: nodes that wait at the store tell of a newer one
-    /// within a second.
+    /// within a second. Where none is written yet, it is asked for at a tenth of the price of a newest one:
+    /// 304 balancers that asked for the newest cost the store 1,200 calls in their first second.
     async fn read_until_known(&mut self) {
         tokio::time::sleep(self.head_start).await;
         let mut pace = Pace::new(FIRST_PAUSE, LONGEST_PAUSE);
-        let mut currency = Currency::MayBeOld;
         while self.status.borrow().configuration == 0 && !self.commands.is_closed() {
-            match self.store.read_operators(currency).await {
-                Ok(state) => match state.document() {
-                    Some(document) => return self.adopt(document).await,
-                    None => currency = Currency::Newest,
-                },
+            match self.store.read_operators(Currency::MayBeOld).await {
+                Ok(state) => {
+                    if let Some(document) = state.document() {
+                        return self.adopt(document).await;
+                    }
+                }
                 Err(failure) => self.note_failure(&failure).await,
             }
             pace.pause().await;
