--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -288,9 +288,6 @@
     }
 
     fn handle_heartbeat(&mut self, now: Duration, from: SocketAddrV4, heartbeat: Heartbeat) {
-        if self.acquaintance.note_word(now) {
-            self.standing.membership.greet_unheard(now);
-        }
         let (is_new, fetch) = self.standing.hear(now, from, &heartbeat);
         self.outputs.extend(fetch);
         self.compare_with_peer(now, heartbeat.configuration);
--- a/crates/carried/src/balancer/verdicts.rs
+++ b/crates/carried/src/balancer/verdicts.rs
@@ -21,9 +21,6 @@
 const RESTART_SPREAD: Duration = Duration::from_millis(800);
 /// A balancer that nothing cuts off hears an agent so soon after both have started.
 const PROMPT: Duration = Duration::from_millis(200);
-/// A word that comes so long after this process's start may be the first since its link was whole again:
-/// what it said to others before may be lost.
-const DEAF_FOR: Duration = Duration::from_millis(50);
 /// Agents that must have restarted with their back ends before that is believed of all.
 const LEAST_RESTARTED: usize = 2;
 /// Agents that live have been heard so long after this process started, where all restarted.
@@ -42,8 +39,6 @@
     has_list: bool,
     /// Silence counts from here: before, the process had not started or stood still.
     since: Duration,
-    /// When this process first heard another node: it may have been cut off before.
-    first_word: Option<Duration>,
     /// About when the agents' processes started, where everything has lost power.
     restarted_at: Option<StartTime>,
     /// When that is looked at next.
@@ -55,13 +50,6 @@
         self.has_list = true;
     }
 
-    /// Another node was heard; `true` when what was said to others before that may have been lost.
-    pub(super) fn note_word(&mut self, now: Duration) -> bool {
-        let is_first = self.first_word.is_none();
-        self.first_word.get_or_insert(now);
-        is_first && now >= DEAF_FOR
-    }
-
     pub(super) fn note_standstill(&mut self, now: Duration) {
         self.since = now;
     }
@@ -177,11 +165,7 @@
         let view = self.pool.view(agent);
         // A process that runs late has not read yet what those that live have said.
         let grace = self.lateness.stretch(now, RESTART_GRACE);
-        // Whoever lives answers the greeting that followed the first word heard here.
-        let answered_by =
-            self.acquaintance.first_word.unwrap_or(now) + self.lateness.stretch(now, PROMPT);
-        let could_be_heard = now >= grace.max(answered_by);
-        if view.is_none() && could_be_heard && self.has_all_restarted(now) {
+        if view.is_none() && now >= grace && self.has_all_restarted(now) {
             return true;
         }
         let since = self.acquaintance.since;
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -243,15 +243,6 @@
         }
     }
 
-    /// Has every node that was never heard greeted again at once.
-    pub(crate) fn greet_unheard(&mut self, now: Duration) {
-        let unheard = self.peers.iter().filter(|(_, peer)| peer.heard_at.is_none());
-        let unheard: Vec<SocketAddrV4> = unheard.map(|(address, _)| *address).collect();
-        for address in unheard {
-            self.reschedule(address, now);
-        }
-    }
-
     /// When [`Membership::take_due`] has something next.
     pub(crate) fn next_due(&self) -> Option<Duration> {
         self.due.first().map(|(at, _)| *at)
