Who leaves tries to take its entry away for as long as its stop may last

Change: a leaving node tries until its grace is over. Auditors remove the entry of an agent that has said good-bye and was silent for four intervals, two seconds at least.

--- a/crates/carried/src/balancer/audit.rs
+++ b/crates/carried/src/balancer/audit.rs
@@ -6,7 +6,8 @@
 //! of a node that nobody has heard for long is removed.
 //!
 //! Invariants:
-//! - An entry is removed only after its node was silent here for [`DEAD_AFTER`], while this process ran.
+//! - An entry is removed only after its node was silent here for [`DEAD_AFTER`], while this process ran, or
+//!   has said good-bye and was silent for four intervals.
 //! - A node that lives and whose entry is missing is told by every auditor that hears it, each time.
 
 use super::*;
@@ -26,6 +27,9 @@
 /// shorter than peers remember it.
 const DEAD_AFTER: Duration = Duration::from_secs(540);
 
+/// An agent whose back end had ended when it spoke last, and which was silent since, has left its machine.
+const GOODBYE_AFTER: Duration = Duration::from_secs(2);
+
 /// A node that the shared store's list names.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListedNode {
@@ -120,6 +124,8 @@
 
     fn is_dead(&self, now: Duration, address: &SocketAddrV4) -> bool {
         let last_word = self.standing.membership.last_word(address).unwrap_or(now);
-        now.saturating_sub(last_word) >= DEAD_AFTER
+        let patience = (self.standing.membership.interval() * ALIVE_INTERVALS).max(GOODBYE_AFTER);
+        let is_over = if self.has_said_goodbye(address) { patience } else { DEAD_AFTER };
+        now.saturating_sub(last_word) >= is_over
     }
 }
--- a/crates/carried/tests/audit.rs
+++ b/crates/carried/tests/audit.rs
@@ -149,6 +149,28 @@
     assert_eq!(removed, [dead.address]);
 }
 
+/// The store may refuse a node that leaves; after a restart of all nobody would remember that it has.
+#[test]
+fn the_entry_of_an_agent_that_said_good_bye_is_removed_once_it_is_silent() {
+    let mut balancer = balancer_alone();
+    run(&mut balancer, &[1, 2], 0, 20 * SECOND);
+    let ended = LoadReport {
+        service: SERVICE.to_owned(),
+        condition: BackendCondition::Ended,
+        ..LoadReport::default()
+    };
+    tell(&mut balancer, milliseconds(20 * SECOND), 2, ended);
+    let list = [
+        listed(balancer_address(), NodeRole::Balancer),
+        listed(agent_address(1), NodeRole::Agent),
+        listed(agent_address(2), NodeRole::Agent),
+    ];
+    run(&mut balancer, &[1], 20 * SECOND, 21 * SECOND);
+    assert_eq!(balancer.audit_members(milliseconds(21 * SECOND), &list), [], "it may speak again");
+    run(&mut balancer, &[1], 21 * SECOND, 23 * SECOND);
+    assert_eq!(balancer.audit_members(milliseconds(23 * SECOND), &list), [agent_address(2)]);
+}
+
 #[test]
 fn a_node_that_was_told_enters_itself_again() {
     let mut agent = agent(false);
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -228,12 +228,12 @@
             self.tasks.spawn(Metrics { role, commands, store }.serve(address));
         }
         let status = self.status.clone();
-        let outcome =
+        let stop =
             stopping::stopped(settings.stop_grace, is_balancer, self.commands, self.status).await?;
         if status.borrow().has_ended {
-            registration::leave(store, &member).await;
+            registration::leave(store, &member, stop.deadline).await;
         }
-        log::info!(outcome; "stopped");
+        log::info!(outcome = stop.outcome; "stopped");
         Ok(())
     }
 }
