Reverted: a leaving node lingers; auditors' rule for good-byes stays

A node that lingers for its entry on a machine that is being taken away is killed there and started again beside no back end.

Change: one try of 0.25 s, as before. The entries that such nodes leave are removed by auditors at the store's return, by their good-bye.

--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -11,7 +11,6 @@
 use rand::Rng;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 /// Pauses between readings of lists that may be old, until they have the own entry: such lists are
 /// two to three seconds old.
@@ -22,10 +21,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 /// Nodes whose entries are missing write them within this time, not all at once.
 const REWRITE_SPREAD: Duration = Duration::from_millis(1_200);
-/// A node that leaves for good waits at least so long for the store to take its entry away.
-const LEAST_LEAVE: Duration = Duration::from_millis(250);
-/// Its longest pause between tries: the machine may lose its power at any moment.
-const LONGEST_LEAVE_PAUSE: Duration = Duration::from_millis(300);
+/// A node that leaves for good waits so long for the store to take its entry away.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(250);
 
 /// How a node came to stand in the list.
 #[derive(Clone, Copy, Debug)]
@@ -156,19 +153,11 @@
     }
 }
 
-/// Takes the entry of a node away that leaves for good: whoever starts later need not wait for it. While the
-/// store refuses, it is tried again for as long as the stop may take.
-pub(crate) async fn leave(store: impl SharedStore, member: &Member, deadline: Instant) {
-    let mut pace = Pace::new(FIRST_PAUSE, LONGEST_LEAVE_PAUSE);
-    let removed = async {
-        while let Err(failure) = store.remove_member(member, None).await {
-            let failure = failure.to_string();
-            log::debug!(failure = failure.as_str(); "registration_not_removed");
-            pace.pause().await;
-        }
-    };
-    let least = Instant::now() + LEAST_LEAVE;
-    if tokio::time::timeout_at(deadline.max(least), removed).await.is_err() {
+/// Takes the entry of a node away that leaves for good: whoever starts later need not wait for it.
+pub(crate) async fn leave(store: impl SharedStore, member: &Member) {
+    // Left to the auditors where the store does not answer.
+    let removed = tokio::time::timeout(LEAVE_TIMEOUT, store.remove_member(member, None)).await;
+    if !matches!(removed, Ok(Ok(()))) {
         log::warn!("registration_left_to_auditors");
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -228,12 +228,12 @@
             self.tasks.spawn(Metrics { role, commands, store }.serve(address));
         }
         let status = self.status.clone();
-        let stop =
+        let outcome =
             stopping::stopped(settings.stop_grace, is_balancer, self.commands, self.status).await?;
         if status.borrow().has_ended {
-            registration::leave(store, &member, stop.deadline).await;
+            registration::leave(store, &member).await;
         }
-        log::info!(outcome = stop.outcome; "stopped");
+        log::info!(outcome; "stopped");
         Ok(())
     }
 }
--- a/crates/node/src/stopping.rs
+++ b/crates/node/src/stopping.rs
@@ -5,28 +5,19 @@
 use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
-use tokio::time::Instant;
 
 /// The platform looks for readiness a few times before it turns callers away.
 const TURN_AWAY: Duration = Duration::from_millis(1_200);
 /// Kept free of the grace, so that the process ends by itself.
 const MARGIN: Duration = Duration::from_millis(700);
 
-/// A stop that was asked for.
-pub(crate) struct Stop {
-    /// Whether everything was done.
-    pub(crate) outcome: &'static str,
-    /// The process must have ended by itself by then.
-    pub(crate) deadline: Instant,
-}
-
 /// Ends once the process has been asked to stop and has nothing left to do, or has no more time.
 pub(crate) async fn stopped(
     grace: Duration,
     is_balancer: bool,
     commands: mpsc::Sender<Command>,
     mut status: watch::Receiver<NodeStatus>,
-) -> Result<Stop> {
+) -> Result<&'static str> {
     let mut terminate = signal(SignalKind::terminate()).context("cannot listen for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).context("cannot listen for SIGINT")?;
     tokio::select! {
@@ -34,7 +25,6 @@
         _ = interrupt.recv() => {}
     }
     log::info!(grace_ms = grace.as_millis() as u64; "stop_requested");
-    let deadline = Instant::now() + grace.saturating_sub(MARGIN);
     let _ = commands.send(Command::Drain).await;
     let drained = async {
         if is_balancer {
@@ -42,9 +32,6 @@
         }
         let _ = status.wait_for(|status| status.is_drained).await;
     };
-    let outcome = match tokio::time::timeout_at(deadline, drained).await {
-        Ok(()) => "drained",
-        Err(_) => "grace_over",
-    };
-    Ok(Stop { outcome, deadline })
+    let outcome = tokio::time::timeout(grace.saturating_sub(MARGIN), drained).await;
+    Ok(if outcome.is_ok() { "drained" } else { "grace_over" })
 }
