--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -256,11 +256,6 @@
         }
     }
 
-    /// How often the shared store has come back after an absence, as far as is known.
-    pub fn store_returns(&self) -> u32 {
-        self.standing.store.returns()
-    }
-
     /// Takes no new flows from now on and tells every balancer so.
     pub fn start_draining(&mut self, now: Duration) {
         self.stopping = true;
