Sight: documents passed over have a line, pages of metrics begin with state

Cause of the blindness: the incident's lines and metrics could not tell a change that did not come from one that was thrown away. A document that says something else and is no newer was passed over at level debug; what was kept of each page of metrics (its first 4 KiB) ended within the histograms at its beginning; a store that had gone back looked like one that had been away. Change: configuration_passed_over at level info, where the words differ; gauges, then counters, then histograms on a page; dependency_regained tells the store's revision. No logic changes. Ruled out: more lines a flow (the queue of lines is bounded, and they crowd out those of state). Test: a_page_begins_with_state_and_ends_with_histograms, red on the page as it was.

--- a/crates/carried/src/standing.rs
+++ b/crates/carried/src/standing.rs
@@ -77,11 +77,13 @@
     /// Puts a configuration in force when it is newer than the one in force.
     pub(crate) fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> Adoption {
         let in_force = self.configuration.version;
+        let digest = configuration.digest();
         if configuration.version <= in_force {
-            log::debug!(offered = configuration.version, in_force; "configuration_passed_over");
+            if digest != self.digest {
+                log::info!(offered = configuration.version, in_force; "configuration_passed_over");
+            }
             return Adoption::Outdated;
         }
-        let digest = configuration.digest();
         if in_force > 0 && digest == self.digest {
             self.configuration.version = configuration.version;
             return Adoption::Confirmed;
--- a/crates/counters/src/lib.rs
+++ b/crates/counters/src/lib.rs
@@ -100,13 +100,18 @@
     pub histograms: Vec<Histogram>,
 }
 
+/// The samples of one kind of a set.
 #[derive(Debug)]
-struct SetCollector(PublishedSet);
+struct SetCollector {
+    set: PublishedSet,
+    kind: Kind,
+}
 
 impl Collector for SetCollector {
     fn encode(&self, mut encoder: DescriptorEncoder<'_>) -> Result<(), std::fmt::Error> {
-        for sample in &self.0.samples {
-            let name = format!("loftdrift_{}_{}", self.0.role, sample.name);
+        let PublishedSet { role, samples, .. } = &self.set;
+        for sample in samples.iter().filter(|sample| sample.kind == self.kind) {
+            let name = format!("loftdrift_{role}_{}", sample.name);
             let help = sample.help.trim_end_matches('.');
             match sample.kind {
                 Kind::Counter => {
@@ -127,20 +132,29 @@
     }
 }
 
-/// The Prometheus text of `sets`.
+/// The Prometheus text of `sets`: state first, then what was counted, then histograms. A reader that
+/// keeps only the beginning of a page keeps what tells most.
 pub fn render(sets: &[PublishedSet]) -> String {
-    let mut registry = Registry::default();
+    let mut scalars = Registry::default();
+    for kind in [Kind::Gauge, Kind::Counter] {
+        for set in sets {
+            let collector = SetCollector { set: set.clone(), kind };
+            scalars.register_collector(Box::new(collector));
+        }
+    }
+    let mut distributions = Registry::default();
     for set in sets {
         for histogram in &set.histograms {
             let name = format!("loftdrift_{}_{}", set.role, histogram.name);
             let help = histogram.help.trim_end_matches('.');
-            registry.register(name, help, histogram.buckets.clone());
+            distributions.register(name, help, histogram.buckets.clone());
         }
-        registry.register_collector(Box::new(SetCollector(set.clone())));
     }
     let mut page = String::new();
     // Writing to a string cannot fail.
-    let _ = text::encode(&mut page, &registry);
+    let _ = text::encode_registry(&mut page, &scalars);
+    let _ = text::encode_registry(&mut page, &distributions);
+    let _ = text::encode_eof(&mut page);
     page
 }
 
--- a/crates/counters/tests/render.rs
+++ b/crates/counters/tests/render.rs
@@ -29,3 +29,20 @@
         assert!(page.lines().any(|found| found == line), "{line}\n{page}");
     }
 }
+
+/// Monitoring that kept the first 4 KiB of each page held nothing but histograms: neither the version in
+/// force nor what was passed over could be told afterwards.
+#[test]
+fn a_page_begins_with_state_and_ends_with_histograms() {
+    let sample = |name, kind| Sample { name, help: "Some.", kind, value: 3 };
+    let set = |role| PublishedSet {
+        role,
+        samples: vec![sample("asked", Kind::Counter), sample("version", Kind::Gauge)],
+        histograms: vec![Histogram::counts("offers", "Offers.")],
+    };
+    let page = render(&[set("agent"), set("store")]);
+    let place = |line: &str| page.find(line).unwrap_or_else(|| panic!("{line}\n{page}"));
+    assert!(place("loftdrift_store_version 3") < place("loftdrift_agent_asked_total 3"));
+    assert!(place("loftdrift_store_asked_total 3") < place("loftdrift_agent_offers_bucket"));
+    assert!(page.ends_with("# EOF\n"), "{page}");
+}
--- a/crates/node/src/configuration_follower.rs
+++ b/crates/node/src/configuration_follower.rs
@@ -100,7 +100,7 @@
             if let Some(document) = news {
                 self.adopt(document).await;
             }
-            self.note_answer().await;
+            self.note_answer(state.revision).await;
             if is_news {
                 tokio::time::sleep(SETTLE).await;
             }
@@ -117,10 +117,10 @@
         let _ = self.commands.send(Command::Adopt(document)).await;
     }
 
-    async fn note_answer(&mut self) {
+    async fn note_answer(&mut self, revision: u64) {
         if let Some(lost_at) = self.lost_at.take() {
             let away_ms = lost_at.elapsed().as_millis() as u64;
-            log::info!(dependency = "store", away_ms; "dependency_regained");
+            log::info!(dependency = "store", away_ms, revision; "dependency_regained");
         }
         let _ = self.commands.send(Command::StoreAnswers(true)).await;
     }
