Operators' documents are named by number, era and revision; the store may go back

What callers saw: after the store had come back from a copy some seconds old, accepted changes were not in force: new flows went on along routes that they had dropped, through every balancer, until the store's revisions had passed those of before. Cause: a document was named by the store's revision alone, and the higher one was in force. The store gives revisions out again after its return, so that later documents looked older. Class: a number that another system gives out, compared beyond the history in which it means something. Change: a version is the operator's own number and a position, which is the era of the store's history and a revision there. What is in force only ever comes to cover more: the configuration with the higher number, the evacuations of the later position, each by itself, so that a copy without the newest configuration takes nothing back and still brings what is newer. A wait is answered in one era or counts for nothing; a history that is gone is read again and is no loss of the store. Pages of two eras are no list. Heartbeats take up to 6 bytes more: 106 are reckoned with, 31 a second instead of 33 within the same 3,300 bytes.

--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -38,6 +38,7 @@
 use crate::policy::{Policies, Policy};
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use crate::standing::{Adoption, Standing};
+use crate::version::Version;
 use loftdrift_counters::Histogram;
 use loftdrift_flow::{FlowId, FlowTable};
 use loftdrift_wire::FlowKey;
@@ -192,7 +193,7 @@
     }
 
     /// Version of the configuration in force.
-    pub fn configuration_version(&self) -> u64 {
+    pub fn configuration_version(&self) -> Version {
         self.standing.configuration.version
     }
 
@@ -225,7 +226,7 @@
         self.standing.learn(now, members);
     }
 
-    /// Puts a configuration in force when it is newer than the one in force; `true` when it says
+    /// Puts in force what is newer of a configuration than the one in force; `true` when that says
     /// something else.
     pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
         let was_evacuated = self.is_evacuated();
@@ -456,8 +457,10 @@
             waiting: u64::from(self.waiting),
             in_line: self.line.len() as u64,
             peers: self.standing.membership.len() as u64,
-            configuration_version: self.standing.configuration.version,
-            configuration_newest_heard: self.standing.newest_heard(),
+            configuration_version: self.standing.configuration.version.number,
+            configuration_newest_heard: self.standing.newest_heard().number,
+            configuration_revision: self.standing.configuration.version.position.revision,
+            store_era: self.standing.newest_heard().position.era,
             configuration_age_seconds: self.standing.configuration_age(now).as_secs(),
             work_microseconds: u64::from(self.work.mean_us()),
             ..self.counters
--- a/crates/carried/src/balancer/established.rs
+++ b/crates/carried/src/balancer/established.rs
@@ -12,7 +12,7 @@
             self.counters.openings_overtaken += 1;
             log::info!(
                 flow = flow_name(&flow).as_str(), asked = asked.unwrap_or_default().as_str(),
-                configuration = self.standing.configuration.version; "opening_overtaken"
+                configuration:% = self.standing.configuration.version; "opening_overtaken"
             );
         }
         let idle = self.idle_timeout();
--- a/crates/carried/src/balancer/fence.rs
+++ b/crates/carried/src/balancer/fence.rs
@@ -46,7 +46,7 @@
         }
         self.acquaintance.note_standstill(now);
         self.counters.standstills += 1;
-        log::warn!(configuration = self.standing.configuration.version; "resumed_after_standstill");
+        log::warn!(configuration:% = self.standing.configuration.version; "resumed_after_standstill");
         let peers: Vec<SocketAddrV4> =
             self.standing.membership.peers().map(|(address, _)| *address).collect();
         let first = self.random.random_range(0..peers.len().max(1));
@@ -56,8 +56,8 @@
     }
 
     /// A peer's word: when it is not ahead, nothing was missed.
-    pub(super) fn compare_with_peer(&mut self, now: Duration, configuration: u64) {
-        if configuration <= self.standing.configuration.version {
+    pub(super) fn compare_with_peer(&mut self, now: Duration, configuration: Version) {
+        if self.standing.configuration.version.covers(&configuration) {
             self.fence.lift(now);
         }
     }
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -306,7 +306,7 @@
         log::warn!(
             flow = flow_name(&segment.flow()).as_str(), reason = "nobody_holds",
             age_ms = age.as_millis() as u64, said = self.describe_said(now, lookup).as_str(),
-            configuration = self.standing.configuration.version; "flow_reset"
+            configuration:% = self.standing.configuration.version; "flow_reset"
         );
         let datagram = self.format.reset(&segment);
         self.outputs.push_back(Output::ToCaller { host: *segment.source.ip(), datagram });
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -48,6 +48,7 @@
 use crate::rank::Ranking;
 use crate::segment::{Segment, SegmentFormat, flow_name};
 use crate::standing::{Adoption, Standing};
+use crate::version::Version;
 use crate::view::{AgentView, Distance, Location};
 use loftdrift_counters::Histogram;
 use loftdrift_wire::FlowKey;
@@ -181,7 +182,7 @@
     }
 
     /// Version of the configuration in force.
-    pub fn configuration_version(&self) -> u64 {
+    pub fn configuration_version(&self) -> Version {
         self.standing.configuration.version
     }
 
@@ -223,7 +224,7 @@
         self.standing.learn(now, members);
     }
 
-    /// Puts a configuration in force when it is newer than the one in force; `true` when it says
+    /// Puts in force what is newer of a configuration than the one in force; `true` when that says
     /// something else.
     pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
         match self.standing.adopt(now, configuration) {
@@ -384,8 +385,10 @@
     /// What was counted so far, with the gauges of now.
     pub fn counters(&self, now: Duration) -> CarriedBalancerCounters {
         CarriedBalancerCounters {
-            configuration_version: self.standing.configuration.version,
-            configuration_newest_heard: self.standing.newest_heard(),
+            configuration_version: self.standing.configuration.version.number,
+            configuration_newest_heard: self.standing.newest_heard().number,
+            configuration_revision: self.standing.configuration.version.position.revision,
+            store_era: self.standing.newest_heard().position.era,
             configuration_age_seconds: self.standing.configuration_age(now).as_secs(),
             flows: self.flows.len() as u64,
             agents: self.pool.len() as u64,
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -318,7 +318,7 @@
             age_ms = opening.map_or(0, |opening| opening.age(now).as_millis() as u64),
             service = opening.map_or("", |opening| opening.service.as_str()),
             asked = opening.map(|opening| self.describe_asked(now, opening)).unwrap_or_default().as_str(),
-            configuration = self.standing.configuration.version; "opening_refused"
+            configuration:% = self.standing.configuration.version; "opening_refused"
         );
         let datagram = self.format.reset(segment);
         self.outputs.push_back(Output::ToCaller { host: *segment.source.ip(), datagram });
@@ -331,7 +331,7 @@
             flow = flow_name(&opening.flow()).as_str(), reason = refusal.name(),
             age_ms = opening.age(now).as_millis() as u64,
             asked = self.describe_asked(now, opening).as_str(),
-            configuration = self.standing.configuration.version; "opening_left_to_copies"
+            configuration:% = self.standing.configuration.version; "opening_left_to_copies"
         );
     }
 
@@ -377,7 +377,7 @@
             service = opening.service.as_str(), age_us = opening.age(now).as_micros() as u64,
             copy = opening.segment.acknowledgement,
             asked = self.describe_asked(now, &opening).as_str(),
-            configuration = self.standing.configuration.version; "opening_placed"
+            configuration:% = self.standing.configuration.version; "opening_placed"
         );
         self.flows.insert(now, self.idle_timeout(), opening.flow(), from);
     }
--- a/crates/carried/src/configuration.rs
+++ b/crates/carried/src/configuration.rs
@@ -4,6 +4,7 @@
 //! Both stand in one document with one version, so that they spread, are confirmed and outlive
 //! processes in the same way.
 
+use crate::version::Version;
 use bincode::{Decode, Encode};
 use siphasher::sip::SipHasher13;
 use std::collections::{BTreeSet, HashMap};
@@ -47,13 +48,12 @@
     pub cold_flows_milli: u32,
 }
 
-/// All that operators have said. Of two documents the one with the higher version is in force.
+/// All that operators have said.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub struct CarriedConfiguration {
-    /// A revision of the store: every change up to it is in the document. Documents of different
-    /// versions may say the same, since each reader takes the revision that it read at. 0 stands for
-    /// none.
-    pub version: u64,
+    /// Documents of different versions may say the same, since each reader takes the revision of the
+    /// store that it read at.
+    pub version: Version,
     /// The routes, one an address.
     pub routes: Vec<Route>,
     /// The services.
@@ -75,6 +75,21 @@
         hasher.finish()
     }
 
+    /// The document that lacks nothing of either. The store may have come back without the newest
+    /// configuration: a reading that is newer then brings its evacuations, and the configuration with the
+    /// operator's higher number stays.
+    #[must_use]
+    pub fn join(self, other: CarriedConfiguration) -> CarriedConfiguration {
+        let version = self.version.join(other.version);
+        let (later, earlier) = match self.version.position >= other.version.position {
+            true => (self, other),
+            false => (other, self),
+        };
+        let evacuated = later.evacuated.clone();
+        let newer = if later.version.number >= earlier.version.number { later } else { earlier };
+        CarriedConfiguration { version, evacuated, ..newer }
+    }
+
     /// What holds for a service.
     pub fn service(&self, name: &str) -> Option<&ServiceSettings> {
         self.services.iter().find(|service| service.name == name)
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -79,14 +79,18 @@
         messages_malformed,
         /// Configurations put in force.
         configurations_adopted,
-        /// Configurations refused because they are not newer.
+        /// Configurations passed over because nothing in them is newer.
         configurations_passed_over,
     }
     gauges {
-        /// Version of the configuration in force.
+        /// The operator's number of the configuration in force.
         configuration_version,
-        /// Newest version that a peer has told of.
+        /// The highest number that a peer has told of.
         configuration_newest_heard,
+        /// The store's revision up to which everything written is in force; it falls where the era rises.
+        configuration_revision,
+        /// How often the store has come back from an older copy, as far as is known, and one more.
+        store_era,
         /// Seconds since the configuration in force was adopted.
         configuration_age_seconds,
         /// Flows that wait for their search to begin.
@@ -177,14 +181,18 @@
         backend_ends,
         /// Configurations put in force.
         configurations_adopted,
-        /// Configurations refused because they are not newer.
+        /// Configurations passed over because nothing in them is newer.
         configurations_passed_over,
     }
     gauges {
-        /// Version of the configuration in force.
+        /// The operator's number of the configuration in force.
         configuration_version,
-        /// Newest version that a peer has told of.
+        /// The highest number that a peer has told of.
         configuration_newest_heard,
+        /// The store's revision up to which everything written is in force; it falls where the era rises.
+        configuration_revision,
+        /// How often the store has come back from an older copy, as far as is known, and one more.
+        store_era,
         /// Seconds since the configuration in force was adopted.
         configuration_age_seconds,
         /// Flows remembered.
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -32,6 +32,7 @@
 mod segment;
 mod standing;
 mod store_news;
+mod version;
 mod view;
 
 pub use agent::{CarriedAgent, CarriedAgentSettings, ProbeOutcome};
@@ -51,3 +52,4 @@
 pub use policy::{Policies, Policy, UnknownPolicy};
 pub use segment::{AnswerOutcome, Segment, SegmentError, SegmentFormat, flow_name};
 pub use store_news::Confirmation;
+pub use version::{Position, Version};
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -7,11 +7,12 @@
 //!
 //! Each pair of nodes has a phase of its own within the interval. Nodes that start together would else
 //! speak to everybody at one moment and be silent until the next: at 986 nodes for 30 s, in which nobody
-//! hears of a newer configuration. So a node hears balancers at a steady rate at any size: 33 heartbeats
+//! hears of a newer configuration. So a node hears balancers at a steady rate at any size: 31 heartbeats
 //! a second times the share of balancers among all nodes.
 
 use crate::message::{Heartbeat, NodeRole};
 use crate::rank::draw;
+use crate::version::Version;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -23,7 +24,7 @@
 /// in each while agents are young, it stays below the 7 kB that users allow for control.
 const HEARTBEAT_BYTES_PER_SECOND: u32 = 3_300;
 /// Bytes of one heartbeat, addresses of the packet included.
-const HEARTBEAT_BYTES: u32 = 100;
+const HEARTBEAT_BYTES: u32 = 106;
 /// A peer that was silent for so many intervals is spoken to less often.
 const QUIET_INTERVALS: u32 = 20;
 /// How many times less often.
@@ -72,7 +73,7 @@
     /// Its incarnation; 0 before it was heard.
     pub incarnation: u64,
     /// Version of its configuration.
-    pub configuration: u64,
+    pub configuration: Version,
     /// When it was heard last.
     pub heard_at: Option<Duration>,
     /// It is in this node's zone, as it said itself.
@@ -143,7 +144,7 @@
         let peer = Peer {
             role,
             incarnation: 0,
-            configuration: 0,
+            configuration: Version::default(),
             heard_at: None,
             is_near: false,
             link_mbps: 0,
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -2,6 +2,7 @@
 
 use crate::configuration::CarriedConfiguration;
 use crate::store_news::Confirmation;
+use crate::version::Version;
 use bincode::{Decode, Encode};
 use std::net::SocketAddrV4;
 
@@ -203,7 +204,7 @@
     /// Megabits a second of the sender's link.
     pub link_mbps: u32,
     /// Version of the configuration in force at the sender.
-    pub configuration: u64,
+    pub configuration: Version,
     /// Digest of it.
     pub digest: u64,
     /// The shared store's last word known to the sender that nothing newer was there.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -3,6 +3,7 @@
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use hyper::header::HeaderMap;
 use hyper::{Method, Request, Response};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
@@ -57,6 +58,15 @@
     },
 }
 
+/// A whole JSON answer with its headers.
+#[derive(Clone, Debug)]
+pub struct Reply<A> {
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body's value.
+    pub body: A,
+}
+
 /// A client of one server.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
@@ -85,6 +95,16 @@
         path: &str,
         body: &Q,
     ) -> Result<A, HttpError> {
+        Ok(self.send_json_for_reply(method, path, body).await?.body)
+    }
+
+    /// The same, with the answer's headers.
+    pub async fn send_json_for_reply<Q: Serialize, A: DeserializeOwned>(
+        &self,
+        method: Method,
+        path: &str,
+        body: &Q,
+    ) -> Result<Reply<A>, HttpError> {
         let body = serde_json::to_vec(body).map_err(|error| self.malformed(error))?;
         self.send_bytes(method, path, Bytes::from(body), self.timeout).await
     }
@@ -95,29 +115,39 @@
         target: &str,
         body: Bytes,
         timeout: Duration,
-    ) -> Result<A, HttpError> {
+    ) -> Result<Reply<A>, HttpError> {
         let whole = async {
             let response = self.send_body(method, target, body).await?;
-            let bytes = response.into_body().collect().await;
-            Ok(bytes.map_err(|error| self.connection_error(error))?.to_bytes())
+            let (head, body) = response.into_parts();
+            let bytes = body.collect().await.map_err(|error| self.connection_error(error))?;
+            Ok((head.headers, bytes.to_bytes()))
         };
         let answer = tokio::time::timeout(timeout, whole).await;
-        let bytes: Bytes = answer.map_err(|_| self.timeout_error(timeout))??;
+        let (headers, bytes) = answer.map_err(|_| self.timeout_error(timeout))??;
         self.count(bytes.len());
-        serde_json::from_slice(&bytes).map_err(|error| self.malformed(error))
+        let body = serde_json::from_slice(&bytes).map_err(|error| self.malformed(error))?;
+        Ok(Reply { headers, body })
     }
 
     /// Reads the whole JSON answer to a request without a body.
     pub async fn get_json<A: DeserializeOwned>(&self, target: &str) -> Result<A, HttpError> {
-        self.get_json_within(target, self.timeout).await
+        Ok(self.get_reply_within(target, self.timeout).await?.body)
+    }
+
+    /// The same, with the answer's headers.
+    pub async fn get_reply<A: DeserializeOwned>(
+        &self,
+        target: &str,
+    ) -> Result<Reply<A>, HttpError> {
+        self.get_reply_within(target, self.timeout).await
     }
 
     /// The same for an answer that may take another time than this client's other ones.
-    pub async fn get_json_within<A: DeserializeOwned>(
+    pub async fn get_reply_within<A: DeserializeOwned>(
         &self,
         target: &str,
         timeout: Duration,
-    ) -> Result<A, HttpError> {
+    ) -> Result<Reply<A>, HttpError> {
         self.send_bytes(Method::GET, target, Bytes::new(), timeout).await
     }
 
--- a/crates/lab/src/carried/fault.rs
+++ b/crates/lab/src/carried/fault.rs
@@ -13,6 +13,17 @@
     Hang,
 }
 
+/// How the store comes back from a copy.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct StoreReturn {
+    /// How old the copy is at the return; everything written since is gone.
+    pub copy_age: Duration,
+    /// For how long the store is away before.
+    pub away: Duration,
+    /// How long after the return operators write again what is gone.
+    pub operator_after: Duration,
+}
+
 /// One thing that happens. Nodes and back ends are named by their numbers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum CarriedFault {
@@ -38,6 +49,8 @@
     Loss(f64, Duration),
     /// The store answers nobody.
     StoreDown(Duration),
+    /// The store is away and comes back from an older copy.
+    StoreRestored(StoreReturn),
     /// The store refuses every balancer while it serves the operator and the agents.
     RefuseBalancers(Duration),
     /// The second address changes the service that it stands for.
--- a/crates/lab/src/carried/mod.rs
+++ b/crates/lab/src/carried/mod.rs
@@ -9,7 +9,7 @@
 mod random_days;
 mod world;
 
-pub use fault::{CarriedFault, FailureMode, TimedFault};
+pub use fault::{CarriedFault, FailureMode, StoreReturn, TimedFault};
 pub use outcome::CarriedOutcome;
-pub use random_days::{random_day, random_day_with_evacuations};
+pub use random_days::{random_day, random_day_with_evacuations, random_day_with_returns};
 pub use world::{CarriedWorld, CarriedWorldSettings};
--- a/crates/lab/src/carried/random_days.rs
+++ b/crates/lab/src/carried/random_days.rs
@@ -1,6 +1,6 @@
 //! Days drawn from a seed: few faults each, of every kind, at any moment.
 
-use super::fault::{CarriedFault, FailureMode, TimedFault};
+use super::fault::{CarriedFault, FailureMode, StoreReturn, TimedFault};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -13,6 +13,10 @@
 const MOST_EVACUATIONS: u32 = 3;
 const LONGEST_EVACUATION_MS: u64 = 10_000;
 const ZONES: usize = 3;
+const MOST_RETURNS: u32 = 3;
+const OLDEST_COPY_MS: u64 = 6_000;
+const LONGEST_ABSENCE_MS: u64 = 3_000;
+const LATEST_OPERATOR_MS: u64 = 5_000;
 const MOST_LOSS: f64 = 0.1;
 
 /// The faults of a day.
@@ -44,6 +48,31 @@
     day
 }
 
+/// The same day, with the store coming back from older copies up to three times, and a change before and
+/// after each.
+pub fn random_day_with_returns(seed: u64, balancers: usize, agents: usize) -> Vec<TimedFault> {
+    let mut day = random_day(seed, balancers, agents);
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
+    for _ in 0..random.random_range(1..=MOST_RETURNS) {
+        let at = random.random_range(FIRST_FAULT_MS..LAST_FAULT_MS);
+        let mut milliseconds =
+            |least, most| Duration::from_millis(random.random_range(least..most));
+        let back = StoreReturn {
+            copy_age: milliseconds(SHORTEST_MS, OLDEST_COPY_MS),
+            away: milliseconds(1, LONGEST_ABSENCE_MS),
+            operator_after: milliseconds(0, LATEST_OPERATOR_MS),
+        };
+        let at = Duration::from_millis(at);
+        let before = at.saturating_sub(milliseconds(0, OLDEST_COPY_MS));
+        let after = at + back.away + milliseconds(0, LONGEST_MS);
+        day.push(TimedFault { at: before, fault: CarriedFault::MoveRoute });
+        day.push(TimedFault { at, fault: CarriedFault::StoreRestored(back) });
+        day.push(TimedFault { at: after, fault: CarriedFault::MoveRoute });
+    }
+    day.sort_by_key(|timed| timed.at);
+    day
+}
+
 fn random_fault(random: &mut ChaCha8Rng, balancers: usize, agents: usize) -> CarriedFault {
     let balancer = random.random_range(0..balancers);
     let agent = random.random_range(0..agents);
--- /dev/null
+++ b/crates/lab/tests/restored_store.rs
@@ -0,0 +1,109 @@
+//! The store comes back from a copy some seconds old: revisions are given out a second time, and what
+//! operators wrote since is there again only when they have written it again.
+
+use loftdrift_lab::{
+    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, StoreReturn,
+    TimedFault, random_day_with_returns,
+};
+use std::time::Duration;
+
+const RANDOM_DAYS: u64 = 120;
+
+fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+/// A return from a copy so many seconds old, after a short absence.
+fn back(copy_age: f64, operator_after: f64) -> Fault {
+    Fault::StoreRestored(StoreReturn {
+        copy_age: seconds(copy_age),
+        away: seconds(0.3),
+        operator_after: seconds(operator_after),
+    })
+}
+
+fn play(faults: &[(f64, Fault)]) -> CarriedOutcome {
+    let faults: Vec<_> =
+        faults.iter().map(|(at, fault)| TimedFault { at: seconds(*at), fault: *fault }).collect();
+    CarriedWorld::new(CarriedWorldSettings::default(), &faults).run()
+}
+
+fn assert_kept(outcome: CarriedOutcome, least_served: f64) {
+    assert!(outcome.keeps_the_rules(), "{outcome:?}");
+    let share = outcome.served as f64 / outcome.asked as f64;
+    assert!(share >= least_served, "{share}: {outcome:?}");
+}
+
+/// Changes before, within the copy's age, and after the return.
+fn changes(at: &[f64]) -> Vec<(f64, Fault)> {
+    at.iter().map(|at| (*at, Fault::MoveRoute)).collect()
+}
+
+#[test]
+fn changes_after_a_return_are_in_force_in_time() {
+    let mut day = changes(&[2.0, 3.0, 4.0, 5.0, 9.0, 13.0]);
+    day.push((6.0, back(3.5, 0.0)));
+    assert_kept(play(&day), 1.0);
+}
+
+#[test]
+fn two_returns_in_a_row_and_one_in_the_middle_of_another() {
+    let mut day = changes(&[2.0, 3.0, 4.0, 5.0, 8.5, 9.0, 14.0]);
+    day.push((6.0, back(3.5, 0.2)));
+    day.push((6.4, back(0.2, 0.5)));
+    day.push((10.0, back(2.0, 0.0)));
+    assert_kept(play(&day), 1.0);
+}
+
+#[test]
+fn nothing_goes_back_while_operators_are_late() {
+    for operator_after in [1.0, 4.0, 8.0] {
+        // The last change is in force for longer than its bound when the store loses it.
+        let mut day = changes(&[1.5, 2.5]);
+        day.push((6.0, back(4.3, operator_after)));
+        // Whoever starts knows nothing and asks others and the store at once.
+        day.push((7.0, Fault::KillBalancer(0, seconds(0.1))));
+        day.push((8.0, Fault::KillAgent(2, seconds(0.1))));
+        assert_kept(play(&day), 0.995);
+    }
+}
+
+#[test]
+fn nodes_that_were_cut_off_frozen_refused_or_restarted_through_it_catch_up() {
+    let through = [
+        Fault::CutBalancer(0, seconds(3.0)),
+        Fault::FreezeBalancer(0, seconds(3.0)),
+        Fault::KillBalancer(0, seconds(1.0)),
+        Fault::StopBalancer(0),
+        Fault::CutAgent(1, seconds(3.0)),
+        Fault::KillAgent(1, seconds(1.0)),
+        Fault::RefuseBalancers(seconds(8.0)),
+    ];
+    for fault in through {
+        let mut day = changes(&[2.0, 3.0, 4.0, 10.0]);
+        day.push((4.5, fault));
+        day.push((5.0, back(2.5, 0.1)));
+        let outcome = play(&day);
+        assert!(outcome.keeps_the_rules(), "{fault:?}: {outcome:?}");
+    }
+}
+
+#[test]
+fn all_processes_are_killed_while_the_store_is_behind() {
+    for operator_after in [0.0, 3.0] {
+        let mut day = changes(&[2.0, 3.0, 5.0, 12.0]);
+        day.push((6.0, back(2.0, operator_after)));
+        day.push((7.0, Fault::KillAll(seconds(0.3))));
+        assert_kept(play(&day), 0.9);
+    }
+}
+
+#[test]
+fn random_days_break_no_rule() {
+    for seed in 1..=RANDOM_DAYS {
+        let settings = CarriedWorldSettings { seed, ..CarriedWorldSettings::default() };
+        let faults = random_day_with_returns(seed, settings.balancers, settings.backends);
+        let outcome = CarriedWorld::new(settings, &faults).run();
+        assert!(outcome.keeps_the_rules(), "seed {seed}: {outcome:?}\n{faults:#?}");
+    }
+}
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -2,7 +2,7 @@
 
 use loftdrift_carried::{
     BackendReport, CarriedConfiguration, Incarnation, ListedNode, NodeRole, ProbeOutcome,
-    ReportOutcome, Snapshot,
+    ReportOutcome, Snapshot, Version,
 };
 use loftdrift_counters::{Histogram, Sample};
 use std::net::SocketAddrV4;
@@ -68,7 +68,7 @@
     /// What the node stood beside has ended: it does not come back here.
     pub has_ended: bool,
     /// Version of the configuration in force.
-    pub configuration: u64,
+    pub configuration: Version,
     /// The node is to wait at the shared store for newer configurations.
     pub watches_store: bool,
     /// Path of the health page of the back end, while its health should be asked for.
--- a/crates/node/src/configuration_follower.rs
+++ b/crates/node/src/configuration_follower.rs
@@ -7,7 +7,7 @@
 use crate::command::{Command, NodeStatus};
 use crate::pace::Pace;
 use crate::shared_store::{Currency, SharedStore, StoreFailure};
-use loftdrift_carried::CarriedConfiguration;
+use loftdrift_carried::{CarriedConfiguration, Position};
 use rand::Rng;
 use std::time::{Duration, Instant};
 use tokio::sync::{mpsc, watch};
@@ -52,6 +52,8 @@
         while self.status.wait_for(|status| status.watches_store).await.is_ok() {
             match self.watch(&mut pace).await {
                 Ok(()) => {}
+                // It answers: what was waited for is not there. All is read again.
+                Err(StoreFailure::Gone | StoreFailure::Restored) => pace.pause().await,
                 Err(failure) => {
                     self.note_failure(&failure).await;
                     pace.pause().await;
@@ -66,7 +68,7 @@
     async fn read_first(&mut self) {
         let mut status = self.status.clone();
         tokio::select! {
-            _ = status.wait_for(|status| status.configuration > 0) => {}
+            _ = status.wait_for(|status| status.configuration.is_known()) => {}
             () = self.read_until_known() => {}
         }
     }
@@ -77,7 +79,7 @@
     async fn read_until_known(&mut self) {
         tokio::time::sleep(self.head_start).await;
         let mut pace = Pace::new(FIRST_PAUSE, LONGEST_PAUSE);
-        while self.status.borrow().configuration == 0 && !self.commands.is_closed() {
+        while !self.status.borrow().configuration.is_known() && !self.commands.is_closed() {
             match self.store.read_operators(Currency::MayBeOld).await {
                 Ok(state) => {
                     if let Some(document) = state.document() {
@@ -100,7 +102,7 @@
             if let Some(document) = news {
                 self.adopt(document).await;
             }
-            self.note_answer(state.revision).await;
+            self.note_answer(state.position).await;
             if is_news {
                 tokio::time::sleep(SETTLE).await;
             }
@@ -108,7 +110,12 @@
                 return Ok(());
             }
             let patience = WAIT.mul_f64(rand::rng().random_range(SHORTEST_WAIT..1.0));
-            news = state.take(self.store.wait_operators(state.revision, patience).await?);
+            let change = self.store.wait_operators(state.position, patience).await?;
+            // A change in one history cannot be added to what was read in another.
+            if change.position.era != state.position.era {
+                return Ok(());
+            }
+            news = state.take(change);
         }
     }
 
@@ -117,10 +124,10 @@
         let _ = self.commands.send(Command::Adopt(document)).await;
     }
 
-    async fn note_answer(&mut self, revision: u64) {
+    async fn note_answer(&mut self, position: Position) {
         if let Some(lost_at) = self.lost_at.take() {
             let away_ms = lost_at.elapsed().as_millis() as u64;
-            log::info!(dependency = "store", away_ms, revision; "dependency_regained");
+            log::info!(dependency = "store", away_ms, position:%; "dependency_regained");
         }
         let _ = self.commands.send(Command::StoreAnswers(true)).await;
     }
--- a/crates/node/src/counted_store.rs
+++ b/crates/node/src/counted_store.rs
@@ -3,7 +3,7 @@
 use crate::shared_store::{
     Currency, Member, MemberList, OperatorChange, OperatorState, SharedStore, StoreFailure,
 };
-use loftdrift_carried::NodeRole;
+use loftdrift_carried::{NodeRole, Position};
 use loftdrift_counters::{CounterSet, Histogram, PublishedSet, counter_set};
 use std::future::Future;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -22,6 +22,8 @@
         calls_refused,
         /// Calls for something that is gone: an entry, a history.
         calls_gone,
+        /// Readings during which the store came back from an older copy.
+        calls_restored,
         /// Calls whose answer could not be read.
         calls_unreadable,
     }
@@ -57,6 +59,7 @@
             Err(StoreFailure::Throttled) => &mut counters.calls_throttled,
             Err(StoreFailure::Unavailable) => &mut counters.calls_refused,
             Err(StoreFailure::Gone) => &mut counters.calls_gone,
+            Err(StoreFailure::Restored) => &mut counters.calls_restored,
             Err(StoreFailure::Unreadable(_)) => &mut counters.calls_unreadable,
         };
         *counter += 1;
@@ -98,7 +101,7 @@
 
     async fn wait_operators(
         &self,
-        after: u64,
+        after: Position,
         patience: Duration,
     ) -> Result<OperatorChange, StoreFailure> {
         let outcome = self.store.wait_operators(after, patience).await;
@@ -106,7 +109,7 @@
         outcome
     }
 
-    async fn write_member(&self, member: &Member) -> Result<u64, StoreFailure> {
+    async fn write_member(&self, member: &Member) -> Result<Position, StoreFailure> {
         self.timed(self.store.write_member(member)).await
     }
 
--- a/crates/node/src/operator_document.rs
+++ b/crates/node/src/operator_document.rs
@@ -1,15 +1,16 @@
 //! The operators' document, put together from readings of the shared store and changes there.
 
 use crate::shared_store::{OperatorChange, OperatorState};
-use loftdrift_carried::CarriedConfiguration;
+use loftdrift_carried::{CarriedConfiguration, Version};
 
 impl OperatorState {
-    /// The document that this reading gives, with the revision that it holds for; `None` before the
+    /// The document that this reading gives, with the position that it holds for; `None` before the
     /// first configuration is written.
     pub(crate) fn document(&self) -> Option<CarriedConfiguration> {
         let configuration = self.configuration.clone()?;
         let evacuated = self.evacuated.clone();
-        Some(CarriedConfiguration { version: self.revision, evacuated, ..configuration })
+        let version = Version { position: self.position, ..configuration.version };
+        Some(CarriedConfiguration { version, evacuated, ..configuration })
     }
 
     /// Takes what a wait brought; the document, if it has changed.
@@ -21,9 +22,10 @@
                 false => self.evacuated.remove(&zone),
             };
         }
-        self.revision = change.revision;
-        let changed_at = change.changed_at?;
+        self.position = change.position;
+        let mut document = self.document()?;
         // Whoever waits gives a change the same version.
-        self.document().map(|document| CarriedConfiguration { version: changed_at, ..document })
+        document.version.position.revision = change.changed_at?;
+        Some(document)
     }
 }
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -7,7 +7,7 @@
 use crate::command::{Command, MemberNews};
 use crate::pace::Pace;
 use crate::shared_store::{Currency, Member, MemberList, SharedStore, StoreFailure};
-use loftdrift_carried::NodeRole;
+use loftdrift_carried::{NodeRole, Position};
 use rand::Rng;
 use std::time::Duration;
 use tokio::sync::mpsc;
@@ -29,8 +29,8 @@
 enum Entered {
     /// An earlier process has left the entry.
     Before,
-    /// Written at this revision of the store.
-    At(u64),
+    /// Written there.
+    At(Position),
 }
 
 /// A node's entry and what is needed to keep it.
@@ -105,26 +105,26 @@
 
     /// Reads lists until they name every node that was entered before this one.
     async fn read_lists(&self, entered: Entered) -> Result<(), StoreFailure> {
-        let revision = match entered {
+        let entered_at = match entered {
             // An agent decides nothing by who it does not know.
             Entered::Before if self.member.role == NodeRole::Agent => {
                 self.read(Currency::MayBeOld, None).await?;
                 return Ok(());
             }
             Entered::Before => None,
-            Entered::At(revision) => Some(revision),
+            Entered::At(position) => Some(position),
         };
         // Until a balancer has the whole list it tells no caller that nobody holds a flow: only
         // where there are no flows of before may that take seconds.
         let may_wait = self.is_first_start || self.member.role == NodeRole::Agent;
-        let mut is_whole = self.read(Currency::MayBeOld, revision).await?;
+        let mut is_whole = self.read(Currency::MayBeOld, entered_at).await?;
         let pauses: &[Duration] = if may_wait { &OLD_LIST_PAUSES } else { &[] };
         for pause in pauses {
             if is_whole {
                 return Ok(());
             }
             tokio::time::sleep(*pause).await;
-            is_whole = self.read(Currency::MayBeOld, revision).await?;
+            is_whole = self.read(Currency::MayBeOld, entered_at).await?;
         }
         if !is_whole {
             self.read(Currency::Newest, None).await?;
@@ -136,14 +136,14 @@
     async fn read(
         &self,
         currency: Currency,
-        entered_at: Option<u64>,
+        entered_at: Option<Position>,
     ) -> Result<bool, StoreFailure> {
         let mut lists = vec![self.store.read_members(NodeRole::Balancer, currency).await?];
         // Agents have nothing to say to each other.
         if self.member.role == NodeRole::Balancer {
             lists.push(self.store.read_members(NodeRole::Agent, currency).await?);
         }
-        let has_own = |list: &MemberList| entered_at.is_some_and(|at| list.revision >= at);
+        let has_own = |list: &MemberList| entered_at.is_some_and(|at| list.position >= at);
         let is_whole = currency == Currency::Newest || lists.iter().all(has_own);
         let entries = lists.iter().flat_map(|list| &list.entries);
         let members = entries.map(|entry| (entry.member.address, entry.member.role)).collect();
--- a/crates/node/src/shared_store.rs
+++ b/crates/node/src/shared_store.rs
@@ -2,8 +2,11 @@
 //!
 //! Nothing on a data path waits for it. A call that got no answer may have taken effect; every call
 //! here may be repeated.
+//!
+//! The store may come back from a copy some seconds old. What the system wrote there since is gone then, and
+//! revisions are given out again: one means something only together with its era.
 
-use loftdrift_carried::{CarriedConfiguration, NodeRole};
+use loftdrift_carried::{CarriedConfiguration, NodeRole, Position};
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -22,9 +25,12 @@
     /// Not now; nothing was done.
     #[error("refused for now")]
     Unavailable,
-    /// What was asked for is gone: an entry, a history that is forgotten.
+    /// What was asked for is gone: an entry, a history that is forgotten or that the store never had.
     #[error("gone")]
     Gone,
+    /// The store came back from an older copy between two parts of an answer; nothing of it counts.
+    #[error("the store came back from an older copy meanwhile")]
+    Restored,
     /// An answer that cannot be read.
     #[error("unreadable: {0}")]
     Unreadable(String),
@@ -64,8 +70,9 @@
 pub struct MemberList {
     /// All entries.
     pub entries: Vec<MemberEntry>,
-    /// Every entry written up to this revision of the store is in it, unless it is gone.
-    pub revision: u64,
+    /// Every entry written up to there is in it, unless it is gone. Of a list that may be old the era
+    /// is that of the answer: what is in it may be from before the store's last return.
+    pub position: Position,
 }
 
 /// All that operators have written, as one reading found it.
@@ -75,8 +82,8 @@
     pub configuration: Option<CarriedConfiguration>,
     /// Zones that are evacuated.
     pub evacuated: BTreeSet<String>,
-    /// Everything written up to this revision of the store is in it.
-    pub revision: u64,
+    /// Everything written up to there is in it.
+    pub position: Position,
 }
 
 /// What a wait for changes of the operators' brought.
@@ -88,8 +95,8 @@
     pub evacuations: Vec<(String, bool)>,
     /// Revision of the last of these changes; `None` when there was none.
     pub changed_at: Option<u64>,
-    /// The store's revision to go on from.
-    pub revision: u64,
+    /// Where to go on from.
+    pub position: Position,
 }
 
 /// A client of the store. An implementation translates and decides nothing.
@@ -100,18 +107,19 @@
         currency: Currency,
     ) -> impl Future<Output = Result<OperatorState, StoreFailure>> + Send;
 
-    /// Waits up to `patience` for operators to write something after a revision.
+    /// Waits up to `patience` for operators to write something after a position. The answer may be of
+    /// another era: then it tells nothing of what was waited for.
     fn wait_operators(
         &self,
-        after: u64,
+        after: Position,
         patience: Duration,
     ) -> impl Future<Output = Result<OperatorChange, StoreFailure>> + Send;
 
-    /// Writes a node's entry; gives the store's revision with the entry.
+    /// Writes a node's entry; gives where the entry stands.
     fn write_member(
         &self,
         member: &Member,
-    ) -> impl Future<Output = Result<u64, StoreFailure>> + Send;
+    ) -> impl Future<Output = Result<Position, StoreFailure>> + Send;
 
     /// Removes a node's entry; with a revision, only one that was written then.
     fn remove_member(
