Entries that a store coming back from an older copy has lost are written again in time

What callers saw: nothing at once; whoever started after the store's return did not learn from it of the nodes that had come last, for up to 75 s. Cause: the entries that a copy some seconds old lacks are those of nodes known for less than ten seconds, and just those were passed over by audits, since an old list may lack them; an absence within a process's first second was noticed by nobody; an entry that was lost while its node read lists waited for the readings (5 s). Elsewhere of the same class: a list counted as whole when its revision was higher than the own entry's, whatever the era; lists of two eras were compared as one; an entry was removed under a revision that may have been given out again. Why it holds: whoever wrote recently knows it itself; all others are in the copy or are missed by an audit. Ruled out: every node writing again at each return (3,860 writes at once, nearly all in vain); a lease (it goes too).

--- a/crates/carried/src/balancer/audit.rs
+++ b/crates/carried/src/balancer/audit.rs
@@ -21,7 +21,8 @@
 const LEAST_SHARE: f64 = 0.75;
 /// Audits after the store's return come within this time, not all at once.
 const RETURN_SPREAD: Duration = Duration::from_millis(300);
-/// A node that has only just come may be missing from a list that is seconds old.
+/// A node that has only just come may be missing from a list that is seconds old. In the newest list it is
+/// not: a store that has gone back has lost the entries of just those that had come last.
 const SETTLING: Duration = Duration::from_secs(10);
 /// A node that was silent for so long is dead. Longer than freezes, cuts and stores' outages last, and
 /// shorter than peers remember it.
@@ -39,12 +40,23 @@
     pub role: NodeRole,
 }
 
+/// The shared store's list, as one reading found it.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct NodeList {
+    /// The nodes that it names.
+    pub nodes: Vec<ListedNode>,
+    /// It names every node whose entry was acknowledged before; else it may be seconds old.
+    pub is_newest: bool,
+}
+
 /// When the list is compared next.
 #[derive(Debug, Default)]
 pub(super) struct Audit {
     next: Option<Duration>,
     /// Returns of the store that were known at the last look.
     returns: u32,
+    /// The era of the store that was known then; 0 before any.
+    era: u64,
     /// The next list must be the newest: the store has just come back.
     is_urgent: bool,
     /// Audits that a time was set for.
@@ -55,13 +67,23 @@
     pub(super) fn next(&self) -> Option<Duration> {
         self.next
     }
+
+    /// Whether the store has come back since the last look, or has gone back to an older copy: then
+    /// entries may be gone though nobody has noticed an absence.
+    fn note_returns(&mut self, returns: u32, era: u64) -> bool {
+        let has_returned = std::mem::replace(&mut self.returns, returns) != returns;
+        let before = std::mem::replace(&mut self.era, era);
+        has_returned || (before > 0 && before != era)
+    }
 }
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
     /// Asks for the list when it is time; only balancers that wait at the store do.
     pub(super) fn audit_when_due(&mut self, now: Duration, is_auditor: bool) {
-        let returns = self.standing.store.returns();
-        let has_returned = std::mem::replace(&mut self.audit.returns, returns) != returns;
+        let has_returned = self.audit.note_returns(
+            self.standing.store.returns(),
+            self.standing.configuration.version.position.era,
+        );
         if !is_auditor {
             self.audit.next = None;
             return;
@@ -93,7 +115,8 @@
 
     /// Compares the store's list with who lives: tells nodes whose entries are missing, and names the
     /// addresses whose entries are to be removed.
-    pub fn audit_members(&mut self, now: Duration, listed: &[ListedNode]) -> Vec<SocketAddrV4> {
+    pub fn audit_members(&mut self, now: Duration, list: &NodeList) -> Vec<SocketAddrV4> {
+        let listed = &list.nodes;
         let members: Vec<_> = listed.iter().map(|node| (node.address, node.role)).collect();
         self.standing.learn(now, &members);
         let has_entry: HashSet<SocketAddrV4> = listed.iter().map(|node| node.address).collect();
@@ -105,7 +128,8 @@
         let peers = self.standing.membership.peers();
         let is_missing = |address: &SocketAddrV4, peer: &Peer| {
             let is_alive = peer.heard_at.is_some_and(|at| now.saturating_sub(at) <= patience);
-            is_alive && peer.is_settled(now, SETTLING) && !has_entry.contains(address)
+            let may_be_told = list.is_newest || peer.is_settled(now, SETTLING);
+            is_alive && may_be_told && !has_entry.contains(address)
         };
         let missing = peers.filter(|(address, peer)| is_missing(address, peer));
         let missing: Vec<SocketAddrV4> = missing.map(|(address, _)| *address).collect();
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -21,7 +21,7 @@
 mod verdicts;
 
 use self::audit::Audit;
-pub use self::audit::ListedNode;
+pub use self::audit::{ListedNode, NodeList};
 use self::errands::Errands;
 use self::fence::Fence;
 use self::lateness::Lateness;
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -37,7 +37,7 @@
 
 pub use agent::{CarriedAgent, CarriedAgentSettings, ProbeOutcome};
 pub use backend::{BackendReport, ReportOutcome};
-pub use balancer::{CarriedBalancer, CarriedBalancerSettings, ListedNode};
+pub use balancer::{CarriedBalancer, CarriedBalancerSettings, ListedNode, NodeList};
 pub use configuration::{CarriedConfiguration, Part, Route, ServiceSettings};
 pub use counters::{CarriedAgentCounters, CarriedBalancerCounters};
 pub use incarnation::Incarnation;
--- a/crates/carried/src/version.rs
+++ b/crates/carried/src/version.rs
@@ -28,6 +28,11 @@
     pub fn is_certain(&self) -> bool {
         self.era > 0
     }
+
+    /// Whether the store has come back from an older copy before.
+    pub fn follows_a_return(&self) -> bool {
+        self.era > 1
+    }
 }
 
 impl fmt::Display for Position {
--- a/crates/carried/tests/audit.rs
+++ b/crates/carried/tests/audit.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use loftdrift_carried::{
-    BackendCondition, CarriedBalancer, ListedNode, LoadReport, Message, NodeRole, Output,
+    BackendCondition, CarriedBalancer, ListedNode, LoadReport, Message, NodeList, NodeRole, Output,
     PlainFormat,
 };
 use std::net::SocketAddrV4;
@@ -18,6 +18,15 @@
     ListedNode { address, role }
 }
 
+/// A list that may be seconds old.
+fn old(nodes: &[ListedNode]) -> NodeList {
+    NodeList { nodes: nodes.to_vec(), is_newest: false }
+}
+
+fn newest(nodes: &[ListedNode]) -> NodeList {
+    NodeList { is_newest: true, ..old(nodes) }
+}
+
 /// Alone it waits at the store.
 fn balancer_alone() -> CarriedBalancer {
     let mut balancer = new_balancer(1);
@@ -111,22 +120,24 @@
     run(&mut balancer, &[1, 2], 0, now);
     let list =
         [listed(balancer_address(), NodeRole::Balancer), listed(agent_address(1), NodeRole::Agent)];
-    assert_eq!(balancer.audit_members(milliseconds(now), &list), []);
+    assert_eq!(balancer.audit_members(milliseconds(now), &old(&list)), []);
     let outputs = outputs_of(&mut balancer);
     assert_eq!(told(&outputs), [agent_address(2)]);
     assert!(!outputs.contains(&Output::WriteEntry), "its own entry stands");
-    balancer.audit_members(milliseconds(now), &list[1..]);
+    balancer.audit_members(milliseconds(now), &old(&list[1..]));
     assert!(outputs_of(&mut balancer).contains(&Output::WriteEntry));
 }
 
 #[test]
-fn one_that_has_only_just_come_is_not_told() {
+fn one_that_has_only_just_come_is_told_by_the_newest_list_only() {
     let mut balancer = balancer_alone();
     let now = 2 * SECOND;
     run(&mut balancer, &[1], 0, now);
     let list = [listed(balancer_address(), NodeRole::Balancer)];
-    balancer.audit_members(milliseconds(now), &list);
+    balancer.audit_members(milliseconds(now), &old(&list));
     assert_eq!(told(&outputs_of(&mut balancer)), [], "the list may be older than its entry");
+    balancer.audit_members(milliseconds(now), &newest(&list));
+    assert_eq!(told(&outputs_of(&mut balancer)), [agent_address(1)], "the store has lost it");
 }
 
 #[test]
@@ -139,13 +150,13 @@
         dead,
     ];
     // Found at its first audit; until then nobody knows how long it has been silent.
-    assert_eq!(balancer.audit_members(milliseconds(0), &list), []);
+    assert_eq!(balancer.audit_members(milliseconds(0), &old(&list)), []);
     for minute in 1..9 {
         run(&mut balancer, &[1], (minute - 1) * 60 * SECOND, minute * 60 * SECOND);
-        assert_eq!(balancer.audit_members(milliseconds(minute * 60 * SECOND), &list), []);
+        assert_eq!(balancer.audit_members(milliseconds(minute * 60 * SECOND), &old(&list)), []);
     }
     run(&mut balancer, &[1], 8 * 60 * SECOND, 9 * 60 * SECOND);
-    let removed = balancer.audit_members(milliseconds(9 * 60 * SECOND), &list);
+    let removed = balancer.audit_members(milliseconds(9 * 60 * SECOND), &old(&list));
     assert_eq!(removed, [dead.address]);
 }
 
@@ -166,9 +177,13 @@
         listed(agent_address(2), NodeRole::Agent),
     ];
     run(&mut balancer, &[1], 20 * SECOND, 21 * SECOND);
-    assert_eq!(balancer.audit_members(milliseconds(21 * SECOND), &list), [], "it may speak again");
+    assert_eq!(
+        balancer.audit_members(milliseconds(21 * SECOND), &old(&list)),
+        [],
+        "it may speak again"
+    );
     run(&mut balancer, &[1], 21 * SECOND, 23 * SECOND);
-    assert_eq!(balancer.audit_members(milliseconds(23 * SECOND), &list), [agent_address(2)]);
+    assert_eq!(balancer.audit_members(milliseconds(23 * SECOND), &old(&list)), [agent_address(2)]);
 }
 
 #[test]
@@ -180,3 +195,15 @@
     balancer.handle_peer(Duration::ZERO, balancer_of(2), &Message::NotListed.encode());
     assert!(outputs_of(&mut balancer).contains(&Output::WriteEntry));
 }
+
+/// An absence of a moment may pass unnoticed; the era that answers bear does not.
+#[test]
+fn a_store_that_has_gone_back_is_audited_at_once_with_its_newest_list() {
+    let mut balancer = balancer_alone();
+    run(&mut balancer, &[1], 0, 5 * SECOND);
+    let mut restored = configuration(1, vec![route(service_address(), SERVICE)]);
+    restored.version.position.era = 2;
+    balancer.adopt(milliseconds(5 * SECOND), restored);
+    let seen = audits(&run(&mut balancer, &[1], 5 * SECOND, 6 * SECOND));
+    assert!(matches!(seen[..], [(_, true)]), "{seen:?}");
+}
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -3,7 +3,7 @@
 use crate::command::{Measures, MemberNews, NodeStatus};
 use crate::core::Core;
 use loftdrift_carried::{
-    CarriedBalancer, CarriedConfiguration, ListedNode, Output, SegmentFormat, Snapshot,
+    CarriedBalancer, CarriedConfiguration, NodeList, Output, SegmentFormat, Snapshot,
 };
 use loftdrift_counters::CounterSet;
 use std::net::SocketAddrV4;
@@ -56,8 +56,8 @@
         }
     }
 
-    fn audit(&mut self, now: Duration, listed: &[ListedNode]) -> Vec<SocketAddrV4> {
-        self.balancer.audit_members(now, listed)
+    fn audit(&mut self, now: Duration, list: &NodeList) -> Vec<SocketAddrV4> {
+        self.balancer.audit_members(now, list)
     }
 
     fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -1,7 +1,7 @@
 //! What tasks say to the one that owns the core, and what that one publishes.
 
 use loftdrift_carried::{
-    BackendReport, CarriedConfiguration, Incarnation, ListedNode, NodeRole, ProbeOutcome,
+    BackendReport, CarriedConfiguration, Incarnation, NodeList, NodeRole, ProbeOutcome,
     ReportOutcome, Snapshot, Version,
 };
 use loftdrift_counters::{Histogram, Sample};
@@ -17,7 +17,7 @@
     Learn(MemberNews),
     /// The shared store's list, to be compared with who lives; answered with the addresses whose
     /// entries are to be removed.
-    Audit(Vec<ListedNode>, oneshot::Sender<Vec<SocketAddrV4>>),
+    Audit(NodeList, oneshot::Sender<Vec<SocketAddrV4>>),
     /// Another node's snapshot.
     TakeSnapshot(Snapshot),
     /// Give a snapshot.
--- a/crates/node/src/configuration_follower.rs
+++ b/crates/node/src/configuration_follower.rs
@@ -34,19 +34,23 @@
 }
 
 /// What is needed to follow the store.
-pub(crate) struct Follower<S> {
-    pub(crate) store: S,
-    pub(crate) status: watch::Receiver<NodeStatus>,
-    pub(crate) commands: mpsc::Sender<Command>,
+#[derive(Debug)]
+pub struct Follower<S> {
+    /// The store.
+    pub store: S,
+    /// What the core says of itself.
+    pub status: watch::Receiver<NodeStatus>,
+    /// The core's commands.
+    pub commands: mpsc::Sender<Command>,
     /// Peers have so long to give a configuration before the store is asked for it at the start.
-    pub(crate) head_start: Duration,
+    pub head_start: Duration,
     /// Since when the store has not answered.
-    pub(crate) lost_at: Option<Instant>,
+    pub lost_at: Option<Instant>,
 }
 
 impl<S: SharedStore> Follower<S> {
     /// Follows until nobody listens.
-    pub(crate) async fn follow(mut self) {
+    pub async fn follow(mut self) {
         self.read_first().await;
         let mut pace = Pace::new(FIRST_PAUSE, LONGEST_PAUSE);
         while self.status.wait_for(|status| status.watches_store).await.is_ok() {
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -2,7 +2,7 @@
 
 use crate::command::{Measures, MemberNews, NodeStatus};
 use loftdrift_carried::{
-    BackendReport, CarriedConfiguration, Incarnation, ListedNode, Output, ProbeOutcome,
+    BackendReport, CarriedConfiguration, Incarnation, NodeList, Output, ProbeOutcome,
     ReportOutcome, Snapshot,
 };
 use std::net::SocketAddrV4;
@@ -24,7 +24,7 @@
     fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration);
     fn learn(&mut self, now: Duration, news: &MemberNews);
     /// Compares the shared store's list with who lives; no core but a balancer's asks for it.
-    fn audit(&mut self, _now: Duration, _listed: &[ListedNode]) -> Vec<SocketAddrV4> {
+    fn audit(&mut self, _now: Duration, _list: &NodeList) -> Vec<SocketAddrV4> {
         Vec::new()
     }
     fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot);
--- a/crates/node/src/counted_store.rs
+++ b/crates/node/src/counted_store.rs
@@ -117,7 +117,7 @@
         &self,
         member: &Member,
         written_at: Option<u64>,
-    ) -> Result<(), StoreFailure> {
+    ) -> Result<Position, StoreFailure> {
         self.timed(self.store.remove_member(member, written_at)).await
     }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,6 +15,7 @@
 mod health;
 mod interface;
 mod member_audit;
+mod member_list;
 mod metrics;
 mod operator_document;
 mod pace;
@@ -31,7 +32,9 @@
 
 pub use allowance::Allowance;
 pub use command::{Command, Measures, MemberNews, NodeStatus};
+pub use configuration_follower::Follower;
 pub use interface::{Interface, Request, RequestKind};
+pub use member_audit::audit as audit_members;
 pub use run::run;
 pub use settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
 pub use shared_store::{
--- a/crates/node/src/member_audit.rs
+++ b/crates/node/src/member_audit.rs
@@ -3,17 +3,22 @@
 
 use crate::command::Command;
 use crate::shared_store::{Currency, MemberEntry, SharedStore, StoreFailure};
-use loftdrift_carried::{ListedNode, NodeRole};
+use loftdrift_carried::{ListedNode, NodeList, NodeRole};
 use tokio::sync::{mpsc, oneshot};
 
 /// Audits until nobody asks any more.
-pub(crate) async fn audit(
+pub async fn audit(
     store: impl SharedStore,
     mut asked: mpsc::Receiver<Currency>,
     commands: mpsc::Sender<Command>,
 ) {
     while let Some(currency) = asked.recv().await {
-        if let Err(failure) = audit_once(&store, currency, &commands).await {
+        let mut done = audit_once(&store, currency, &commands).await;
+        // What was compared, or removed, may have been another history's.
+        if done == Err(StoreFailure::Restored) {
+            done = audit_once(&store, Currency::Newest, &commands).await;
+        }
+        if let Err(failure) = done {
             let failure = failure.to_string();
             log::warn!(failure = failure.as_str(); "members_not_audited");
         }
@@ -25,24 +30,42 @@
     currency: Currency,
     commands: &mpsc::Sender<Command>,
 ) -> Result<(), StoreFailure> {
-    let mut entries = store.read_members(NodeRole::Balancer, currency).await?.entries;
-    entries.extend(store.read_members(NodeRole::Agent, currency).await?.entries);
+    let balancers = store.read_members(NodeRole::Balancer, currency).await?;
+    let agents = store.read_members(NodeRole::Agent, currency).await?;
+    let era = balancers.position.era;
+    if agents.position.era != era {
+        return Err(StoreFailure::Restored);
+    }
+    let mut entries = balancers.entries;
+    entries.extend(agents.entries);
     let listed = entries
         .iter()
         .map(|entry| ListedNode { address: entry.member.address, role: entry.member.role });
+    let list = NodeList { nodes: listed.collect(), is_newest: currency == Currency::Newest };
     let (answer, dead) = oneshot::channel();
     // Nobody listens only while the process ends.
-    let _ = commands.send(Command::Audit(listed.collect(), answer)).await;
+    let _ = commands.send(Command::Audit(list, answer)).await;
     let Ok(dead) = dead.await else { return Ok(()) };
     for entry in entries.iter().filter(|entry| dead.contains(&entry.member.address)) {
-        remove(store, entry).await?;
+        remove(store, entry, era).await?;
     }
     Ok(())
 }
 
-/// Removes an entry, unless its node has written it again.
-async fn remove(store: &impl SharedStore, entry: &MemberEntry) -> Result<(), StoreFailure> {
+/// Removes an entry that was read in an era, unless its node has written it again. A store that has come
+/// back since may have given its revision to a later writing of the same key: what was removed then is
+/// missed by the audit that follows, and written again by its node.
+async fn remove(
+    store: &impl SharedStore,
+    entry: &MemberEntry,
+    era: u64,
+) -> Result<(), StoreFailure> {
     let MemberEntry { member, revision } = entry;
     log::info!(name = member.name.as_str(), address:% = member.address; "member_entry_removed");
-    store.remove_member(member, Some(*revision)).await
+    match store.remove_member(member, Some(*revision)).await {
+        Ok(position) if position.era != era => Err(StoreFailure::Restored),
+        // It was written again, or is gone.
+        Ok(_) | Err(StoreFailure::Gone) => Ok(()),
+        Err(failure) => Err(failure),
+    }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -8,6 +8,7 @@
 use crate::core::Core;
 use crate::counted_store::CountedStore;
 use crate::interface::{Interface, Request, RequestKind};
+use crate::member_list::ListReader;
 use crate::metrics::Metrics;
 use crate::registration::Registration;
 use crate::settings::{AgentPlace, BalancerPlace, NodeSettings, Place};
@@ -204,13 +205,14 @@
         self.tasks.spawn(reading);
         let audit = member_audit::audit(store.clone(), self.audits, self.commands.clone());
         self.tasks.spawn(audit);
-        let registration = Registration {
+        let lists = ListReader {
             store: store.clone(),
             member: member.clone(),
             commands: self.commands.clone(),
-            missing: self.missing,
             is_first_start: settings.is_first_start,
         };
+        let registration =
+            Registration { lists, missing: self.missing, status: self.status.clone() };
         self.tasks.spawn(registration.keep());
         for address in [settings.readiness, control].into_iter().flatten() {
             let listener = bind_tcp("requests", address).await?;
--- a/crates/node/src/shared_store.rs
+++ b/crates/node/src/shared_store.rs
@@ -121,12 +121,13 @@
         member: &Member,
     ) -> impl Future<Output = Result<Position, StoreFailure>> + Send;
 
-    /// Removes a node's entry; with a revision, only one that was written then.
+    /// Removes a node's entry; with a revision, only one that was written then, and `Gone` where another
+    /// or none stands. Gives where that was done: in another era the revision may be another writing's.
     fn remove_member(
         &self,
         member: &Member,
         written_at: Option<u64>,
-    ) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+    ) -> impl Future<Output = Result<Position, StoreFailure>> + Send;
 
     /// Reads what stands under a node's name; `None` where that cannot be read.
     fn read_member(
--- a/crates/node/src/shell.rs
+++ b/crates/node/src/shell.rs
@@ -158,7 +158,7 @@
         match command {
             Command::Adopt(configuration) => self.core.adopt(now, configuration),
             Command::Learn(news) => self.core.learn(now, &news),
-            Command::Audit(listed, answer) => drop(answer.send(self.core.audit(now, &listed))),
+            Command::Audit(list, answer) => drop(answer.send(self.core.audit(now, &list))),
             Command::TakeSnapshot(snapshot) => self.core.take_snapshot(now, snapshot),
             Command::Health(is_healthy) => self.core.take_health(now, is_healthy),
             Command::Probed(outcome) => self.core.take_probe(now, outcome),
