An evacuation that the store has lost holds until it is written again

What callers saw: in a zone that operators were emptying new flows were opened again, from the store's return from an older copy on, until the evacuation was written again. Cause: evacuations bear no number of the operator's; the later position's set was in force as it was, though a copy lacks what was written after it. Change: where the era rises, zones that were evacuated stay so for two seconds beside what the store names, on each node that knew; then what is not there again is over. A zone whose end was lost counts as evacuated until the end is written again. Why it holds: agents and balancers each keep what they knew, so that one that has just started is declined by agents; documents and their digests stay as the store has them, so that peers agree and nobody fetches. Ruled out: keeping zones within the document (nodes that end them at different times differ under one version; tried in thought only); a number of ours for evacuations (operators write the store by themselves).

--- a/crates/carried/src/agent/condition.rs
+++ b/crates/carried/src/agent/condition.rs
@@ -44,7 +44,7 @@
 
     /// Whether the zone is evacuated, as far as is known here.
     pub(super) fn is_evacuated(&self) -> bool {
-        self.standing.configuration.evacuated.contains(&self.settings.node.zone)
+        self.standing.is_evacuated(&self.settings.node.zone)
     }
 
     pub(super) fn is_cold(&self, now: Duration) -> bool {
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -422,6 +422,7 @@
             self.flows.next_wake_up(),
             self.standing.membership.next_due(),
             self.condition_changes_at(),
+            self.standing.next_end(),
             self.next_question(),
             self.line.next_expiry(),
         ];
@@ -438,6 +439,11 @@
             self.breaker.wake(now);
             self.tell_change(now, "rested");
         }
+        let was_evacuated = self.is_evacuated();
+        if self.standing.end_evacuations(now) {
+            self.may_be_cold |= was_evacuated;
+            self.tell_change(now, "evacuation_lapsed");
+        }
         self.ask_backend(now);
         self.serve_line(now);
         for (peer, wants_reply) in self.standing.membership.take_due(now) {
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -239,7 +239,7 @@
             Adoption::Changed => {}
         }
         self.routes.replace(&self.standing.configuration);
-        self.pool.evacuate(&self.standing.configuration.evacuated);
+        self.pool.evacuate(&self.standing.evacuated());
         self.fence.lift(now);
         self.counters.configurations_adopted += 1;
         self.unrouted.note_routes(now);
@@ -331,6 +331,7 @@
             self.standing.membership.next_due(),
             self.errands.next(),
             self.audit.next(),
+            self.standing.next_end(),
             Some(self.next_store_step()),
         ];
         due.into_iter().flatten().min()
@@ -346,6 +347,9 @@
         while let Some(number) = self.lookups.pop_due(now) {
             self.wake_lookup(now, number);
         }
+        if self.standing.end_evacuations(now) {
+            self.pool.evacuate(&self.standing.evacuated());
+        }
         self.open_kept(now);
         self.begin_searches(now);
         self.send_questions(now);
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -16,6 +16,7 @@
 mod flow_cache;
 mod incarnation;
 mod input_age;
+mod kept_evacuations;
 mod latency;
 mod load;
 mod lookup;
--- a/crates/carried/src/standing.rs
+++ b/crates/carried/src/standing.rs
@@ -1,11 +1,13 @@
 //! What a node knows of the system besides its own work: the members and the configuration.
 
 use crate::configuration::CarriedConfiguration;
+use crate::kept_evacuations::KeptEvacuations;
 use crate::membership::{Membership, Node};
 use crate::message::{Heartbeat, LoadReport, Message, NodeRole, Snapshot};
 use crate::output::Output;
 use crate::store_news::StoreNews;
 use crate::version::Version;
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -28,6 +30,7 @@
     pub(crate) configuration: CarriedConfiguration,
     /// Digest of the configuration in force.
     digest: u64,
+    kept: KeptEvacuations,
     /// What is known of the shared store.
     pub(crate) store: StoreNews,
     adopted_at: Duration,
@@ -41,6 +44,7 @@
             membership: Membership::new(node),
             digest: CarriedConfiguration::default().digest(),
             configuration: CarriedConfiguration::default(),
+            kept: KeptEvacuations::default(),
             store: StoreNews::default(),
             adopted_at: Duration::ZERO,
             newest_heard: Version::default(),
@@ -92,27 +96,59 @@
             self.raise_version(joined.version);
             return Adoption::Confirmed;
         }
-        self.raise_version(joined.version);
         log::info!(
             from:% = in_force, to:% = joined.version, routes = joined.routes.len();
             "configuration_adopted"
         );
-        self.log_evacuations(now, &joined);
+        let before = self.evacuated();
+        let position = joined.version.position;
+        if in_force.position.is_certain() && in_force.position.era != position.era {
+            self.kept.keep(now, before.clone());
+        }
+        self.raise_version(joined.version);
         self.configuration = joined;
         self.digest = digest;
         self.adopted_at = now;
+        self.log_evacuations(now, &before);
         Adoption::Changed
     }
 
+    /// The zones that are evacuated, as far as is known here.
+    pub(crate) fn evacuated(&self) -> BTreeSet<String> {
+        self.configuration.evacuated.union(self.kept.zones()).cloned().collect()
+    }
+
+    /// Whether a zone is evacuated, as far as is known here.
+    pub(crate) fn is_evacuated(&self, zone: &str) -> bool {
+        self.configuration.evacuated.contains(zone) || self.kept.zones().contains(zone)
+    }
+
+    /// When evacuations that the store does not name end.
+    pub(crate) fn next_end(&self) -> Option<Duration> {
+        self.kept.ends_at()
+    }
+
+    /// Ends them when it is time; `true` when there were some.
+    pub(crate) fn end_evacuations(&mut self, now: Duration) -> bool {
+        if self.next_end().is_none_or(|at| now < at) {
+            return false;
+        }
+        let before = self.evacuated();
+        self.kept.end();
+        self.log_evacuations(now, &before);
+        true
+    }
+
     /// A line for each zone that is evacuated from now on, or no longer.
-    fn log_evacuations(&self, now: Duration, newer: &CarriedConfiguration) {
-        let before = &self.configuration.evacuated;
+    fn log_evacuations(&self, now: Duration, before: &BTreeSet<String>) {
+        let after = self.evacuated();
         let confirmed = now.saturating_sub(self.store.confirmed_at());
         let confirmed_ms_ago = confirmed.as_millis() as u64;
-        for zone in before.symmetric_difference(&newer.evacuated) {
-            let is_evacuated = newer.evacuated.contains(zone);
+        for zone in before.symmetric_difference(&after) {
+            let is_evacuated = after.contains(zone);
             log::info!(
-                zone = zone.as_str(), is_evacuated, version:% = newer.version, confirmed_ms_ago;
+                zone = zone.as_str(), is_evacuated, version:% = self.configuration.version,
+                confirmed_ms_ago;
                 "evacuation_changed"
             );
         }
--- a/crates/carried/tests/evacuation.rs
+++ b/crates/carried/tests/evacuation.rs
@@ -207,3 +207,75 @@
         assert!(asked.iter().all(|(agent, _)| *agent == agent_address(2)), "{asked:?}");
     }
 }
+
+/// As `evacuated`, read in the history that follows the store's return from an older copy.
+fn restored(revision: u64, zones: &[&str]) -> CarriedConfiguration {
+    let mut document = evacuated(revision, zones);
+    document.version.position.era = 2;
+    document
+}
+
+fn is_taken(agent: &mut loftdrift_carried::CarriedAgent, at: u64, port: u16) -> bool {
+    agent.handle_timeout(milliseconds(at));
+    outputs(agent);
+    let offer = offer(u64::from(port), port, Admission::FreeSlot);
+    agent.handle_peer(milliseconds(at), balancer_address(), &offer);
+    sent_to_backend(&outputs(agent)) == 1
+}
+
+/// Users saw: a zone that was evacuated got new flows again while the operator had not ended it. The store
+/// came back from a copy that was older than the evacuation, and balancers and agents took its word until
+/// the operator had written it again.
+#[test]
+fn an_evacuation_that_the_store_has_lost_holds_until_it_is_written_again() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    agent.adopt(milliseconds(1), evacuated(50, &[HOME]));
+    agent.adopt(milliseconds(1_000), restored(40, &[]));
+    assert!(!is_taken(&mut agent, 1_001, 1));
+    agent.adopt(milliseconds(2_500), restored(41, &[HOME]));
+    assert!(!is_taken(&mut agent, 2_501, 2));
+    assert!(!is_taken(&mut agent, 3_500, 3));
+    agent.adopt(milliseconds(3_600), restored(42, &[]));
+    assert!(is_taken(&mut agent, 3_601, 4));
+}
+
+#[test]
+fn one_that_is_not_written_again_within_two_seconds_is_over() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    agent.adopt(milliseconds(1), evacuated(50, &[HOME]));
+    agent.adopt(milliseconds(1_000), restored(40, &[]));
+    assert!(!is_taken(&mut agent, 2_990, 1));
+    assert_eq!(agent.next_timeout().map(|at| at <= milliseconds(3_000)), Some(true));
+    assert!(is_taken(&mut agent, 3_000, 2));
+}
+
+#[test]
+fn a_balancer_offers_nothing_in_a_zone_whose_evacuation_the_store_has_lost() {
+    let mut balancer = new_balancer(1);
+    tell_from_zone(&mut balancer, milliseconds(0), 1, HOME, accepting());
+    tell_from_zone(&mut balancer, milliseconds(0), 2, OTHER, accepting());
+    let asked = |balancer: &mut loftdrift_carried::CarriedBalancer, at: u64, port: u16| {
+        tell_from_zone(balancer, milliseconds(at), 1, HOME, accepting());
+        tell_from_zone(balancer, milliseconds(at), 2, OTHER, accepting());
+        balancer.handle_timeout(milliseconds(at));
+        outputs_of(balancer);
+        balancer.handle_caller(milliseconds(at), &packet(&opening(port)));
+        offers(&outputs_of(balancer)).into_iter().map(|(agent, _)| agent).collect::<Vec<_>>()
+    };
+    balancer.adopt(milliseconds(1), evacuated(50, &[HOME]));
+    balancer.adopt(milliseconds(1_000), restored(40, &[]));
+    assert_eq!(asked(&mut balancer, 1_001, 1), [agent_address(2)]);
+    assert_eq!(asked(&mut balancer, 2_990, 2), [agent_address(2)]);
+    assert_eq!(asked(&mut balancer, 3_000, 3), [agent_address(1)]);
+}
+
+#[test]
+fn an_end_in_the_same_history_holds_at_once() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    agent.adopt(milliseconds(1), evacuated(50, &[HOME]));
+    agent.adopt(milliseconds(1_000), evacuated(51, &[]));
+    assert!(is_taken(&mut agent, 1_001, 1));
+}
--- a/crates/lab/tests/restored_store.rs
+++ b/crates/lab/tests/restored_store.rs
@@ -7,6 +7,8 @@
 };
 use std::time::Duration;
 
+/// Holds half of the first service's back ends.
+const HALF: usize = 1;
 const RANDOM_DAYS: u64 = 120;
 
 fn seconds(count: f64) -> Duration {
@@ -98,6 +100,23 @@
     }
 }
 
+/// The zone's evacuation is lost, is there all along, or its end is lost.
+#[test]
+fn zones_stay_evacuated_while_operators_write_again() {
+    for (evacuated_at, ended_at, copy_age) in [(2.0, 14.0, 4.5), (2.0, 14.0, 1.0), (1.0, 5.0, 2.0)]
+    {
+        for operator_after in [0.0, 1.0, 1.9] {
+            let day = [
+                (evacuated_at, Fault::Evacuate(HALF)),
+                (ended_at, Fault::EndEvacuation(HALF)),
+                (6.0, back(copy_age, operator_after)),
+                (7.0, Fault::KillBalancer(1, seconds(0.1))),
+            ];
+            assert_kept(play(&day), 0.99);
+        }
+    }
+}
+
 #[test]
 fn random_days_break_no_rule() {
     for seed in 1..=RANDOM_DAYS {
