--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -11,6 +11,7 @@
 mod errands;
 mod established;
 mod fence;
+mod knowledge;
 mod lateness;
 mod lookups;
 mod openings;
@@ -198,55 +199,6 @@
         log::info!(flows = self.flows.len(); "draining");
     }
 
-    /// What this node gives to whoever asks.
-    pub fn snapshot(&self) -> Snapshot {
-        let has_ended =
-            |agent: &SocketAddrV4| self.pool.view(agent).is_some_and(AgentView::has_ended);
-        self.standing.snapshot(|address| !has_ended(address))
-    }
-
-    /// Takes a node's snapshot.
-    pub fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
-        self.standing.learn(now, &snapshot.members);
-        if let Some(configuration) = snapshot.configuration {
-            self.adopt(now, configuration);
-        }
-    }
-
-    /// Learns of nodes by hearsay; there may be others.
-    pub fn hear_of_members(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
-        self.standing.learn(now, members);
-    }
-
-    /// Takes the whole list of nodes that the shared store holds.
-    pub fn learn_members(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
-        self.acquaintance.note_list();
-        self.standing.learn(now, members);
-    }
-
-    /// Puts in force what is newer of a configuration than the one in force; `true` when that says
-    /// something else.
-    pub fn adopt(&mut self, now: Duration, configuration: CarriedConfiguration) -> bool {
-        match self.standing.adopt(now, configuration) {
-            Adoption::Outdated => {
-                self.counters.configurations_passed_over += 1;
-                return false;
-            }
-            Adoption::Confirmed => {
-                self.fence.lift(now);
-                return false;
-            }
-            Adoption::Changed => {}
-        }
-        self.routes.replace(&self.standing.configuration);
-        self.pool.evacuate(&self.standing.evacuated());
-        self.fence.lift(now);
-        self.counters.configurations_adopted += 1;
-        self.unrouted.note_routes(now);
-        self.standing.membership.hurry(now);
-        true
-    }
-
     fn idle_timeout(&self) -> Duration {
         self.standing.idle_timeout(DEFAULT_IDLE)
     }
--- a/crates/carried/tests/lookups.rs
+++ b/crates/carried/tests/lookups.rs
@@ -36,22 +36,6 @@
     balancer
 }
 
-fn asked(outputs: &[Output]) -> Vec<SocketAddrV4> {
-    let asked = outputs.iter().filter_map(|output| match output {
-        Output::ToPeer { to, message: Message::Find { .. } } => Some(*to),
-        _ => None,
-    });
-    asked.collect()
-}
-
-fn tried(outputs: &[Output]) -> Vec<SocketAddrV4> {
-    let tried = outputs.iter().filter_map(|output| match output {
-        Output::ToPeer { to, message: Message::Try { .. } } => Some(*to),
-        _ => None,
-    });
-    tried.collect()
-}
-
 fn forwarded(outputs: &[Output]) -> Vec<SocketAddrV4> {
     let forwarded = outputs.iter().filter_map(|output| match output {
         Output::ToPeer { to, message: Message::Forward { .. } } => Some(*to),
@@ -60,10 +44,6 @@
     forwarded.collect()
 }
 
-fn resets(outputs: &[Output]) -> usize {
-    outputs.iter().filter(|output| matches!(output, Output::ToCaller { .. })).count()
-}
-
 /// Serves timers when they are due: a process that is late itself waits for others longer.
 fn serve_timers(balancer: &mut CarriedBalancer, from: u64, to: u64) {
     (from..=to).for_each(|at| balancer.handle_timeout(milliseconds(at)));
--- a/crates/carried/tests/repair.rs
+++ b/crates/carried/tests/repair.rs
@@ -6,7 +6,6 @@
     BackendCondition, BackendReport, CarriedBalancer, FlowMemory, FlowWord, LoadReport, Message,
     NodeRole, Output, Segment, Word,
 };
-use std::net::SocketAddrV4;
 use std::time::Duration;
 use support::*;
 
@@ -45,26 +44,6 @@
     data(port, 101, 501)
 }
 
-fn asked(outputs: &[Output]) -> Vec<SocketAddrV4> {
-    let asked = outputs.iter().filter_map(|output| match output {
-        Output::ToPeer { to, message: Message::Find { .. } } => Some(*to),
-        _ => None,
-    });
-    asked.collect()
-}
-
-fn tried(outputs: &[Output]) -> Vec<SocketAddrV4> {
-    let tried = outputs.iter().filter_map(|output| match output {
-        Output::ToPeer { to, message: Message::Try { .. } } => Some(*to),
-        _ => None,
-    });
-    tried.collect()
-}
-
-fn resets(outputs: &[Output]) -> usize {
-    outputs.iter().filter(|output| matches!(output, Output::ToCaller { .. })).count()
-}
-
 fn word_of(port: u16, up_ms: u32, word: Word) -> Vec<u8> {
     Message::Found { up_ms, words: vec![FlowWord { flow: flow_named(port), word }] }.encode()
 }
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -286,3 +286,26 @@
 pub fn says(port: u16, word: Word) -> Output {
     to_balancer(found(port, word))
 }
+
+/// Agents that are asked whether a flow lives there.
+pub fn asked(outputs: &[Output]) -> Vec<SocketAddrV4> {
+    let asked = outputs.iter().filter_map(|output| match output {
+        Output::ToPeer { to, message: Message::Find { .. } } => Some(*to),
+        _ => None,
+    });
+    asked.collect()
+}
+
+/// Agents whose back end is to tell.
+pub fn tried(outputs: &[Output]) -> Vec<SocketAddrV4> {
+    let tried = outputs.iter().filter_map(|output| match output {
+        Output::ToPeer { to, message: Message::Try { .. } } => Some(*to),
+        _ => None,
+    });
+    tried.collect()
+}
+
+/// Callers that are told that their flow is over.
+pub fn resets(outputs: &[Output]) -> usize {
+    outputs.iter().filter(|output| matches!(output, Output::ToCaller { .. })).count()
+}
--- a/crates/lab/tests/carried.rs
+++ b/crates/lab/tests/carried.rs
@@ -1,11 +1,13 @@
 //! Carried flows on a virtual clock: faults one at a time, in pairs that hurt each other, and random
 //! days. Every seed is fixed.
 
+mod support;
+
 use loftdrift_lab::{
-    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, FailureMode,
-    TimedFault, random_day,
+    CarriedFault as Fault, CarriedWorld, CarriedWorldSettings, FailureMode, TimedFault, random_day,
 };
-use std::time::Duration;
+use support::days::{assert_kept, play};
+use support::seconds;
 
 const RANDOM_DAYS: u64 = 150;
 /// Seeds of random days that once broke a rule: knowledge of a port's earlier flow was used for its
@@ -16,22 +18,6 @@
 const FAILED_SEEDS: [u64; 15] =
     [159, 240, 337, 1560, 1936, 2125, 3010, 3231, 4109, 4616, 4724, 4900, 7934, 9094, 14873];
 
-fn seconds(count: f64) -> Duration {
-    Duration::from_secs_f64(count)
-}
-
-fn play(faults: &[(f64, Fault)]) -> CarriedOutcome {
-    let faults: Vec<_> =
-        faults.iter().map(|(at, fault)| TimedFault { at: seconds(*at), fault: *fault }).collect();
-    CarriedWorld::new(CarriedWorldSettings::default(), &faults).run()
-}
-
-fn assert_kept(outcome: CarriedOutcome, least_served: f64) {
-    assert!(outcome.keeps_the_rules(), "{outcome:?}");
-    let share = outcome.served as f64 / outcome.asked as f64;
-    assert!(share >= least_served, "{share}: {outcome:?}");
-}
-
 #[test]
 fn a_calm_day_serves_everything() {
     let outcome = play(&[]);
--- a/crates/lab/tests/evacuations.rs
+++ b/crates/lab/tests/evacuations.rs
@@ -1,37 +1,19 @@
 //! Zones that operators evacuate: no back end there gets a new flow once the bound is over, whatever
 //! else happens, and it gets some again after the end.
 
+mod support;
+
 use loftdrift_lab::{
-    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, TimedFault,
-    random_day_with_evacuations,
+    CarriedFault as Fault, CarriedWorld, CarriedWorldSettings, random_day_with_evacuations,
 };
-use std::time::Duration;
+use support::days::{assert_kept, play, play_with};
+use support::seconds;
 
 /// Both hold half of the first service's back ends; all of the second one's are in zone 0.
 const HALF: usize = 1;
 const OTHER_HALF: usize = 2;
 const RANDOM_DAYS: u64 = 120;
 
-fn seconds(count: f64) -> Duration {
-    Duration::from_secs_f64(count)
-}
-
-fn play_with(settings: CarriedWorldSettings, faults: &[(f64, Fault)]) -> CarriedOutcome {
-    let faults: Vec<_> =
-        faults.iter().map(|(at, fault)| TimedFault { at: seconds(*at), fault: *fault }).collect();
-    CarriedWorld::new(settings, &faults).run()
-}
-
-fn play(faults: &[(f64, Fault)]) -> CarriedOutcome {
-    play_with(CarriedWorldSettings::default(), faults)
-}
-
-fn assert_kept(outcome: CarriedOutcome, least_served: f64) {
-    assert!(outcome.keeps_the_rules(), "{outcome:?}");
-    let share = outcome.served as f64 / outcome.asked as f64;
-    assert!(share >= least_served, "{share}: {outcome:?}");
-}
-
 #[test]
 fn a_zone_is_evacuated_and_taken_back_unnoticed() {
     assert_kept(play(&[(3.0, Fault::Evacuate(HALF)), (12.0, Fault::EndEvacuation(HALF))]), 1.0);
--- a/crates/lab/tests/restored_store.rs
+++ b/crates/lab/tests/restored_store.rs
@@ -1,20 +1,18 @@
 //! The store comes back from a copy some seconds old: revisions are given out a second time, and what
 //! operators wrote since is there again only when they have written it again.
 
+mod support;
+
 use loftdrift_lab::{
-    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, StoreReturn,
-    TimedFault, random_day_with_returns,
+    CarriedFault as Fault, CarriedWorld, CarriedWorldSettings, StoreReturn, random_day_with_returns,
 };
-use std::time::Duration;
+use support::days::{assert_kept, play};
+use support::seconds;
 
 /// Holds half of the first service's back ends.
 const HALF: usize = 1;
 const RANDOM_DAYS: u64 = 120;
 
-fn seconds(count: f64) -> Duration {
-    Duration::from_secs_f64(count)
-}
-
 /// A return from a copy so many seconds old, after a short absence.
 fn back(copy_age: f64, operator_after: f64) -> Fault {
     Fault::StoreRestored(StoreReturn {
@@ -24,18 +22,6 @@
     })
 }
 
-fn play(faults: &[(f64, Fault)]) -> CarriedOutcome {
-    let faults: Vec<_> =
-        faults.iter().map(|(at, fault)| TimedFault { at: seconds(*at), fault: *fault }).collect();
-    CarriedWorld::new(CarriedWorldSettings::default(), &faults).run()
-}
-
-fn assert_kept(outcome: CarriedOutcome, least_served: f64) {
-    assert!(outcome.keeps_the_rules(), "{outcome:?}");
-    let share = outcome.served as f64 / outcome.asked as f64;
-    assert!(share >= least_served, "{share}: {outcome:?}");
-}
-
 /// Changes before, within the copy's age, and after the return.
 fn changes(at: &[f64]) -> Vec<(f64, Fault)> {
     at.iter().map(|at| (*at, Fault::MoveRoute)).collect()
--- a/crates/lab/tests/support/mod.rs
+++ b/crates/lab/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod days;
+
 use loftdrift_configuration::{Configuration, apply, parse_script};
 use loftdrift_lab::{BackendBehaviour, CallerBehaviour, World, WorldSettings};
 use std::net::SocketAddrV4;
