Sight: a flow's trace shows documents passed over, evacuations and returns of the store

Cause: the trace of a flow on a dropped route showed adoptions only; what tells why there was none stood in the logs and not in the trace. No logic of nodes changes. Tests of the crate are green before and after.

--- a/crates/logging/src/trace.rs
+++ b/crates/logging/src/trace.rs
@@ -3,17 +3,20 @@
 use crate::line::Line;
 
 /// Lines that tell why a flow fared as it did, without naming it.
-const CAUSES: [&str; 10] = [
+const CAUSES: [&str; 13] = [
     "agent_suspect",
     "agent_back",
     "backend_changed",
     "configuration_adopted",
+    "configuration_passed_over",
     "dependency_lost",
     "dependency_regained",
     "draining",
+    "evacuation_changed",
     "log_lines_dropped",
     "started",
     "stopped",
+    "store_restored",
 ];
 /// Causes are shown from so many milliseconds before the flow's first line to as many after its
 /// last one.
