Lab: a change after the store has gone back is everywhere within a second at 30 and 300 nodes

No test held the bound after a return at size. Conclusion: the bound after a return is that of any change.

--- a/crates/lab/tests/dissemination.rs
+++ b/crates/lab/tests/dissemination.rs
@@ -1,7 +1,8 @@
 //! A change of the configuration reaches every node of a fleet.
 
 use loftdrift_lab::{
-    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, TimedFault,
+    CarriedFault as Fault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, StoreReturn,
+    TimedFault,
 };
 use std::time::Duration;
 
@@ -12,6 +13,16 @@
 const EVERYWHERE_WITHIN: Duration = Duration::from_secs(1);
 
 fn play(balancers: usize, backends: usize, seed: u64) -> CarriedOutcome {
+    play_after(&[], balancers, backends, seed)
+}
+
+/// The change comes after these faults.
+fn play_after(
+    faults: &[TimedFault],
+    balancers: usize,
+    backends: usize,
+    seed: u64,
+) -> CarriedOutcome {
     let settings = CarriedWorldSettings {
         balancers,
         backends,
@@ -21,7 +32,7 @@
         ..CarriedWorldSettings::default()
     };
     let change = TimedFault { at: CHANGE_AT, fault: Fault::MoveRoute };
-    CarriedWorld::new(settings, &[change]).run()
+    CarriedWorld::new(settings, &[faults, &[change]].concat()).run()
 }
 
 /// Nodes that start together must not speak together ever after: at 986 nodes they would all be silent for
@@ -35,3 +46,22 @@
         assert!(took <= EVERYWHERE_WITHIN, "{balancers} balancers, {backends} agents: {took:?}");
     }
 }
+
+/// The store comes back from a copy from before the last change but one; its revisions are given out again.
+#[test]
+fn a_change_after_the_store_has_gone_back_is_everywhere_within_a_second_at_any_size() {
+    let at = |seconds: f64, fault| TimedFault { at: Duration::from_secs_f64(seconds), fault };
+    let back = StoreReturn {
+        copy_age: Duration::from_millis(1_500),
+        away: Duration::from_millis(100),
+        operator_after: Duration::from_millis(100),
+    };
+    let faults =
+        [at(3.0, Fault::MoveRoute), at(4.0, Fault::MoveRoute), at(4.5, Fault::StoreRestored(back))];
+    for (balancers, backends) in [(10, 20), (100, 200)] {
+        let outcome = play_after(&faults, balancers, backends, 1);
+        assert!(outcome.keeps_the_rules(), "{balancers} balancers: {outcome:?}");
+        let took = outcome.slowest_change;
+        assert!(took <= EVERYWHERE_WITHIN, "{balancers} balancers, {backends} agents: {took:?}");
+    }
+}
