Sight: a balancer tells when nobody has confirmed the configuration for the whole bound

While a wait at the store hung no node had a line or a metric of it: four balancers were silent for 7.6 s. Now store_unconfirmed says at the bound whether the balancer is chosen to wait, knows who there is and has had failures, store_confirmed ends it, two gauges show the same.

--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -352,6 +352,8 @@
             lookups_waiting: self.repair.waiting() as u64,
             lookup_window: self.repair.window(),
             agents_suspect: self.pool.suspects(now, self.standing.membership.interval()) as u64,
+            store_unconfirmed_milliseconds: self.unconfirmed(now).as_millis() as u64,
+            waits_at_store: u64::from(self.watches_store(now)),
             peers: self.standing.membership.len() as u64,
             ..self.counters
         }
--- a/crates/carried/src/balancer/store_watch.rs
+++ b/crates/carried/src/balancer/store_watch.rs
@@ -62,6 +62,8 @@
     failures: u32,
     /// Returns of the store that were known when it ceased to answer.
     lost_at: Option<u32>,
+    /// A line has told that an accepted change may be late here.
+    is_told_late: bool,
 }
 
 impl StoreWatch {
@@ -78,6 +80,7 @@
             rests_until: Duration::ZERO,
             failures: 0,
             lost_at: None,
+            is_told_late: false,
         }
     }
 
@@ -165,6 +168,7 @@
             self.review_watchers(now);
         }
         self.audit_when_due(now, self.store_watch.is_chosen);
+        self.tell_whether_late(now);
         if self.next_reading().is_some_and(|due| due <= now) {
             self.store_watch.last_reading = Some(now);
             self.counters.store_readings += 1;
@@ -174,6 +178,21 @@
         }
     }
 
+    /// A line when nobody has confirmed for the whole bound, and one when somebody has again.
+    fn tell_whether_late(&mut self, now: Duration) {
+        let unconfirmed = self.unconfirmed(now);
+        let is_late = unconfirmed > self.store_watch.bound;
+        if is_late == std::mem::replace(&mut self.store_watch.is_told_late, is_late) {
+            return;
+        }
+        let StoreWatch { is_chosen, balancers, failures, .. } = self.store_watch;
+        let unconfirmed_ms = unconfirmed.as_millis() as u64;
+        match is_late {
+            true => log::warn!(unconfirmed_ms, is_chosen, balancers, failures; "store_unconfirmed"),
+            false => log::info!(unconfirmed_ms; "store_confirmed"),
+        }
+    }
+
     fn review_watchers(&mut self, now: Duration) {
         let places = self.standing.membership.places(now);
         let zones = (places.balancers / places.in_zone.max(1)).max(1);
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -105,6 +105,10 @@
         agents_suspect,
         /// How late this process has served its timers lately.
         lateness_milliseconds,
+        /// Milliseconds since the store was last known to hold nothing newer.
+        store_unconfirmed_milliseconds,
+        /// 1 while this balancer is one of those that wait at the store.
+        waits_at_store,
         /// Nodes known.
         peers,
     }
