--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -83,6 +83,13 @@
         HttpClient { server, timeout, client, bytes: Arc::default() }
     }
 
+    /// The same with a connection of its own for each request: one that was kept may have gone silent,
+    /// which only the whole timeout would show.
+    pub fn with_fresh_connections(server: SocketAddr, timeout: Duration) -> Self {
+        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build_http();
+        HttpClient { server, timeout, client, bytes: Arc::default() }
+    }
+
     /// Bytes of the bodies sent and received so far.
     pub fn bytes(&self) -> u64 {
         self.bytes.load(Ordering::Relaxed)
