A balancer that waits at the store reads for itself too when nobody confirms

What callers saw: flows were handled under a configuration that an accepted one had replaced more than three seconds before, on small sites. Cause: only balancers that were not chosen to wait read the store when nobody had confirmed for a third of the bound; a chosen one relied on its wait. The wait hangs for 4 to 11.5 s on a connection that says nothing more, and where balancers are few all are chosen: one trouble that silences connections leaves nobody who reads. Besides, a reading counted against the next one for a whole bound also where it had been answered.

Ruled out: balancers without a place among the others (balancers=4); shorter waits (as many calls again for each watcher, and one that hangs is still trusted). Why it holds: what counts is the age of the last confirmation, whoever gave it and however; no call that may hang is relied on by anybody. Turns are a heartbeat apart now, at most a third of the bound in all: with 50 ms four balancers all read before the first one's word was there.

--- a/crates/carried/src/balancer/store_watch.rs
+++ b/crates/carried/src/balancer/store_watch.rs
@@ -9,7 +9,8 @@
 //! Invariants:
 //! - A balancer that has heard of no confirmation for a third of
 //!   the bound for configurations reads the store itself, when
-//!   its turn comes: it does not rely on anybody else to wait there.
+//!   its turn comes: it relies neither on anybody else to wait
+//!   there nor on its own wait, which may hang.
 //! - A balancer alone in its zone waits at the store.
 
 use super::*;
@@ -27,14 +28,14 @@
 const REVIEW_INTERVAL: Duration = Duration::from_millis(500);
 /// Without a confirmation for this share of the bound for configurations a balancer reads for itself,
 /// if it is the first in turn. Those that wait are answered each 4 to 10 s, six of them about once a
-/// second: where the bound is short a reading now and then is made in vain.
+/// second: where the bound is short or they are few a reading now and then is made in vain.
 const STALE_SHARE: f64 = 1.0 / 3.0;
-/// Balancers read for themselves one after the other, this share of the bound apart: the first one's
-/// word reaches the others in a few of these, and ten that wait may all be gone.
-const TURN_SHARE: f64 = 1.0 / 60.0;
-/// The turns of all take no longer than this share of the bound: the last one's comes at two thirds of it,
-/// whatever their number, and a third is left for its word to reach the others.
+/// Balancers read for themselves one after the other. The turns of all take no longer than this share of
+/// the bound: the last one's comes at two thirds of it, whatever their number, and a third is left for
+/// its word to reach the others.
 const TURNS_SHARE: f64 = 1.0 / 3.0;
+/// While the store answers nobody, all together read it so often within the bound.
+const READINGS_IN_VAIN: f64 = 60.0;
 /// First rest of a balancer that the store has not answered; it doubles each time ...
 const FIRST_REST: Duration = Duration::from_millis(100);
 /// ... up to so much for each balancer that waits: together they try the store a few times a second,
@@ -148,18 +149,19 @@
     /// When this balancer reads the store for itself, unless it hears of a confirmation before.
     fn next_reading(&self) -> Option<Duration> {
         let watch = &self.store_watch;
+        let balancers = watch.balancers;
         // Before the first review it has no place among the others.
-        let has_place = watch.balancers > 0;
-        if watch.is_chosen || !has_place || !self.policies.has(Policy::FewWatchers) {
+        if balancers == 0 {
             return None;
         }
-        let balancers = watch.balancers;
-        let turn = watch.bound.mul_f64(TURN_SHARE.min(TURNS_SHARE / balancers as f64));
+        // In this time the word of the one before comes with its heartbeat.
+        let word_takes = self.standing.membership.interval();
+        let turn = watch.bound.mul_f64(TURNS_SHARE / balancers as f64).min(word_takes);
         let stale_after = watch.bound.mul_f64(STALE_SHARE) + turn * watch.rank as u32;
-        let due = self.standing.store.confirmed_at() + stale_after;
-        // While the store answers nobody, all together ask it as often as sixty balancers would.
-        let pause = watch.bound.mul_f64((TURN_SHARE * balancers as f64).max(1.0));
-        Some(watch.last_reading.map_or(due, |last| due.max(last + pause)))
+        let confirmed_at = self.standing.store.confirmed_at();
+        let pause = watch.bound.mul_f64((balancers as f64 / READINGS_IN_VAIN).max(1.0));
+        let unanswered = watch.last_reading.filter(|last| *last > confirmed_at);
+        Some(unanswered.map_or(confirmed_at + stale_after, |last| last + pause))
     }
 
     /// Looks who waits at the store, and reads it where nobody seems to.
--- a/crates/carried/tests/store_watch.rs
+++ b/crates/carried/tests/store_watch.rs
@@ -169,6 +169,36 @@
     assert_eq!(made, [], "the store has answered it");
 }
 
+/// When one of four balancers, which all wait at the store, reads for itself after the store's last word.
+fn readings_of_watchers(number: u8) -> Vec<u64> {
+    let mut balancer = balancer_at(number, "a");
+    let others = |balancer: &mut CarriedBalancer, at: u64| {
+        for peer in (1..=4).filter(|peer| *peer != number) {
+            hear(balancer, milliseconds(at), peer, "a", None);
+        }
+    };
+    others(&mut balancer, 100);
+    readings(&mut balancer, 100, 2_000);
+    assert!(balancer.watches_store(milliseconds(2_000)));
+    balancer.note_store(milliseconds(2_000), true);
+    let mut made = Vec::new();
+    for at in (2_000..9_000).step_by(1_000) {
+        others(&mut balancer, at);
+        made.extend(readings(&mut balancer, at, at + 1_000));
+    }
+    made
+}
+
+#[test]
+fn a_balancer_whose_wait_at_the_store_hangs_reads_for_itself_in_time() {
+    for number in [1, 4] {
+        let made = readings_of_watchers(number);
+        let two_thirds = 2_000 + CONFIGURATION_BOUND.as_millis() as u64 * 2 / 3;
+        assert!(made.first().is_some_and(|at| *at <= two_thirds), "{number}: {made:?}");
+        assert!(made.len() <= 3, "{number}: {made:?}");
+    }
+}
+
 /// The dead stand in the order for minutes, and the fleet may be of any size: whoever comes last must
 /// still have read in time.
 #[test]
