Agents are asked for a reading while the balancer's own one is unanswered

What callers would see: a change that is late where the store leaves balancers without an answer, in silence, while it serves agents and the operator. Cause: an agent was asked only after a call of the balancer's own had failed, 1.5 s after its reading began at a third of the bound, and 0.3 to 1.5 s later: 2.8 s and more of the bound of three. Red before: the core's new test (nobody was asked at all while the reading hung). Ruled out: a shorter time-out of readings (a slow store takes 200 ms and more an answer). Now an agent is asked once half of the bound has passed without a confirmation, spread over 0.2 s.

--- a/crates/carried/src/balancer/errands.rs
+++ b/crates/carried/src/balancer/errands.rs
@@ -1,6 +1,6 @@
-//! What a balancer does while the shared store refuses it and nobody else tells it of a confirmation:
-//! it asks agents, one at a time, to read the configuration there. The store may refuse some machines
-//! while it serves others.
+//! What a balancer does while the shared store refuses it, or leaves its reading unanswered, and nobody else
+//! tells it of a confirmation: it asks agents, one at a time, to read the configuration there. The store may
+//! refuse some machines while it serves others.
 
 use super::*;
 
@@ -9,6 +9,8 @@
 /// A balancer that has heard of a confirmation within this share of the bound for configurations asks
 /// nobody; the rest is for the time between two agents and their answer.
 const FRESH_SHARE: f64 = 0.5;
+/// Balancers that hear of no confirmation at the same moment do not all ask at the same one.
+const SPREAD: Duration = Duration::from_millis(200);
 /// Time between two agents that are asked.
 const INTERVAL: Duration = Duration::from_secs(1);
 
@@ -36,17 +38,26 @@
         };
     }
 
+    /// A reading has begun: it may hang.
+    pub(super) fn note_reading(&mut self, now: Duration) {
+        if self.policies.has(Policy::StoreErrands) {
+            self.errands.next.get_or_insert(now + FIRST_AFTER);
+        }
+    }
+
     /// Asks an agent when it is time.
     pub(super) fn run_errand(&mut self, now: Duration) {
         if self.errands.next.is_none_or(|next| now < next) {
             return;
         }
-        // Balancers that the store refuses at the same moment do not all ask at the same one.
-        let jitter = self.random.random_range(0.75..1.25);
-        self.errands.next = Some(now + INTERVAL.mul_f64(jitter));
-        if self.unconfirmed(now) < self.store_watch.bound().mul_f64(FRESH_SHARE) {
+        let fresh = self.store_watch.bound().mul_f64(FRESH_SHARE);
+        if self.unconfirmed(now) < fresh {
+            let spread = SPREAD.mul_f64(self.random.random_range(0.0..1.0));
+            self.errands.next = Some(self.standing.store.confirmed_at() + fresh + spread);
             return;
         }
+        let jitter = self.random.random_range(0.75..1.25);
+        self.errands.next = Some(now + INTERVAL.mul_f64(jitter));
         let interval = self.standing.membership.interval();
         let alive = self.pool.iter().filter(|(_, view)| !view.is_suspect(now, interval));
         let agents: Vec<SocketAddrV4> = alive.map(|(agent, _)| *agent).collect();
--- a/crates/carried/src/balancer/store_watch.rs
+++ b/crates/carried/src/balancer/store_watch.rs
@@ -173,6 +173,7 @@
         self.tell_whether_late(now);
         if self.next_reading().is_some_and(|due| due <= now) {
             self.store_watch.last_reading = Some(now);
+            self.note_reading(now);
             self.counters.store_readings += 1;
             let unconfirmed_ms = self.unconfirmed(now).as_millis() as u64;
             log::info!(unconfirmed_ms; "store_read_for_itself");
--- a/crates/carried/tests/errands.rs
+++ b/crates/carried/tests/errands.rs
@@ -65,6 +65,21 @@
     assert!((1..=2).contains(&made.len()), "{made:?}");
 }
 
+#[test]
+fn an_agent_is_asked_in_time_while_a_balancers_own_reading_is_still_unanswered() {
+    let mut balancer = balancer();
+    balancer.learn_members(milliseconds(0), &[]);
+    errands(&mut balancer, 0, 2_000);
+    balancer.note_store(milliseconds(2_000), true);
+    for agent in 1..=3 {
+        let report = LoadReport { service: SERVICE.to_owned(), ..LoadReport::default() };
+        tell(&mut balancer, milliseconds(3_000), agent, report);
+    }
+    let made = errands(&mut balancer, 2_000, 5_000);
+    let two_thirds = 2_000 + CONFIGURATION_BOUND.as_millis() as u64 * 2 / 3;
+    assert!(made.first().is_some_and(|(at, _)| *at <= two_thirds), "{made:?}");
+}
+
 #[test]
 fn an_agent_reads_the_store_and_tells_whoever_asked_of_a_newer_configuration() {
     let mut agent = agent(true);
