A watch of the older store that has gone silent is noticed

What callers would see: on the path for flows that end at the agent, a node whose watch's connection goes silent for good learns of no configuration any more, for ever. Found when looking for the cause of late changes elsewhere: a call that may hang was the only source of news, here without any bound. Red before: a watch through a relay that goes silent once it is open; a change was not known within 18 s. Ruled out: keep-alives of the kernel (a store may hold the connection and say nothing); progress notifications (ten minutes apart by default); reading all again each time (hundreds of kilobytes on large systems).

Now a watch that has said nothing for six seconds has the head document asked for on a connection of its own; each change writes the head, so one that differs has all read again. Calls of this client have connections of their own, as those of the users' store. At 3,860 nodes 643 small reads a second, reckoned. The relay has moved from the platform's tests to the stand-ins, where both use it.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod fabric;
 pub mod key_value;
 pub mod platform;
+pub mod relay;
 mod udp_listener;
--- a/platform/tests/support/relay.rs
+++ b/crates/standin/src/relay.rs
@@ -1,24 +1,27 @@
 //! TCP connections that can go silent for good, without a reset, while new ones work.
 
-use std::net::{SocketAddr, SocketAddrV4};
+use anyhow::Result;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use tokio::io::copy_bidirectional;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+const ANY_PORT: SocketAddrV4 = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+
 /// Carries connections to a server.
-#[derive(Clone)]
+#[derive(Clone, Debug)]
 pub struct Relay {
     /// Where clients connect.
-    pub address: SocketAddrV4,
+    pub address: SocketAddr,
     /// Counts the times that all open connections went silent.
     silences: watch::Sender<u64>,
 }
 
 impl Relay {
-    /// A relay to a server.
-    pub async fn start(server: SocketAddrV4) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let SocketAddr::V4(address) = listener.local_addr().unwrap() else { unreachable!() };
+    /// A relay to a server, on a port of its own.
+    pub async fn start(server: SocketAddr) -> Result<Self> {
+        let listener = TcpListener::bind(ANY_PORT).await?;
+        let address = listener.local_addr()?;
         let silences = watch::channel(0).0;
         let relay = Relay { address, silences: silences.clone() };
         tokio::spawn(async move {
@@ -27,7 +30,7 @@
                 tokio::spawn(carry(near, server, silences.subscribe()));
             }
         });
-        relay
+        Ok(relay)
     }
 
     /// Connections that are open now carry nothing any more.
@@ -36,7 +39,7 @@
     }
 }
 
-async fn carry(mut near: TcpStream, server: SocketAddrV4, mut silences: watch::Receiver<u64>) {
+async fn carry(mut near: TcpStream, server: SocketAddr, mut silences: watch::Receiver<u64>) {
     let Ok(mut far) = TcpStream::connect(server).await else { return };
     let _ = near.set_nodelay(true);
     let _ = far.set_nodelay(true);
--- /dev/null
+++ b/crates/standin/tests/silent_watch.rs
@@ -0,0 +1,53 @@
+//! A watch of the key-value store whose connection goes silent for good, while new connections work.
+
+use loftdrift_configuration::{Configuration, Documents, StoreReply, StoreRequest};
+use loftdrift_http::HttpClient;
+use loftdrift_standin::platform::{Faults, serve};
+use loftdrift_standin::relay::Relay;
+use loftdrift_store::{StoreClient, follow};
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// What the users expect of a configuration's way to every node.
+const BOUND: Duration = Duration::from_secs(18);
+
+fn revision(number: u64) -> Configuration {
+    let mut configuration = Configuration::default();
+    configuration.version.revision = number;
+    configuration
+}
+
+async fn write(store: &StoreClient, before: &Configuration, after: &Configuration) {
+    let writes = Documents::writes(before, after, &format!("command-{}", after.version.revision));
+    let request = StoreRequest::Transaction { conditions: Vec::new(), writes };
+    let reply = store.send(&request).await.unwrap();
+    assert_eq!(reply, StoreReply::Transacted { succeeded: true });
+}
+
+async fn wait_for_watch(platform: SocketAddr) {
+    let client = HttpClient::new(platform, BOUND);
+    while client.get_json::<u64>("/standin/watchers").await.unwrap() == 0 {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+#[tokio::test]
+async fn a_change_is_known_in_time_though_the_watch_has_gone_silent() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(serve(listener, Faults::default()));
+    let relay = Relay::start(address).await.unwrap();
+    let operators = StoreClient::new(address);
+    write(&operators, &Configuration::default(), &revision(1)).await;
+    let (published, mut known) = watch::channel(None);
+    tokio::spawn(follow(StoreClient::new(relay.address), 1, published));
+    known.changed().await.unwrap();
+    wait_for_watch(address).await;
+    relay.silence();
+    write(&operators, &revision(1), &revision(2)).await;
+    let changed = tokio::time::timeout(BOUND, known.changed()).await;
+    assert!(matches!(changed, Ok(Ok(()))), "{changed:?}");
+    assert_eq!(known.borrow().as_ref().unwrap().version.revision, 2);
+}
--- a/crates/store/src/client.rs
+++ b/crates/store/src/client.rs
@@ -33,7 +33,7 @@
 impl StoreClient {
     /// A client of the store at `server`.
     pub fn new(server: SocketAddr) -> Self {
-        StoreClient { http: HttpClient::new(server, REQUEST_TIMEOUT) }
+        StoreClient { http: HttpClient::with_fresh_connections(server, REQUEST_TIMEOUT) }
     }
 
     /// Bytes sent to and received from the store so far.
--- a/crates/store/src/follow.rs
+++ b/crates/store/src/follow.rs
@@ -1,9 +1,10 @@
-//! Keeps a process's configuration up to date: reads all of it, then watches.
+//! Keeps a process's configuration up to date: reads all of it, then watches. A watch that says nothing may be
+//! a quiet one or a connection that has gone silent: the newest head is asked for on another one.
 
 use crate::client::{StoreClient, StoreError, key_value};
 use crate::etcd::{DELETE_EVENT, WatchLine, WatchResponse};
 use loftdrift_configuration::{
-    Configuration, DocumentError, Documents, KEY_PREFIX, StoreReply, StoreRequest,
+    Configuration, DocumentError, Documents, HEAD_KEY, KEY_PREFIX, StoreReply, StoreRequest,
 };
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -14,6 +15,9 @@
 
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 const LONGEST_PAUSE: Duration = Duration::from_secs(5);
+/// A watch that says nothing is trusted for so long: a third of the time in which a change is to be in
+/// force everywhere.
+const QUIET: Duration = Duration::from_secs(6);
 
 #[derive(Debug, Error)]
 enum FollowError {
@@ -76,6 +80,13 @@
         let line = tokio::select! {
             line = lines.next::<WatchLine>() => line.map_err(StoreError::from)?,
             () = published.closed() => return Err(FollowError::NobodyListens),
+            () = tokio::time::sleep(QUIET) => {
+                if is_newest(store, &documents).await? {
+                    continue;
+                }
+                log::warn!("a watch of the configuration store says nothing of a change");
+                return Ok(());
+            }
         };
         let Some(line) = line else { return Ok(()) };
         if line.result.canceled || line.result.compact_revision.0 != 0 {
@@ -89,6 +100,14 @@
     }
 }
 
+/// Whether the store's head, which each change writes, is the one known.
+async fn is_newest(store: &StoreClient, known: &Documents) -> Result<bool, StoreError> {
+    let request = StoreRequest::ReadPrefix { prefix: HEAD_KEY.to_owned() };
+    let StoreReply::Keys { keys, .. } = store.send(&request).await? else { return Ok(false) };
+    let head = keys.iter().find(|key| key.key == HEAD_KEY);
+    Ok(head.map_or(0, |head| head.mod_revision) == known.head_mod_revision())
+}
+
 fn take_events(documents: &mut Documents, response: WatchResponse) -> Result<(), DocumentError> {
     for event in response.events {
         if event.kind == DELETE_EVENT {
