--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -13,9 +13,11 @@
 mod fence;
 mod knowledge;
 mod lateness;
+mod lookup_order;
 mod lookups;
 mod openings;
 mod questions;
+mod refusals;
 mod repair;
 mod store_watch;
 mod unrouted;
@@ -27,6 +29,7 @@
 use self::fence::Fence;
 use self::lateness::Lateness;
 use self::questions::Questions;
+use self::refusals::Refusal;
 use self::repair::Repair;
 use self::store_watch::StoreWatch;
 use self::unrouted::Unrouted;
@@ -92,26 +95,6 @@
     pub policies: Policies,
 }
 
-/// Why a new flow is refused.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Refusal {
-    NoRoute,
-    Busy,
-    Unavailable,
-    Unanswered,
-}
-
-impl Refusal {
-    fn name(self) -> &'static str {
-        match self {
-            Refusal::NoRoute => "no_route",
-            Refusal::Busy => "busy",
-            Refusal::Unavailable => "no_backend_accepts",
-            Refusal::Unanswered => "no_agent_answered",
-        }
-    }
-}
-
 /// A balancer.
 pub struct CarriedBalancer<F = PlainFormat> {
     format: F,
--- a/crates/carried/src/balancer/openings.rs
+++ b/crates/carried/src/balancer/openings.rs
@@ -300,59 +300,6 @@
         self.counters.offers_made += 1;
     }
 
-    pub(super) fn refuse(
-        &mut self,
-        now: Duration,
-        segment: &Segment,
-        refusal: Refusal,
-        opening: Option<&Opening>,
-    ) {
-        match refusal {
-            Refusal::NoRoute => self.counters.openings_refused_no_route += 1,
-            Refusal::Busy => self.counters.openings_refused_busy += 1,
-            Refusal::Unavailable => self.counters.openings_refused_unavailable += 1,
-            Refusal::Unanswered => self.counters.openings_given_up += 1,
-        }
-        log::warn!(
-            flow = flow_name(&segment.flow()).as_str(), reason = refusal.name(),
-            age_ms = opening.map_or(0, |opening| opening.age(now).as_millis() as u64),
-            service = opening.map_or("", |opening| opening.service.as_str()),
-            asked = opening.map(|opening| self.describe_asked(now, opening)).unwrap_or_default().as_str(),
-            configuration:% = self.standing.configuration.version; "opening_refused"
-        );
-        let datagram = self.format.reset(segment);
-        self.outputs.push_back(Output::ToCaller { host: *segment.source.ip(), datagram });
-    }
-
-    /// Leaves a flow to the copies of its opening packet.
-    pub(super) fn give_up(&mut self, now: Duration, opening: &Opening, refusal: Refusal) {
-        self.counters.openings_left_to_copies += 1;
-        log::warn!(
-            flow = flow_name(&opening.flow()).as_str(), reason = refusal.name(),
-            age_ms = opening.age(now).as_millis() as u64,
-            asked = self.describe_asked(now, opening).as_str(),
-            configuration:% = self.standing.configuration.version; "opening_left_to_copies"
-        );
-    }
-
-    /// The agents that an opening asked, with what each said and what was known of it.
-    pub(super) fn describe_asked(&self, now: Duration, opening: &Opening) -> String {
-        let describe = |asked: &Asked| {
-            let answer = match asked.answer {
-                Answer::Pending => "pending",
-                Answer::Unanswered => "unanswered",
-                Answer::Queued => "queued",
-                Answer::Declined(reason) => reason.name(),
-            };
-            let view = self.pool.view(&asked.agent);
-            let load = view.map(|view| (view.report.waiting, view.report.capacity, view.age(now)));
-            let (waiting, capacity, age) = load.unwrap_or_default();
-            let age = age.as_millis();
-            format!("{}:{answer}:{waiting}/{capacity}:{age}ms", asked.agent.ip())
-        };
-        opening.asked.iter().map(describe).collect::<Vec<_>>().join(",")
-    }
-
     pub(super) fn handle_placed(
         &mut self,
         now: Duration,
--- a/crates/carried/src/balancer/verdicts.rs
+++ b/crates/carried/src/balancer/verdicts.rs
@@ -3,7 +3,7 @@
 //! Invariant: an agent counts as denying a flow only by its own word, after a good-bye and a question
 //! without an answer, or when it has answered nobody for longer than restarts, freezes and cuts last.
 
-use super::lookups::MOST_ASKED;
+use super::lookup_order::MOST_ASKED;
 use super::*;
 use crate::lookup::{Lookup, Said, WORD_PATIENCE};
 use crate::message::{BackendCondition, FlowMemory};
