Calls to the store are counted by what they are for

Where a fleet's calls come from was reckoned from code and events, since counters told outcomes only. Each process now counts readings of what operators have written, waits, entries and lists apart. No figure is claimed from them yet.

--- a/crates/node/src/counted_store.rs
+++ b/crates/node/src/counted_store.rs
@@ -1,4 +1,4 @@
-//! Counts what calls to the shared store come to, and how long they take.
+//! Counts what calls to the shared store are for and come to, and how long they take.
 
 use crate::shared_store::{
     Currency, Member, MemberList, OperatorChange, OperatorState, SharedStore, StoreFailure,
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 counter_set! {
-    /// Calls to the shared store by outcome.
+    /// Calls to the shared store by outcome, then by purpose.
     pub struct StoreCounters {
         /// Calls that were answered.
         calls_answered,
@@ -26,6 +26,46 @@
         calls_restored,
         /// Calls whose answer could not be read.
         calls_unreadable,
+        /// Readings of what operators have written.
+        calls_for_operators,
+        /// Waits for a change of that.
+        calls_for_changes,
+        /// Readings, writings and removals of nodes' entries.
+        calls_for_entries,
+        /// Readings of the lists of nodes.
+        calls_for_lists,
+    }
+}
+
+/// What a call is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    Operators,
+    Change,
+    Entry,
+    List,
+}
+
+impl StoreCounters {
+    fn of_purpose(&mut self, purpose: Purpose) -> &mut u64 {
+        match purpose {
+            Purpose::Operators => &mut self.calls_for_operators,
+            Purpose::Change => &mut self.calls_for_changes,
+            Purpose::Entry => &mut self.calls_for_entries,
+            Purpose::List => &mut self.calls_for_lists,
+        }
+    }
+
+    fn of_outcome<T>(&mut self, outcome: &Result<T, StoreFailure>) -> &mut u64 {
+        match outcome {
+            Ok(_) => &mut self.calls_answered,
+            Err(StoreFailure::NoAnswer(_)) => &mut self.calls_unanswered,
+            Err(StoreFailure::Throttled) => &mut self.calls_throttled,
+            Err(StoreFailure::Unavailable) => &mut self.calls_refused,
+            Err(StoreFailure::Gone) => &mut self.calls_gone,
+            Err(StoreFailure::Restored) => &mut self.calls_restored,
+            Err(StoreFailure::Unreadable(_)) => &mut self.calls_unreadable,
+        }
     }
 }
 
@@ -51,18 +91,10 @@
         PublishedSet { role: "store", samples: counters.samples(), histograms }
     }
 
-    fn count<T>(&self, outcome: &Result<T, StoreFailure>) {
+    fn count<T>(&self, purpose: Purpose, outcome: &Result<T, StoreFailure>) {
         let mut counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
-        let counter = match outcome {
-            Ok(_) => &mut counters.calls_answered,
-            Err(StoreFailure::NoAnswer(_)) => &mut counters.calls_unanswered,
-            Err(StoreFailure::Throttled) => &mut counters.calls_throttled,
-            Err(StoreFailure::Unavailable) => &mut counters.calls_refused,
-            Err(StoreFailure::Gone) => &mut counters.calls_gone,
-            Err(StoreFailure::Restored) => &mut counters.calls_restored,
-            Err(StoreFailure::Unreadable(_)) => &mut counters.calls_unreadable,
-        };
-        *counter += 1;
+        *counters.of_purpose(purpose) += 1;
+        *counters.of_outcome(outcome) += 1;
     }
 }
 
@@ -84,19 +116,20 @@
 
     async fn timed<T>(
         &self,
+        purpose: Purpose,
         call: impl Future<Output = Result<T, StoreFailure>> + Send,
     ) -> Result<T, StoreFailure> {
         let started = Instant::now();
         let outcome = call.await;
         self.meter.took.observe(started.elapsed());
-        self.meter.count(&outcome);
+        self.meter.count(purpose, &outcome);
         outcome
     }
 }
 
 impl<S: SharedStore> SharedStore for CountedStore<S> {
     async fn read_operators(&self, currency: Currency) -> Result<OperatorState, StoreFailure> {
-        self.timed(self.store.read_operators(currency)).await
+        self.timed(Purpose::Operators, self.store.read_operators(currency)).await
     }
 
     async fn wait_operators(
@@ -105,12 +138,12 @@
         patience: Duration,
     ) -> Result<OperatorChange, StoreFailure> {
         let outcome = self.store.wait_operators(after, patience).await;
-        self.meter.count(&outcome);
+        self.meter.count(Purpose::Change, &outcome);
         outcome
     }
 
     async fn write_member(&self, member: &Member) -> Result<Position, StoreFailure> {
-        self.timed(self.store.write_member(member)).await
+        self.timed(Purpose::Entry, self.store.write_member(member)).await
     }
 
     async fn remove_member(
@@ -118,7 +151,7 @@
         member: &Member,
         written_at: Option<u64>,
     ) -> Result<Position, StoreFailure> {
-        self.timed(self.store.remove_member(member, written_at)).await
+        self.timed(Purpose::Entry, self.store.remove_member(member, written_at)).await
     }
 
     async fn read_member(
@@ -126,7 +159,7 @@
         member: &Member,
         currency: Currency,
     ) -> Result<Option<Member>, StoreFailure> {
-        self.timed(self.store.read_member(member, currency)).await
+        self.timed(Purpose::Entry, self.store.read_member(member, currency)).await
     }
 
     async fn read_members(
@@ -134,6 +167,6 @@
         role: NodeRole,
         currency: Currency,
     ) -> Result<MemberList, StoreFailure> {
-        self.timed(self.store.read_members(role, currency)).await
+        self.timed(Purpose::List, self.store.read_members(role, currency)).await
     }
 }
