Lab: waits at the store hang

The lab's watchers look at the store every few milliseconds and had no wait that could hang: it could not show late changes on small sites. Waits that are under way can hang now, for as long as one and its time-out take.

--- a/crates/lab/src/carried/fault.rs
+++ b/crates/lab/src/carried/fault.rs
@@ -53,6 +53,8 @@
     StoreRestored(StoreReturn),
     /// The store refuses every balancer while it serves the operator and the agents.
     RefuseBalancers(Duration),
+    /// Waits at the store that are under way hang: their connections have gone silent, new ones work.
+    HangWaits(Duration),
     /// The second address changes the service that it stands for.
     MoveRoute,
     /// The operator evacuates a zone.
--- a/crates/lab/src/carried/mod.rs
+++ b/crates/lab/src/carried/mod.rs
@@ -11,5 +11,7 @@
 
 pub use fault::{CarriedFault, FailureMode, StoreReturn, TimedFault};
 pub use outcome::CarriedOutcome;
-pub use random_days::{random_day, random_day_with_evacuations, random_day_with_returns};
+pub use random_days::{
+    random_day, random_day_with_evacuations, random_day_with_hanging_waits, random_day_with_returns,
+};
 pub use world::{CarriedWorld, CarriedWorldSettings};
--- a/crates/lab/src/carried/process.rs
+++ b/crates/lab/src/carried/process.rs
@@ -19,6 +19,8 @@
     /// When the last freeze began.
     pub(super) frozen_since: Duration,
     pub(super) cut_until: Duration,
+    /// Its wait at the store hangs.
+    pub(super) wait_hangs_until: Duration,
     /// Counts the starts, so that what was meant for an earlier one is told.
     pub(super) starts: u64,
     /// When it is woken next.
@@ -41,6 +43,7 @@
             frozen_until: Duration::ZERO,
             frozen_since: Duration::ZERO,
             cut_until: Duration::ZERO,
+            wait_hangs_until: Duration::ZERO,
             starts: 0,
             wake_at: None,
             has_list: false,
--- a/crates/lab/src/carried/random_days.rs
+++ b/crates/lab/src/carried/random_days.rs
@@ -17,6 +17,9 @@
 const OLDEST_COPY_MS: u64 = 6_000;
 const LONGEST_ABSENCE_MS: u64 = 3_000;
 const LATEST_OPERATOR_MS: u64 = 5_000;
+const MOST_HANGS: u32 = 3;
+/// What a wait and its time-out take at the longest.
+const LONGEST_HANG_MS: u64 = 11_500;
 const MOST_LOSS: f64 = 0.1;
 
 /// The faults of a day.
@@ -73,6 +76,27 @@
     day
 }
 
+/// The same day, with waits at the store that hang up to three times, and a change within the trouble.
+pub fn random_day_with_hanging_waits(
+    seed: u64,
+    balancers: usize,
+    agents: usize,
+) -> Vec<TimedFault> {
+    let mut day = random_day(seed, balancers, agents);
+    let mut random = ChaCha8Rng::seed_from_u64(!seed.rotate_left(32));
+    for _ in 0..random.random_range(1..=MOST_HANGS) {
+        let mut milliseconds =
+            |least, most| Duration::from_millis(random.random_range(least..most));
+        let at = milliseconds(FIRST_FAULT_MS, LAST_FAULT_MS);
+        let lasts = milliseconds(LONGEST_MS, LONGEST_HANG_MS);
+        let changed_at = at + milliseconds(0, LONGEST_MS);
+        day.push(TimedFault { at, fault: CarriedFault::HangWaits(lasts) });
+        day.push(TimedFault { at: changed_at, fault: CarriedFault::MoveRoute });
+    }
+    day.sort_by_key(|timed| timed.at);
+    day
+}
+
 fn random_fault(random: &mut ChaCha8Rng, balancers: usize, agents: usize) -> CarriedFault {
     let balancer = random.random_range(0..balancers);
     let agent = random.random_range(0..agents);
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -44,6 +44,11 @@
                 let until = self.now + lasts;
                 self.balancers_refused_until = self.balancers_refused_until.max(until);
             }
+            CarriedFault::HangWaits(lasts) => {
+                for process in &mut self.nodes {
+                    process.wait_hangs_until = self.now + lasts;
+                }
+            }
             CarriedFault::MoveRoute => self.move_route(),
             CarriedFault::Evacuate(zone) => self.evacuate(zone),
             CarriedFault::EndEvacuation(zone) => self.end_evacuation(zone),
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -11,6 +11,7 @@
         process.frozen_until = Duration::ZERO;
         process.wake_at = None;
         process.has_list = false;
+        process.wait_hangs_until = Duration::ZERO;
         process.inbox = Inbox::default();
         let starts = process.starts;
         let me = self.describe(node, starts);
@@ -212,7 +213,8 @@
         let own = self.nodes[node].own_time(self.now);
         let is_first = !self.nodes[node].has_list;
         let watches = self.nodes[node].balancer().is_some_and(|core| core.watches_store(own));
-        if !is_first && !watches {
+        let hangs = self.nodes[node].wait_hangs_until > self.now;
+        if !is_first && (!watches || hangs) {
             return;
         }
         if is_first && self.store_answers(node) {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -32,7 +32,8 @@
 pub use caller::CallerBehaviour;
 pub use carried::{
     CarriedFault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, FailureMode, StoreReturn,
-    TimedFault, random_day, random_day_with_evacuations, random_day_with_returns,
+    TimedFault, random_day, random_day_with_evacuations, random_day_with_hanging_waits,
+    random_day_with_returns,
 };
 pub use compare::{Comparison, compare};
 pub use day_profile::DayProfile;
--- /dev/null
+++ b/crates/lab/tests/hanging_waits.rs
@@ -0,0 +1,53 @@
+//! Waits at the store that hang: their connections have gone silent, and new ones work. Where balancers are
+//! few all of them wait there.
+
+mod support;
+
+use loftdrift_lab::{
+    CarriedFault as Fault, CarriedWorld, CarriedWorldSettings, random_day_with_hanging_waits,
+};
+use support::days::play_with;
+use support::seconds;
+
+const RANDOM_DAYS: u64 = 80;
+
+fn settings(balancers: usize, seed: u64) -> CarriedWorldSettings {
+    CarriedWorldSettings { balancers, seed, ..CarriedWorldSettings::default() }
+}
+
+#[test]
+fn changes_are_in_force_in_time_though_the_waits_of_all_balancers_hang() {
+    for balancers in [1, 2, 4, 12, 24] {
+        let mut day = vec![(4.0, Fault::HangWaits(seconds(11.5)))];
+        day.extend([4.1, 7.9, 12.0].map(|at| (at, Fault::MoveRoute)));
+        let outcome = play_with(settings(balancers, 1), &day);
+        assert!(outcome.keeps_the_rules(), "{balancers} balancers: {outcome:?}");
+    }
+}
+
+#[test]
+fn a_change_is_in_force_in_time_though_waits_hang_while_others_are_in_trouble() {
+    let beside: [fn(usize) -> Fault; 4] = [
+        |node| Fault::KillBalancer(node, seconds(6.0)),
+        |node| Fault::FreezeBalancer(node, seconds(3.0)),
+        |node| Fault::CutBalancer(node, seconds(3.0)),
+        Fault::StopBalancer,
+    ];
+    for trouble in beside {
+        let mut day: Vec<_> = (1..4).map(|node| (4.2, trouble(node))).collect();
+        day.push((4.0, Fault::HangWaits(seconds(11.5))));
+        day.extend([4.4, 9.0].map(|at| (at, Fault::MoveRoute)));
+        let outcome = play_with(settings(4, 1), &day);
+        assert!(outcome.keeps_the_rules(), "{:?}: {outcome:?}", trouble(1));
+    }
+}
+
+#[test]
+fn random_days_break_no_rule() {
+    for seed in 1..=RANDOM_DAYS {
+        let settings = settings(2 + seed as usize % 4, seed);
+        let faults = random_day_with_hanging_waits(seed, settings.balancers, settings.backends);
+        let outcome = CarriedWorld::new(settings, &faults).run();
+        assert!(outcome.keeps_the_rules(), "seed {seed}: {outcome:?}\n{faults:#?}");
+    }
+}
