Review: all open flows are reset after a loss of power and a kill of all processes

Back ends that start together when power comes back send their next heartbeats together. If all processes are killed in between, all agents presume that their back ends started with them, and balancers take the system for one that has lost power: flows from before the kill are reset for as long as the agents are young.

--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -22,6 +22,8 @@
 /// A packet that acknowledges more than this beyond the initial number is of another flow.
 const MAX_SPAN: u32 = 1 << 24;
 const CAPACITY: u32 = 5;
+/// A back end is slow for this long after its start, and says so; here it is only said.
+const WARM_UP: Duration = Duration::from_secs(2);
 
 #[derive(Clone)]
 pub struct Place {
@@ -51,6 +53,7 @@
 
 struct Inner {
     id: String,
+    started: Instant,
     place: Place,
     work: Duration,
     /// Closed when the back end ends.
@@ -85,6 +88,7 @@
         let listener = retry(|| TcpListener::bind(place.app));
         let inner = Arc::new(Inner {
             id: id.to_owned(),
+            started: Instant::now(),
             place,
             work,
             socket: Mutex::new(Some(Arc::new(socket))),
@@ -143,9 +147,11 @@
     pub fn next_heartbeat(&self) -> Heartbeat {
         let Inner { id, place, .. } = &*self.inner;
         let sequence = self.inner.sequence.fetch_add(1, Ordering::SeqCst) + 1;
+        let warm_up_left = WARM_UP.saturating_sub(self.inner.started.elapsed()).as_millis();
         let body = format!(
             "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-             \"capacity\":{CAPACITY},\"state\":\"ready\",\"warmup_left_ms\":0,\"sequence\":{sequence}}}",
+             \"capacity\":{CAPACITY},\"state\":\"ready\",\"warmup_left_ms\":{warm_up_left},\
+             \"sequence\":{sequence}}}",
             place.service, place.app, place.zone
         );
         Heartbeat { id: id.clone(), body, sequence }
--- a/review/standin/caller.rs
+++ b/review/standin/caller.rs
@@ -108,18 +108,20 @@
         });
     }
 
-    /// `count` callers that each keep a flow for several requests with pauses, until stopped.
+    /// `count` callers that each keep a flow for several requests with pauses, until stopped. They
+    /// begin within `spread`.
     pub fn send_on_kept_flows(
         &self,
         route: SocketAddrV4,
         count: u32,
         requests: u32,
         pause: Duration,
+        spread: Duration,
     ) {
         for number in 0..count {
             let callers = self.clone();
             std::thread::spawn(move || {
-                std::thread::sleep(pause * number / count);
+                std::thread::sleep(spread * number / count);
                 while !callers.is_stopped() {
                     callers.keep_flow(route, requests, pause);
                     std::thread::sleep(Duration::from_millis(20));
--- a/review/standin/first.rs
+++ b/review/standin/first.rs
@@ -26,7 +26,7 @@
 pub fn play(run: Run) -> Result<Verdict, CannotRun> {
     let Run { root, scratch, record, trouble } = run;
     let mut world = World::start(root, scratch, record, BALANCERS, AGENTS, WORK)?;
-    world.callers.send_on_kept_flows(route(), CALLERS, REQUESTS_PER_FLOW, PAUSE);
+    world.callers.send_on_kept_flows(route(), CALLERS, REQUESTS_PER_FLOW, PAUSE, PAUSE);
     world.wait_until(world.record.now() + 4.0);
 
     world.add_agent(ADDED, false);
--- a/review/standin/joins.rs
+++ b/review/standin/joins.rs
@@ -27,7 +27,7 @@
 pub fn play(run: Run) -> Result<Verdict, CannotRun> {
     let Run { root, scratch, record, trouble } = run;
     let mut world = World::start(root, scratch, record, BALANCERS, AGENTS, WORK)?;
-    world.callers.send_on_kept_flows(route(), CALLERS, REQUESTS_PER_FLOW, PAUSE);
+    world.callers.send_on_kept_flows(route(), CALLERS, REQUESTS_PER_FLOW, PAUSE, PAUSE);
     world.wait_until(world.record.now() + 4.0);
 
     let crashed = world.record.now();
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -14,6 +14,7 @@
 mod packet;
 mod record;
 mod store;
+mod twice;
 mod world;
 
 use record::Record;
@@ -59,6 +60,7 @@
         "joins" => joins::play(run),
         "first" => first::play(run),
         "former" => former::play(run),
+        "twice" => twice::play(run),
         _ => Err(CannotRun(format!("no case `{case}`"))),
     });
     let _ = std::fs::remove_dir_all(&scratch);
