--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -7,7 +7,7 @@
 use std::collections::HashMap;
 use std::net::{SocketAddrV4, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 /// Heartbeats come about this often (`heartbeat_ms`).
@@ -22,6 +22,11 @@
 /// A packet that acknowledges more than this beyond the initial number is of another flow.
 const MAX_SPAN: u32 = 1 << 24;
 const CAPACITY: u32 = 5;
+/// Requests that wait for a slot at most.
+const QUEUE: u32 = 20;
+/// The answer to a request that was not run since too many wait.
+const REFUSAL: &str =
+    "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
 /// A back end is slow for this long after its start, and says so; here it is only said.
 const WARM_UP: Duration = Duration::from_secs(2);
 
@@ -44,6 +49,19 @@
     unacknowledged: Option<Retry>,
 }
 
+/// Requests in work, and those that wait for a slot.
+#[derive(Default)]
+struct Load {
+    working: u32,
+    waiting: u32,
+}
+
+enum Slot {
+    Taken,
+    Full,
+    Ended,
+}
+
 struct Retry {
     bytes: Vec<u8>,
     at: Instant,
@@ -59,6 +77,8 @@
     /// Closed when the back end ends.
     socket: Mutex<Option<Arc<UdpSocket>>>,
     flows: Mutex<HashMap<FlowName, Flow>>,
+    load: Mutex<Load>,
+    slot_freed: Condvar,
     sequence: AtomicU64,
     is_leaving: AtomicBool,
     sends_heartbeats: AtomicBool,
@@ -93,6 +113,8 @@
             work,
             socket: Mutex::new(Some(Arc::new(socket))),
             flows: Mutex::default(),
+            load: Mutex::default(),
+            slot_freed: Condvar::new(),
             sequence: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
             sends_heartbeats: AtomicBool::new(sends_heartbeats),
@@ -303,35 +325,57 @@
         self.send(&answer.write());
     }
 
+    /// Works on a request once a slot is free, or refuses it if too many wait.
     fn begin_work(&self, name: FlowName, initial: u32, data: Vec<u8>) {
         let text = String::from_utf8_lossy(&data).into_owned();
-        let id = text
-            .lines()
-            .find_map(|line| line.strip_prefix("Request-Id: "))
-            .unwrap_or("?")
-            .to_owned();
-        self.inner.record.line(&format!("{}: runs {id} of {name}", self.inner.id));
-        self.inner.ledger.note_run(&id, &self.inner.id, self.inner.record.now());
+        let id = text.lines().find_map(|line| line.strip_prefix("Request-Id: "));
+        let id = id.unwrap_or("?").to_owned();
         let backend = self.clone();
         std::thread::spawn(move || {
+            match backend.take_slot() {
+                Slot::Taken => {}
+                Slot::Full => return backend.answer(name, initial, REFUSAL.to_owned()),
+                Slot::Ended => return,
+            }
+            backend.inner.record.line(&format!("{}: runs {id} of {name}", backend.inner.id));
+            backend.inner.ledger.note_run(&id, &backend.inner.id, backend.inner.record.now());
             std::thread::sleep(backend.inner.work);
+            backend.inner.load.lock().unwrap().working -= 1;
+            backend.inner.slot_freed.notify_one();
             if !backend.inner.stopped.load(Ordering::SeqCst) {
-                backend.finish_work(name, initial, &id);
+                let body = format!("done {id}");
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\nBackend-Signature: {}\r\nContent-Length: {}\r\n\r\n{body}",
+                    backend.inner.id,
+                    body.len()
+                );
+                backend.answer(name, initial, text);
             }
         });
     }
 
-    fn finish_work(&self, name: FlowName, initial: u32, id: &str) {
+    fn take_slot(&self) -> Slot {
+        let mut load = self.inner.load.lock().unwrap();
+        if load.working >= CAPACITY && load.waiting >= QUEUE {
+            return Slot::Full;
+        }
+        load.waiting += 1;
+        while load.working >= CAPACITY && !self.inner.stopped.load(Ordering::SeqCst) {
+            load = self.inner.slot_freed.wait_timeout(load, TICK).unwrap().0;
+        }
+        load.waiting -= 1;
+        if self.inner.stopped.load(Ordering::SeqCst) {
+            return Slot::Ended;
+        }
+        load.working += 1;
+        Slot::Taken
+    }
+
+    fn answer(&self, name: FlowName, initial: u32, text: String) {
         let mut flows = self.inner.flows.lock().unwrap();
         let Some(flow) = flows.get_mut(&name).filter(|flow| flow.initial == initial) else {
             return;
         };
-        let body = format!("done {id}");
-        let text = format!(
-            "HTTP/1.1 200 OK\r\nBackend-Signature: {}\r\nContent-Length: {}\r\n\r\n{body}",
-            self.inner.id,
-            body.len()
-        );
         // A back end that leaves closes each flow after its next answer.
         let is_last = self.inner.is_leaving.load(Ordering::SeqCst);
         let packet = Packet {
--- a/review/standin/caller.rs
+++ b/review/standin/caller.rs
@@ -131,7 +131,7 @@
     }
 
     /// One request on a flow of its own. It may not be repeated, so a next attempt is made only if
-    /// the flow never opened.
+    /// the flow never opened or the back end has said that it did not run the request.
     pub fn request(&self, route: SocketAddrV4) -> Outcome {
         let number = self.next_number();
         let mut outcome = Outcome::NotOpened;
@@ -144,7 +144,7 @@
             };
             flow.close();
             self.note(&id, outcome);
-            if !matches!(outcome, Outcome::Refused | Outcome::NotOpened) {
+            if !matches!(outcome, Outcome::Refused | Outcome::NotOpened | Outcome::NotRun) {
                 break;
             }
         }
@@ -355,6 +355,9 @@
             }
             self.callers.send(&self.packet(ACK, Vec::new()));
             let answer = String::from_utf8_lossy(&packet.data).into_owned();
+            if answer.starts_with("HTTP/1.1 503 ") && answer.contains("\r\nNot-Executed: ") {
+                return Outcome::NotRun;
+            }
             let is_whole = answer.ends_with(&format!("\r\n\r\ndone {id}"));
             let is_signed = answer.contains("\r\nBackend-Signature: ");
             return if is_whole && is_signed { Outcome::Served } else { Outcome::Mixed };
--- a/review/standin/ledger.rs
+++ b/review/standin/ledger.rs
@@ -54,6 +54,7 @@
     Served,
     Refused,
     NotOpened,
+    NotRun,
     Reset,
     Unanswered,
     Mixed,
