Log how a node's entry got into the list, and when a list counts as complete

Cause of the gap: a balancer that resets a flow because no agent owns it logs the denials it got (said=absent:2:0ms), but nothing told whether an agent was missing from the list, from the reading of it, or had denied the flow itself; an agent's log did not tell whether its entry was written or found.

Change: events registered (agent, balancer) and members_listed (balancer).

--- a/crates/carried/src/balancer/cluster_state.rs
+++ b/crates/carried/src/balancer/cluster_state.rs
@@ -26,6 +26,7 @@
     /// Adds the members of the shared store's complete list.
     pub fn learn_members(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
         self.absence_evidence.note_member_list();
+        log::info!(listed = members.len(), known = self.cluster.membership.len(); "members_listed");
         self.cluster.learn(now, members);
     }
 
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -106,6 +106,7 @@
         loop {
             match self.register(may_exist).await {
                 Ok(origin) => {
+                    log::info!(origin:? = origin; "registered");
                     // Several auditors may have reported the entry missing before it was written.
                     while self.entry_missing.try_recv().is_ok() {}
                     return origin;
