Each process writes its entry in the node list, and a removal names the write that it means

Cause: a process that had just started looked for its entry with a read that may be seconds old, and took one that it found for the present. The process before it had removed that entry when it stopped beside a back end that was down. The agent then served without an entry until an audit, up to 75 s; a balancer that started meanwhile never asked it. The same class at the writer: the removal was unconditional and given up after 250 ms, so it could be carried out after the next process had written.

Ruled out: reading the newest state of the entry instead. It costs as much as a write, and a removal that was given up may still come after it.

Change: a process writes its entry at every start, and each removal carries the revision of the write that it means. Finding an entry is gone, and with it one call of the store's interface. An agent reads the list until it includes its own write, as it did at a first start, so that of an agent and a balancer that start together one learns of the other. If the write takes longer than 60 ms or fails, the lists are read meanwhile.

--- a/crates/node/src/counted_store.rs
+++ b/crates/node/src/counted_store.rs
@@ -30,7 +30,7 @@
         calls_for_operators,
         /// Calls that watch for a change of the configuration or the evacuations.
         calls_for_changes,
-        /// Calls that read, write or remove a single node's entry.
+        /// Calls that write or remove a single node's entry.
         calls_for_entries,
         /// Calls that read a member list.
         calls_for_lists,
@@ -153,19 +153,11 @@
     async fn remove_member(
         &self,
         member: &Member,
-        entry_revision: Option<u64>,
+        entry_revision: u64,
     ) -> Result<Position, StoreFailure> {
         self.measure(Purpose::Entry, self.store.remove_member(member, entry_revision)).await
     }
 
-    async fn read_member(
-        &self,
-        member: &Member,
-        consistency: Consistency,
-    ) -> Result<Option<Member>, StoreFailure> {
-        self.measure(Purpose::Entry, self.store.read_member(member, consistency)).await
-    }
-
     async fn read_members(
         &self,
         role: NodeRole,
--- a/crates/node/src/member_audit.rs
+++ b/crates/node/src/member_audit.rs
@@ -65,7 +65,7 @@
 ) -> Result<(), StoreFailure> {
     let MemberEntry { member, revision } = entry;
     log::info!(name = member.name.as_str(), address:% = member.address; "member_entry_removed");
-    match store.remove_member(member, Some(*revision)).await {
+    match store.remove_member(member, *revision).await {
         Ok(position) if position.era != era => Err(StoreFailure::Restored),
         // `Gone`: the entry was written again, or no longer exists.
         Ok(_) | Err(StoreFailure::Gone) => Ok(()),
--- a/crates/node/src/member_list.rs
+++ b/crates/node/src/member_list.rs
@@ -18,32 +18,21 @@
 const INITIAL_BACKOFF: Duration = Duration::from_millis(60);
 const MAX_BACKOFF: Duration = Duration::from_secs(2);
 
-/// How this node's entry got into the member list.
+/// How this process's entry got into the member list.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Origin {
-    /// An earlier process of this node wrote the entry.
-    Found,
-    /// This process wrote the entry, at this position.
+    /// It was written at this position.
     Written(Position),
-    /// This process wrote the entry again because the store had lost it. A stale list may still
-    /// show the earlier entry.
+    /// It was written again because the store had lost it. A stale list may still show the earlier
+    /// entry.
     Rewritten(Position),
 }
 
 impl Origin {
-    /// Marks an entry that was just written as a replacement of a lost one.
-    pub(crate) fn rewritten(self) -> Self {
+    /// The position of the write.
+    pub(crate) fn position(self) -> Position {
         match self {
-            Origin::Found => Origin::Found,
-            Origin::Written(position) | Origin::Rewritten(position) => Origin::Rewritten(position),
-        }
-    }
-
-    /// The era of the store in which this process wrote the entry.
-    pub(crate) fn era(self) -> Option<u64> {
-        match self {
-            Origin::Found => None,
-            Origin::Written(position) | Origin::Rewritten(position) => Some(position.era),
+            Origin::Written(position) | Origin::Rewritten(position) => position,
         }
     }
 }
@@ -75,10 +64,7 @@
 
     async fn read_complete(&self, origin: Origin) -> Result<(), StoreFailure> {
         let written_at = match origin {
-            // No decision of an agent depends on knowing every balancer.
-            Origin::Found if self.member.role == NodeRole::Agent => return self.read_any().await,
             Origin::Rewritten(_) => return self.read(Consistency::Latest, None).await.map(drop),
-            Origin::Found => None,
             Origin::Written(position) => Some(position),
         };
         // Until a balancer has the complete list, it never reports to a caller that no agent owns
--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -1,7 +1,13 @@
 //! Keeps this node's entry in the shared store's member list.
 //!
 //! An entry stays until its node or an auditor (`member_audit`) removes it. Entries are not
-//! renewed, so the number of calls does not grow with the nodes and the time they run. A store that
+//! renewed, so the number of calls does not grow with the nodes and the time they run.
+//!
+//! Each process writes the entry, also if it finds one: a read may be older than the removal by an
+//! earlier process, and a removal that its caller gave up may still be carried out. Every removal
+//! is conditioned on the revision of the entry that it means, so it never removes a later one.
+//!
+//! A store that
 //! is restored from an older copy has lost the latest entries. Nodes that registered recently write
 //! theirs again when they learn of the new era, all others when an auditor finds the entry missing;
 //! all entries are back two seconds after the restore.
@@ -9,8 +15,10 @@
 use crate::backoff::Backoff;
 use crate::command::NodeStatus;
 use crate::member_list::{MemberListReader, Origin};
-use crate::shared_store::{Consistency, Member, SharedStore, StoreFailure};
+use crate::shared_store::{Member, SharedStore, StoreFailure};
+use loftdrift_carried::Position;
 use rand::Rng;
+use std::pin::pin;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
@@ -26,6 +34,9 @@
 /// The copy that a store is restored from is some seconds old, so it has the entries that are older
 /// than this. If one is lost nevertheless, the next audit finds it missing.
 const RECENT_ENTRY_AGE: Duration = Duration::from_secs(60);
+/// A write that takes longer does not delay the first read of the lists: nodes that start need them
+/// most.
+const PROMPT_WRITE: Duration = Duration::from_millis(60);
 /// How long a node that stops for good waits for the store to remove its entry.
 const DEREGISTER_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -36,6 +47,8 @@
     pub(crate) entry_missing: mpsc::Receiver<()>,
     /// The core's status, with the store's era that the node knows of.
     pub(crate) status: watch::Receiver<NodeStatus>,
+    /// Publishes the position at which this process last wrote the entry.
+    pub(crate) written: watch::Sender<Option<Position>>,
 }
 
 /// Why the entry is written again.
@@ -60,8 +73,7 @@
 impl<S: SharedStore> Registration<S> {
     /// Keeps the entry until the core's task has ended.
     pub(crate) async fn run(mut self) {
-        // On the system's first start there is no entry of an earlier process.
-        let mut origin = self.register_with_retries(!self.lists.is_first_start).await;
+        let mut origin = Origin::Written(self.register_with_retries().await);
         loop {
             let lists = self.lists.clone();
             let read = async {
@@ -77,7 +89,7 @@
             log::warn!(cause = cause.name(); "registration_missing");
             let fraction = rand::rng().random_range(0.0..1.0);
             tokio::time::sleep(MAX_REWRITE_DELAY.mul_f64(fraction)).await;
-            origin = self.register_with_retries(false).await.rewritten();
+            origin = Origin::Rewritten(self.register_with_retries().await);
         }
     }
 
@@ -86,7 +98,7 @@
         let registered_at = Instant::now();
         let mut status = self.status.clone();
         let restored = async {
-            let era = origin.era()?;
+            let era = origin.position().era;
             status.wait_for(|status| status.configuration.position.era > era).await.ok()?;
             (registered_at.elapsed() < RECENT_ENTRY_AGE).then_some(RewriteCause::StoreRestored)
         };
@@ -98,18 +110,18 @@
         }
     }
 
-    /// Registers the node, with retries until it succeeds. With `may_exist`, an equal entry of an
-    /// earlier process is kept.
-    async fn register_with_retries(&mut self, may_exist: bool) -> Origin {
+    /// Writes the entry, with retries until it succeeds; returns the position of the write.
+    async fn register_with_retries(&mut self) -> Position {
         let mut backoff = Backoff::new(INITIAL_BACKOFF, MAX_BACKOFF);
         let mut has_failed = false;
         loop {
-            match self.register(may_exist).await {
-                Ok(origin) => {
-                    log::info!(origin:? = origin; "registered");
+            match self.register().await {
+                Ok(position) => {
+                    log::info!(position:%; "registered");
+                    self.written.send_replace(Some(position));
                     // Several auditors may have reported the entry missing before it was written.
                     while self.entry_missing.try_recv().is_ok() {}
-                    return origin;
+                    return position;
                 }
                 // Logged once per registration; the counters show the further failures.
                 Err(failure) if !std::mem::replace(&mut has_failed, true) => {
@@ -122,37 +134,33 @@
         }
     }
 
-    async fn register(&self, may_exist: bool) -> Result<Origin, StoreFailure> {
-        if may_exist && self.entry_exists().await? {
-            return Ok(Origin::Found);
-        }
-        match self.lists.store.write_member(&self.lists.member).await {
-            Ok(position) => Ok(Origin::Written(position)),
-            // Read the lists even if the entry cannot be written: starting nodes need them most.
-            Err(failure) => {
-                self.lists.read_any().await?;
-                Err(failure)
-            }
-        }
-    }
-
-    /// Whether the list still has an equal entry that an earlier process of this node wrote.
-    async fn entry_exists(&self) -> Result<bool, StoreFailure> {
-        let member = &self.lists.member;
-        match self.lists.store.read_member(member, Consistency::MayBeStale).await {
-            Ok(found) => Ok(found.as_ref() == Some(member)),
-            Err(StoreFailure::Gone) => Ok(false),
-            Err(failure) => Err(failure),
+    /// Writes the entry once. If that takes long or fails, reads the lists nevertheless.
+    async fn register(&self) -> Result<Position, StoreFailure> {
+        let mut write = pin!(self.lists.store.write_member(&self.lists.member));
+        let (written, read) = match tokio::time::timeout(PROMPT_WRITE, &mut write).await {
+            Ok(written @ Ok(_)) => (written, Ok(())),
+            Ok(written) => (written, self.lists.read_any().await),
+            Err(_) => tokio::join!(write, self.lists.read_any()),
+        };
+        // A failed read is reported first: it shows that the store is out of reach.
+        if written.is_err() {
+            read?;
         }
+        written
     }
 }
 
 /// Removes the entry of a node that stops for good, so that nodes which start later do not wait
-/// for it.
-pub(crate) async fn deregister(store: impl SharedStore, member: &Member) {
+/// for it. `written` is the position at which this process wrote the entry.
+pub(crate) async fn deregister(
+    store: impl SharedStore,
+    member: &Member,
+    written: Option<Position>,
+) {
+    let remove = async { Some(store.remove_member(member, written?.revision).await) };
     // If the store does not answer, the auditors remove the entry later.
-    let removed = tokio::time::timeout(DEREGISTER_TIMEOUT, store.remove_member(member, None)).await;
-    if !matches!(removed, Ok(Ok(_))) {
+    let removed = tokio::time::timeout(DEREGISTER_TIMEOUT, remove).await;
+    if !matches!(removed, Ok(Some(Ok(_)))) {
         log::warn!("registration_left_to_auditors");
     }
 }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -212,8 +212,13 @@
             commands: self.commands.clone(),
             is_first_start: settings.is_first_start,
         };
-        let registration =
-            Registration { lists, entry_missing: self.entry_missing, status: self.status.clone() };
+        let (written, entry_written) = watch::channel(None);
+        let registration = Registration {
+            lists,
+            entry_missing: self.entry_missing,
+            status: self.status.clone(),
+            written,
+        };
         self.tasks.spawn(registration.run());
         for address in [settings.readiness, control].into_iter().flatten() {
             let listener = bind_tcp("requests", address).await?;
@@ -235,7 +240,8 @@
             shutdown::wait_for_stop(settings.stop_grace, is_balancer, self.commands, self.status)
                 .await?;
         if status.borrow().backend_ended {
-            registration::deregister(store, &member).await;
+            let written = *entry_written.borrow();
+            registration::deregister(store, &member, written).await;
         }
         log::info!(outcome; "stopped");
         Ok(())
--- a/crates/node/src/shared_store.rs
+++ b/crates/node/src/shared_store.rs
@@ -126,22 +126,15 @@
         member: &Member,
     ) -> impl Future<Output = Result<Position, StoreFailure>> + Send;
 
-    /// Removes a node's entry. With a revision, removes only the entry of that write, and returns
-    /// [`StoreFailure::Gone`] if there is another entry or none. Returns the position of the
-    /// removal: if its era differs from the revision's, the revision may stand for another write.
+    /// Removes a node's entry if its last write has this revision; returns [`StoreFailure::Gone`]
+    /// if there is another entry or none. Returns the position of the removal: if its era differs
+    /// from the revision's, the revision may stand for another write.
     fn remove_member(
         &self,
         member: &Member,
-        entry_revision: Option<u64>,
+        entry_revision: u64,
     ) -> impl Future<Output = Result<Position, StoreFailure>> + Send;
 
-    /// Reads the entry under a node's name; `None` if the entry cannot be parsed.
-    fn read_member(
-        &self,
-        member: &Member,
-        consistency: Consistency,
-    ) -> impl Future<Output = Result<Option<Member>, StoreFailure>> + Send;
-
     /// Reads all entries of a role.
     fn read_members(
         &self,
--- a/crates/node/tests/restored_store.rs
+++ b/crates/node/tests/restored_store.rs
@@ -57,19 +57,11 @@
         std::future::pending().await
     }
 
-    async fn remove_member(&self, _: &Member, _: Option<u64>) -> Result<Position, StoreFailure> {
+    async fn remove_member(&self, _: &Member, _: u64) -> Result<Position, StoreFailure> {
         let era = self.next(|script| script.removals.pop_front()).await;
         Ok(Position { era, revision: 90 })
     }
 
-    async fn read_member(
-        &self,
-        _: &Member,
-        _: Consistency,
-    ) -> Result<Option<Member>, StoreFailure> {
-        std::future::pending().await
-    }
-
     async fn read_members(
         &self,
         _: NodeRole,
