A live node whose entry an auditor removed writes it again at once

An agent that has reported the end of its back end and is then silent for 2 s (frozen, cut off) loses its entry at an audit although it lives; its back end returns, flows are placed there, and balancers that start reset them until the next audit, 45 to 75 s later.

Cause: the report of the end is taken for the agent's departure however old it is, and nothing withdrew that when the agent was heard again.

Change, at the reader: an auditor remembers whose entries it removed and notifies such a node at its first heartbeat. At the writer: an agent whose back end returns 2 s or more after its end was announced writes its entry again, in case the auditor has ended since. A removal still under way does not meet the new entry, since it names the old revision.

Ruled out: keeping the entry longer. A machine that was taken away would hold up the lookups of every balancer that starts.

Tests: a_node_whose_entry_was_removed_is_notified_at_its_next_heartbeat and an_agent_whose_ended_back_end_returns_late_writes_its_entry_again; both failed before.

Cost: a write for each back end that returns after 2 s under the same agent process, a datagram for each removed node that returns; nothing in calm, at any size.

--- a/crates/carried/src/agent/condition.rs
+++ b/crates/carried/src/agent/condition.rs
@@ -12,6 +12,9 @@
         if before != after {
             if after == BackendCondition::Ended {
                 self.departure_notice_until = Some(now + DEPARTURE_NOTICE_DURATION);
+                self.announced_end_at = Some(now);
+            } else {
+                self.withdraw_announced_end(now);
             }
             let (from, to) = (format!("{before:?}"), format!("{after:?}"));
             log::info!(backend = cause, from = from.as_str(), to = to.as_str(), waiting = self.in_flight; "backend_changed");
@@ -19,6 +22,15 @@
         }
     }
 
+    /// Has the entry of this node written again if the end of its back end was announced long
+    /// enough ago for auditors to have removed it.
+    fn withdraw_announced_end(&mut self, now: Duration) {
+        let announced_at = self.announced_end_at.take();
+        if announced_at.is_some_and(|at| now.saturating_sub(at) >= DEPARTED_TIMEOUT) {
+            self.outputs.push_back(Output::WriteEntry);
+        }
+    }
+
     /// When the condition may change without any input: the back end no longer counts as silent, or
     /// the open circuit breaker lets a trial request through.
     pub(super) fn next_condition_change(&self) -> Option<Duration> {
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -31,6 +31,7 @@
 use self::outcomes::RequestOutcome;
 use self::wait_queue::{WaitQueue, WaitingFlow};
 use crate::backend::Backend;
+use crate::balancer::DEPARTED_TIMEOUT;
 use crate::breaker::{Breaker, BreakerState};
 use crate::cluster_state::{Adoption, ClusterState};
 use crate::configuration::CarriedConfiguration;
@@ -144,6 +145,8 @@
     stopping: bool,
     /// Until when balancers are being notified that the back end has ended; a stop waits for it.
     departure_notice_until: Option<Duration>,
+    /// When balancers were notified that the back end has ended, while that is the last notice.
+    announced_end_at: Option<Duration>,
     outputs: VecDeque<Output>,
     counters: CarriedAgentCounters,
     latency: AgentLatency,
@@ -182,6 +185,7 @@
             ignore_offers_until: Duration::ZERO,
             stopping: false,
             departure_notice_until: None,
+            announced_end_at: None,
             outputs: VecDeque::new(),
             counters: CarriedAgentCounters::default(),
             latency: AgentLatency::default(),
--- a/crates/carried/src/balancer/audit.rs
+++ b/crates/carried/src/balancer/audit.rs
@@ -11,7 +11,7 @@
 //!   anything from its node, or after the node's departure notice and four heartbeat intervals of
 //!   silence.
 //! - A live node whose entry is missing is notified at each audit by every auditor that receives
-//!   its heartbeats.
+//!   its heartbeats, and at its first heartbeat after the removal by the auditor that removed it.
 
 use super::*;
 use crate::membership::ALIVE_INTERVALS;
@@ -34,7 +34,7 @@
 const DEAD_TIMEOUT: Duration = Duration::from_secs(540);
 
 /// Silence after which an agent that has reported the end of its back end is taken to have left.
-const DEPARTED_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const DEPARTED_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A node in the shared store's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -67,6 +67,8 @@
     is_urgent: bool,
     /// Number of audits scheduled so far.
     planned: u64,
+    /// Nodes whose entries were removed; each is notified if it turns out to be alive.
+    removed: HashSet<SocketAddrV4>,
 }
 
 impl Audit {
@@ -145,16 +147,27 @@
         for to in &missing {
             self.outputs.push_back(Output::ToPeer { to: *to, message: Message::NotListed });
         }
-        let dead: Vec<SocketAddrV4> = has_entry
-            .into_iter()
-            .filter(|address| *address != me && self.is_dead(now, address))
-            .collect();
+        let is_dead = |address: &&SocketAddrV4| **address != me && self.is_dead(now, address);
+        let dead: Vec<SocketAddrV4> = has_entry.iter().filter(is_dead).copied().collect();
         if !missing.is_empty() || !dead.is_empty() {
             log::info!(listed = listed.len(), missing = missing.len(), dead = dead.len(); "members_audited");
         }
+        let membership = &self.cluster.membership;
+        let is_unlisted = |node: &SocketAddrV4| membership.knows(node) && !has_entry.contains(node);
+        self.audit.removed.retain(is_unlisted);
+        self.audit.removed.extend(&dead);
         dead
     }
 
+    /// Notifies a node that has sent a heartbeat although its entry was removed because of its
+    /// silence: nodes that start now do not learn of it from the list.
+    pub(super) fn notify_if_removed(&mut self, from: SocketAddrV4) {
+        if self.audit.removed.remove(&from) {
+            log::warn!(node:% = from; "removed_node_alive");
+            self.outputs.push_back(Output::ToPeer { to: from, message: Message::NotListed });
+        }
+    }
+
     fn is_dead(&self, now: Duration, address: &SocketAddrV4) -> bool {
         let last_contact = self.cluster.membership.last_contact_at(address).unwrap_or(now);
         let departed_timeout =
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -28,6 +28,7 @@
 
 use self::admission_pause::AdmissionPause;
 use self::audit::Audit;
+pub(crate) use self::audit::DEPARTED_TIMEOUT;
 pub use self::audit::{ListedNode, NodeList};
 use self::delegated_reads::DelegatedReads;
 use self::flow_absence::AbsenceEvidence;
@@ -232,6 +233,7 @@
     fn handle_heartbeat(&mut self, now: Duration, from: SocketAddrV4, heartbeat: Heartbeat) {
         let (is_new, fetch) = self.cluster.on_heartbeat(now, from, &heartbeat);
         self.outputs.extend(fetch);
+        self.notify_if_removed(from);
         self.note_peer_version(now, heartbeat.configuration);
         let interval = self.cluster.membership.interval();
         if let Some(view) = self.pool.view(&from).filter(|view| view.is_suspect(now, interval)) {
--- a/crates/carried/tests/audit.rs
+++ b/crates/carried/tests/audit.rs
@@ -4,7 +4,7 @@
 
 use loftdrift_carried::{
     BackendCondition, CarriedBalancer, ListedNode, LoadReport, Message, NodeList, NodeRole, Output,
-    PlainFormat,
+    PlainFormat, ProbeOutcome,
 };
 use std::net::SocketAddrV4;
 use std::time::Duration;
@@ -194,6 +194,48 @@
     );
 }
 
+/// Guards against a live agent without an entry: silent for seconds after the report that its back
+/// end had ended, it lost its entry and was notified only by the next audit, up to 75 s later.
+#[test]
+fn a_node_whose_entry_was_removed_is_notified_at_its_next_heartbeat() {
+    let mut balancer = balancer_alone();
+    run(&mut balancer, &[1, 2], 0, 20 * SECOND);
+    let report = |condition| LoadReport { condition, ..LoadReport::default() };
+    send(&mut balancer, milliseconds(20 * SECOND), 2, report(BackendCondition::Ended));
+    run(&mut balancer, &[1], 20 * SECOND, 23 * SECOND);
+    let list = stale_list(&[
+        listed(balancer_address(), NodeRole::Balancer),
+        listed(agent_address(1), NodeRole::Agent),
+        listed(agent_address(2), NodeRole::Agent),
+    ]);
+    assert_eq!(balancer.audit_members(milliseconds(23 * SECOND), &list), [agent_address(2)]);
+    outputs_of(&mut balancer);
+    for (at, notices) in [(24, vec![agent_address(2)]), (25, vec![])] {
+        let back = report(BackendCondition::Accepting);
+        send(&mut balancer, milliseconds(at * SECOND), 2, back);
+        assert_eq!(notified(&outputs_of(&mut balancer)), notices, "once");
+    }
+}
+
+/// Guards against the same where the auditor ends before the agent is heard again.
+#[test]
+fn an_agent_whose_ended_back_end_returns_late_writes_its_entry_again() {
+    let writes_entry = |ended_ms: u64, back_ms: u64| {
+        let mut agent = agent(false);
+        agent.take_report(milliseconds(0), &report("one", 5, true));
+        agent.start_draining(milliseconds(ended_ms));
+        for at in [ended_ms, ended_ms + 50] {
+            agent.handle_timeout(milliseconds(at));
+            agent.take_probe(milliseconds(at), ProbeOutcome::Refused);
+        }
+        assert!(agent.backend_has_ended());
+        agent.take_report(milliseconds(back_ms), &report("two", 1, true));
+        outputs(&mut agent).contains(&Output::WriteEntry)
+    };
+    assert!(writes_entry(1_000, 3_200), "it may have been removed");
+    assert!(!writes_entry(1_000, 2_500), "no auditor removes it so soon");
+}
+
 #[test]
 fn a_node_that_is_notified_writes_its_entry_again() {
     let mut agent = agent(false);
