A balancer that has just started asks another one before it resets flows that no agent owns

Cause, at the reader: a complete list is a list of entries, not of nodes. Who knows better are the balancers that run: they exchange heartbeats with every agent, listed or not.

When to begin watching the store still follows from the list alone.

Not covered: all balancers start at once while an agent's write is outstanding; a peer that started together with the process knows no more than the list. The agent's next heartbeat to them ends that (250 ms on small sites).

--- a/crates/carried/src/balancer/cluster_state.rs
+++ b/crates/carried/src/balancer/cluster_state.rs
@@ -12,6 +12,10 @@
 
     /// Merges the members and the configuration of another node's snapshot.
     pub fn take_snapshot(&mut self, now: Duration, snapshot: Snapshot) {
+        let sender = snapshot.members.first();
+        if sender.is_some_and(|(_, role)| *role == NodeRole::Balancer) {
+            self.discovery.note_peer_snapshot();
+        }
         self.cluster.learn(now, &snapshot.members);
         if let Some(configuration) = snapshot.configuration {
             self.adopt(now, configuration);
@@ -25,7 +29,7 @@
 
     /// Adds the members of the shared store's complete list.
     pub fn learn_members(&mut self, now: Duration, members: &[(SocketAddrV4, NodeRole)]) {
-        self.absence_evidence.note_member_list();
+        self.discovery.note_member_list();
         log::info!(listed = members.len(), known = self.cluster.membership.len(); "members_listed");
         self.cluster.learn(now, members);
     }
--- a/crates/carried/src/balancer/flow_absence.rs
+++ b/crates/carried/src/balancer/flow_absence.rs
@@ -17,9 +17,6 @@
 const AGENT_GONE_TIMEOUT: Duration = Duration::from_secs(15);
 /// Minimum number of heartbeats that an agent that is presumed gone has missed.
 const MIN_GONE_INTERVALS: u32 = 4;
-/// Time after its start in which a balancer that could not read the list of nodes has learned of
-/// all of them from peers.
-const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Maximum time by which back ends start earlier than this process if the whole system restarts at
 /// once. Flows opened in between may be owned by agents that have sent nothing since.
 const RESTART_SPREAD: Duration = Duration::from_millis(800);
@@ -42,9 +39,6 @@
 /// What this balancer must have observed before it may report that no agent owns a flow.
 #[derive(Debug, Default)]
 pub(super) struct AbsenceEvidence {
-    /// Whether it has read the list of nodes, which includes every node that joined before the
-    /// read.
-    has_member_list: bool,
     /// Peers' silence counts only from here on: before, this process had not started or was
     /// stalled.
     observing_since: Duration,
@@ -55,10 +49,6 @@
 }
 
 impl AbsenceEvidence {
-    pub(super) fn note_member_list(&mut self) {
-        self.has_member_list = true;
-    }
-
     pub(super) fn note_stall(&mut self, now: Duration) {
         self.observing_since = now;
     }
@@ -70,11 +60,6 @@
             |at: StartTime| started_at.is_some_and(|start| at.between(start) <= JOINT_START_WINDOW);
         self.restarted_at.is_some_and(with)
     }
-
-    /// From when on this balancer is taken to know all nodes.
-    pub(super) fn members_known_at(&self) -> Duration {
-        if self.has_member_list { Duration::ZERO } else { DISCOVERY_TIMEOUT }
-    }
 }
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
@@ -130,7 +115,7 @@
         self.policies.is_enabled(Policy::ResetUnowned)
             && lookup.expects_answer()
             && is_asked_enough
-            && now >= self.absence_evidence.members_known_at()
+            && now >= self.members_known_at()
             && self.known_agents().all(|agent| self.is_ruled_out(now, lookup, &agent))
     }
 
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -14,6 +14,7 @@
 mod audit;
 mod cluster_state;
 mod delegated_reads;
+mod discovery;
 mod established;
 mod flow_absence;
 mod lookup_limiter;
@@ -31,6 +32,7 @@
 pub(crate) use self::audit::DEPARTED_TIMEOUT;
 pub use self::audit::{ListedNode, NodeList};
 use self::delegated_reads::DelegatedReads;
+use self::discovery::Discovery;
 use self::flow_absence::AbsenceEvidence;
 use self::lookup_limiter::LookupLimiter;
 use self::query_batches::QueryBatches;
@@ -115,6 +117,7 @@
     query_batches: QueryBatches,
     lookup_limiter: LookupLimiter,
     absence_evidence: AbsenceEvidence,
+    discovery: Discovery,
     delegated_reads: DelegatedReads,
     audit: Audit,
     admission_pause: AdmissionPause,
@@ -146,6 +149,7 @@
             lookups: FlowTable::new(random.random()),
             query_batches: QueryBatches::default(),
             absence_evidence: AbsenceEvidence::default(),
+            discovery: Discovery::default(),
             delegated_reads: DelegatedReads::default(),
             audit: Audit::default(),
             admission_pause: AdmissionPause::default(),
@@ -232,6 +236,7 @@
 
     fn handle_heartbeat(&mut self, now: Duration, from: SocketAddrV4, heartbeat: Heartbeat) {
         let (is_new, fetch) = self.cluster.on_heartbeat(now, from, &heartbeat);
+        self.discover_from(now, from, heartbeat.role, fetch.is_some());
         self.outputs.extend(fetch);
         self.notify_if_removed(from);
         self.note_peer_version(now, heartbeat.configuration);
--- a/crates/carried/src/balancer/store_watch.rs
+++ b/crates/carried/src/balancer/store_watch.rs
@@ -150,7 +150,7 @@
     }
 
     fn next_review(&self) -> Duration {
-        let first = self.absence_evidence.members_known_at().max(FIRST_REVIEW_DELAY);
+        let first = self.discovery.list_known_at().max(FIRST_REVIEW_DELAY);
         self.store_watch.next_review.max(first)
     }
 
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -321,7 +321,7 @@
 pub struct Snapshot {
     /// The newest known configuration.
     pub configuration: Option<CarriedConfiguration>,
-    /// The known nodes with their roles.
+    /// The known nodes with their roles, the sender first.
     pub members: Vec<(SocketAddrV4, NodeRole)>,
 }
 
--- a/crates/carried/tests/evacuation.rs
+++ b/crates/carried/tests/evacuation.rs
@@ -4,7 +4,7 @@
 
 use loftdrift_carried::{
     Admission, BackendCondition, CarriedConfiguration, DeclineReason, Heartbeat, LoadReport,
-    Message, NodeRole, Output, RouteTarget,
+    Message, NodeRole, Output, RouteTarget, Snapshot,
 };
 use support::*;
 
@@ -141,6 +141,9 @@
         })
     };
     let peer = agent_address(200);
+    // From here on only a newer configuration is a reason to fetch a snapshot.
+    let members = vec![(peer, NodeRole::Balancer)];
+    balancer.take_snapshot(milliseconds(2), Snapshot { configuration: None, members });
     let is_fetch = |output: &Output| matches!(output, Output::FetchSnapshot { .. });
     let same = heartbeat(60, evacuated(0, &[]).digest());
     balancer.handle_peer(milliseconds(3), peer, &same.encode());
