A restarted agent verifies that its back end takes flows before it accepts any

Cause: the acknowledged departure is known to the agent's process alone. The next process took the first heartbeat that it received for the present, which may be seconds old, and reported the back end as accepting.

Ruled out: that balancers go on offering from an old view (the agent accepts), that the health check at the start is believed (it failed).

Change: a process that may follow another one begins with a verification: no new flow until the back end's health page, asked since, answers favourably, or a heartbeat arrives 5 s after the start or later, which must have been sent since.

Fixtures: tests that mean an agent whose process was replaced beside a back end in service now have its health page answer (restarted_agent); their assertions are as before. in_whatever_order_... has the last start's page answer while that start serves.

--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -157,7 +157,7 @@
     pub fn new(settings: CarriedAgentSettings, format: F) -> Self {
         CarriedAgent {
             cluster: ClusterState::new(settings.node.clone()),
-            backend: Backend::new(settings.service.clone()),
+            backend: Backend::new(settings.service.clone(), settings.is_first_start),
             last_foreign_sender: None,
             may_miss_flows: !settings.is_first_start,
             cold_rate_limit: match settings.is_first_start {
@@ -208,11 +208,17 @@
     }
 
     /// Path of the health check of the back end's service; `None` until a configuration defines it.
-    pub fn health_path(&self) -> Option<&str> {
+    fn health_path(&self) -> Option<&str> {
         let service = self.cluster.configuration.service(self.backend.service())?;
         Some(&service.health_path)
     }
 
+    /// The health check that is needed now: its number and the path of the health page. A number is
+    /// requested until [`CarriedAgent::take_healthy`] is called with it or another one is needed.
+    pub fn health_check(&self) -> Option<(u32, &str)> {
+        Some((self.backend.health_check()?, self.health_path()?))
+    }
+
     /// Whether the back end has sent a heartbeat or passed a health check.
     pub fn knows_backend(&self) -> bool {
         self.backend.condition() != BackendCondition::Unknown
--- a/crates/carried/src/agent/reports.rs
+++ b/crates/carried/src/agent/reports.rs
@@ -99,15 +99,17 @@
 
     /// Handles the back end's departure notice.
     pub fn take_departure(&mut self, now: Duration, gone: &Incarnation) {
-        self.backend.take_departure(gone);
+        self.backend.take_departure(now, gone);
         self.announce_condition_change(now, &gone.id);
         self.serve_wait_queue(now);
     }
 
-    /// Handles the result of a health check of the back end.
-    pub fn take_health(&mut self, now: Duration, is_healthy: bool) {
-        self.backend.take_health(is_healthy);
-        self.announce_condition_change(now, "asked");
+    /// Handles the answer of the back end's health page to a health check that was needed
+    /// ([`CarriedAgent::health_check`]): the back end is healthy and takes flows.
+    pub fn take_healthy(&mut self, now: Duration, check: u32) {
+        self.backend.take_healthy(check);
+        self.announce_condition_change(now, "health_page");
+        self.serve_wait_queue(now);
     }
 
     /// Handles a new start of the back end. Flows of its earlier start are over, but some may have
--- a/crates/carried/src/backend.rs
+++ b/crates/carried/src/backend.rs
@@ -4,6 +4,7 @@
 
 use crate::incarnation::{Incarnation, StartOrder};
 use crate::message::BackendCondition;
+use crate::readiness::{MAX_HEARTBEAT_DELAY, Readiness};
 use std::collections::VecDeque;
 use std::time::Duration;
 
@@ -17,10 +18,6 @@
 /// Minimum time between two heartbeats that confirm an unconfirmed start. A live start sends a
 /// heartbeat about once per second, whereas heartbeats delayed on the network arrive in one burst.
 const MIN_REPEAT_INTERVAL: Duration = Duration::from_millis(500);
-/// Heartbeats are delayed by a few seconds at most. If a start with an earlier start time is
-/// received for longer than this while the current one is silent, it is the live one: the clock
-/// that its start time comes from was set back.
-const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(5);
 
 /// A heartbeat sent by the back end itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -63,7 +60,8 @@
 ///
 /// Invariants:
 /// - A live start is accepted again within two of its heartbeats, whichever delayed ones arrive.
-/// - Delayed heartbeats never revoke the leaving state of the live start.
+/// - Delayed heartbeats never revoke the leaving state of the live start, also if that was reported
+///   to an earlier process of the agent.
 /// - What a start has reported applies to that start only: a later start under the same id begins
 ///   with fresh state and is accepted at its first heartbeat.
 /// - The service is the one from the settings, whatever a heartbeat names.
@@ -71,6 +69,7 @@
 pub(crate) struct Backend {
     service: String,
     current: Option<CurrentStart>,
+    readiness: Readiness,
     /// A start under another id, received since the last heartbeat of the current one.
     unconfirmed: Option<UnconfirmedStart>,
     /// A start under the current id with an earlier start time that keeps sending heartbeats.
@@ -108,10 +107,16 @@
 
 impl Backend {
     /// A back end of which only the service, taken from the settings, is known.
-    pub(crate) fn new(service: String) -> Self {
+    /// `is_first_start`: no earlier process of the agent has run.
+    pub(crate) fn new(service: String, is_first_start: bool) -> Self {
+        let readiness = match is_first_start {
+            true => Readiness::verified(),
+            false => Readiness::after_restart(),
+        };
         Backend {
             service,
             current: None,
+            readiness,
             unconfirmed: None,
             backdated: None,
             is_healthy_at_start: false,
@@ -168,7 +173,9 @@
         self.replace_current(now, report)
     }
 
-    /// Handles a heartbeat with the current start's id and an earlier start time.
+    /// Handles a heartbeat with the current start's id and an earlier start time. If it is received
+    /// for longer than heartbeats are delayed, while the current start is silent, it is the live
+    /// one: the clock that its start time comes from was set back.
     fn take_backdated(&mut self, now: Duration, report: &BackendReport) -> ReportOutcome {
         let received_at =
             self.current.as_ref().map_or(Duration::ZERO, |current| current.received_at);
@@ -217,6 +224,9 @@
         if self.current.as_ref().is_none_or(|current| current.incarnation != report.incarnation) {
             self.backdated = None;
         }
+        if report.is_ready {
+            self.readiness.note_heartbeat(now);
+        }
         self.current = Some(CurrentStart {
             incarnation: report.incarnation.clone(),
             sequence: report.sequence,
@@ -230,28 +240,47 @@
 
     /// Handles a notice that a start is leaving or gone. A notice without a start time is taken to
     /// mean the current start of that id: a back end that may be leaving must get no new flows.
-    pub(crate) fn take_departure(&mut self, gone: &Incarnation) {
+    pub(crate) fn take_departure(&mut self, now: Duration, gone: &Incarnation) {
         if self.unconfirmed.as_ref().is_some_and(|unconfirmed| unconfirmed.incarnation == *gone) {
             self.unconfirmed = None;
         }
-        let mut ended = gone;
-        match &mut self.current {
-            Some(current) if departure_ends(gone, &current.incarnation) => {
-                current.is_leaving = true;
-                current.has_departed = true;
-                ended = if gone.started_at_ms.is_none() { &current.incarnation } else { gone };
-            }
-            Some(_) => {}
-            // The agent has no record of it (it was restarted): from now on only another start is
-            // accepted.
-            None => self.is_healthy_at_start = false,
+        let Some(current) = &mut self.current else {
+            self.is_healthy_at_start = false;
+            return self.note_departed(now, gone);
+        };
+        if departure_ends(gone, &current.incarnation) {
+            current.is_leaving = true;
+            current.has_departed = true;
+            let is_named = gone.started_at_ms.is_some();
+            let ended = if is_named { gone } else { &current.incarnation }.clone();
+            return remember(&mut self.departed, ended);
+        }
+        match gone.compare(&current.incarnation) {
+            StartOrder::Earlier => remember(&mut self.departed, gone.clone()),
+            _ => self.note_departed(now, gone),
         }
-        remember(&mut self.departed, ended.clone());
     }
 
-    /// Records the answer to a health check, made before the back end has sent a heartbeat.
-    pub(crate) fn take_health(&mut self, is_healthy: bool) {
-        self.is_healthy_at_start = is_healthy;
+    /// Remembers the departure of a start other than the current one.
+    fn note_departed(&mut self, now: Duration, gone: &Incarnation) {
+        if self.current.is_none() {
+            self.readiness.verify(now);
+        }
+        remember(&mut self.departed, gone.clone());
+    }
+
+    /// Records that the back end's health page, requested during a verification, answered that the
+    /// back end takes flows.
+    pub(crate) fn take_healthy(&mut self, verification: u32) {
+        let is_current = self.readiness.note_healthy(verification);
+        // After a departure notice only the heartbeat of another start counts.
+        self.is_healthy_at_start = is_current && self.departed.is_empty();
+    }
+
+    /// The verification that a health check is needed for, if any.
+    pub(crate) fn health_check(&self) -> Option<u32> {
+        let is_unknown = self.condition() == BackendCondition::Unknown;
+        (is_unknown || !self.readiness.is_verified()).then(|| self.readiness.verification())
     }
 
     pub(crate) fn condition(&self) -> BackendCondition {
@@ -259,6 +288,7 @@
             self.unconfirmed.as_ref().is_some_and(|unconfirmed| unconfirmed.is_leaving);
         match &self.current {
             Some(current) if current.is_leaving || unconfirmed_leaves => BackendCondition::Leaving,
+            Some(_) if !self.readiness.is_verified() => BackendCondition::Unverified,
             Some(_) => BackendCondition::Accepting,
             None if self.is_healthy_at_start => BackendCondition::Accepting,
             None => BackendCondition::Unknown,
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -31,6 +31,7 @@
 mod policy;
 mod pool;
 mod rank;
+mod readiness;
 mod retained_evacuations;
 mod segment;
 mod store_status;
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -59,6 +59,8 @@
     Ended,
     /// It would accept new flows, but its zone is evacuated.
     Evacuated,
+    /// It has reported that it takes new flows, but that report may be outdated.
+    Unverified,
 }
 
 /// An agent's load report; only the agent itself knows these figures.
@@ -115,7 +117,7 @@
     Busy,
     /// The back end returned the SYN.
     Returned,
-    /// The back end is leaving, does not respond, or has not reported yet.
+    /// The back end is leaving, does not respond, or has not reported reliably yet.
     NotAccepting,
     /// The back end belongs to another service.
     OtherService,
--- a/crates/carried/tests/incarnations.rs
+++ b/crates/carried/tests/incarnations.rs
@@ -60,7 +60,7 @@
 
 #[test]
 fn an_agent_that_started_after_the_crash_takes_either_start_first() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     assert_eq!(
         receive(&mut agent, 10, STARTS_MS[0], 40, true),
         ReportOutcome::Updated,
@@ -73,7 +73,7 @@
 
 #[test]
 fn late_heartbeats_of_the_previous_start_change_nothing() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, STARTS_MS[1], 1, true);
     for (at, sequence) in [(400, 80), (1_000, 81), (2_200, 82)] {
         assert_eq!(receive(&mut agent, at, STARTS_MS[0], sequence, false), ReportOutcome::Outdated);
@@ -91,7 +91,7 @@
 
 #[test]
 fn leaving_ends_with_the_start_that_reported_it() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, STARTS_MS[0], 5, false);
     assert!(!takes_flows(&mut agent, 20, 1));
     receive(&mut agent, 10 + PERIOD_MS, STARTS_MS[0], 6, true);
@@ -105,7 +105,7 @@
 
 #[test]
 fn a_departure_notice_ends_the_named_start_and_earlier_ones() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, STARTS_MS[1], 5, true);
     agent.take_departure(milliseconds(20), &start_at(STARTS_MS[0]));
     assert!(takes_flows(&mut agent, 30, 1), "the notice names the previous start");
@@ -119,7 +119,7 @@
 
 #[test]
 fn a_departure_notice_without_a_start_time_means_the_known_start() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, STARTS_MS[0], 5, true);
     agent.take_departure(milliseconds(20), &departed("one"));
     assert!(!takes_flows(&mut agent, 30, 1));
@@ -130,7 +130,7 @@
 
 #[test]
 fn a_report_without_a_start_time_is_ignored_if_the_known_start_has_one() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, STARTS_MS[0], 5, true);
     let foreign = report("one", 99, false);
     assert_eq!(agent.take_report(milliseconds(20), &foreign), ReportOutcome::Outdated);
@@ -140,7 +140,7 @@
 
 #[test]
 fn a_back_end_without_start_times_is_identified_by_its_id() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     agent.take_report(milliseconds(10), &report("one", 5, true));
     let earlier = report("one", 3, false);
     assert_eq!(agent.take_report(milliseconds(20), &earlier), ReportOutcome::Outdated);
@@ -151,7 +151,7 @@
 
 #[test]
 fn after_two_crashes_within_a_heartbeat_the_third_start_counts() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, STARTS_MS[0], 12, true);
     assert_eq!(receive(&mut agent, 500, STARTS_MS[2], 1, true), ReportOutcome::Started);
     assert_eq!(receive(&mut agent, 510, STARTS_MS[1], 1, true), ReportOutcome::Outdated);
@@ -160,7 +160,7 @@
 
 #[test]
 fn a_start_whose_clock_was_set_back_serves_once_no_late_heartbeat_can_be_in_flight() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 0, STARTS_MS[1], 30, true);
     let outcomes: Vec<ReportOutcome> = (1..=5)
         .map(|sequence| receive(&mut agent, sequence * PERIOD_MS, STARTS_MS[0], sequence, true))
@@ -174,7 +174,7 @@
 
 #[test]
 fn a_request_in_flight_at_the_crash_is_not_run_again() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, STARTS_MS[0], 5, true);
     open(&mut agent, milliseconds(20), 1, 500);
     let request = packet(&data(1, 101, 501));
@@ -194,7 +194,7 @@
 
 #[test]
 fn a_heartbeat_of_another_service_is_ignored() {
-    let mut agent = agent(false);
+    let mut agent = agent(true);
     let foreign = |sequence| BackendReport {
         service: "sheets".to_owned(),
         ..heartbeat(&start_at(STARTS_MS[2]), sequence, true)
@@ -227,7 +227,7 @@
 #[test]
 fn in_whatever_order_reports_of_three_starts_arrive_the_last_start_decides() {
     check_fixed_seeds(|input| {
-        let mut agent = agent(false);
+        let mut agent = restarted_agent();
         let mut now = 10;
         let mut is_last_leaving = false;
         let mut last_sequence = 0;
@@ -247,6 +247,10 @@
                     last_sequence = if counts { sequence } else { last_sequence };
                 }
             }
+            if !is_last_leaving {
+                // The page is that of the last start, which is the live one.
+                answer_health_check(&mut agent, milliseconds(now));
+            }
             if last_sequence > 0 {
                 let takes = takes_flows(&mut agent, now, now as u16);
                 assert_eq!(takes, !is_last_leaving, "after {kind:?} of start {start}");
--- a/crates/carried/tests/late_heartbeats.rs
+++ b/crates/carried/tests/late_heartbeats.rs
@@ -27,7 +27,7 @@
 
 #[test]
 fn a_late_heartbeat_of_an_unknown_start_does_not_replace_the_live_one() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, "living", 5, true);
     assert_eq!(receive(&mut agent, 400, "crashed", 37, true), ReportOutcome::Unconfirmed);
     for round in 1..=3 {
@@ -39,7 +39,7 @@
 
 #[test]
 fn a_late_heartbeat_taken_for_the_live_start_is_corrected_within_two_heartbeats() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, "crashed", 37, true);
     assert_eq!(receive(&mut agent, 300, "living", 5, true), ReportOutcome::Unconfirmed);
     assert_eq!(receive(&mut agent, 300 + PERIOD_MS, "living", 6, true), ReportOutcome::Started);
@@ -48,7 +48,7 @@
 
 #[test]
 fn several_heartbeats_delayed_together_count_no_more_than_one() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, "living", 5, true);
     for (at, sequence) in [(400, 36), (410, 37), (430, 38)] {
         assert_eq!(receive(&mut agent, at, "crashed", sequence, true), ReportOutcome::Unconfirmed);
@@ -58,7 +58,7 @@
 
 #[test]
 fn a_late_first_heartbeat_of_a_crashed_start_replaces_the_live_one_for_two_heartbeats_at_most() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, "living", 5, true);
     receive(&mut agent, 400, "crashed", 1, true);
     receive(&mut agent, 10 + PERIOD_MS, "living", 6, true);
@@ -68,7 +68,7 @@
 
 #[test]
 fn no_late_heartbeat_cancels_the_leaving_of_a_live_start() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, "leaving", 5, false);
     for (at, id, sequence) in [(20, "crashed", 37), (30, "other", 1)] {
         assert_eq!(receive(&mut agent, at, id, sequence, true), ReportOutcome::Unconfirmed);
@@ -78,7 +78,7 @@
 
 #[test]
 fn a_start_that_reports_leaving_gets_no_new_flows_even_while_unconfirmed() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, "crashed", 37, true);
     assert!(takes_flows(&mut agent, 11, 1));
     receive(&mut agent, 300, "leaving", 5, false);
@@ -87,7 +87,7 @@
 
 #[test]
 fn a_new_start_is_accepted_at_its_first_heartbeat() {
-    let mut agent = agent(false);
+    let mut agent = restarted_agent();
     receive(&mut agent, 10, "first", 40, true);
     assert_eq!(receive(&mut agent, 2_000, "second", 1, true), ReportOutcome::Started);
     // The same holds after a planned shutdown.
--- a/crates/carried/tests/lost_flows.rs
+++ b/crates/carried/tests/lost_flows.rs
@@ -28,7 +28,7 @@
 /// An agent that has received its back end's first heartbeat, with an open flow that has no
 /// outstanding request.
 fn agent_with_flow() -> CarriedAgent {
-    let mut agent = agent(false);
+    let mut agent = agent(true);
     agent.take_report(milliseconds(0), &report("one", 1, true));
     open(&mut agent, milliseconds(1), 1, 500);
     agent.handle_peer(milliseconds(2), balancer_address(), &forward(1, 91));
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -88,6 +88,21 @@
     CarriedAgent::new(settings, PlainFormat)
 }
 
+/// An agent whose process was replaced beside a back end that takes flows, as its health page says.
+pub fn restarted_agent() -> CarriedAgent {
+    let mut agent = agent(false);
+    agent.adopt(Duration::ZERO, configuration(1, Vec::new()));
+    answer_health_check(&mut agent, Duration::ZERO);
+    agent
+}
+
+/// Has the back end's health page answer that the back end takes flows, if the agent asks for it.
+pub fn answer_health_check(agent: &mut CarriedAgent, now: Duration) {
+    if let Some((check, _)) = agent.health_check() {
+        agent.take_healthy(now, check);
+    }
+}
+
 pub fn report(id: &str, sequence: u64, is_ready: bool) -> BackendReport {
     BackendReport {
         incarnation: Incarnation::without_start_time(id),
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -3,10 +3,12 @@
 mod backends;
 mod callers;
 mod faults;
+mod health;
 mod nodes;
 mod processor;
 mod store;
 
+use self::health::HealthCheck;
 pub(super) use self::processor::Inbox;
 use self::store::Store;
 use super::backend::{Reaction, SHUTDOWN_DELAY, SimulatedBackend};
@@ -180,6 +182,7 @@
         agent: usize,
         incarnation: u64,
     },
+    HealthChecked(HealthCheck),
     /// An event that waited in a frozen node's sockets; lost if the process ended meanwhile.
     Deferred {
         node: usize,
@@ -325,6 +328,7 @@
             Event::ReadStore { node, incarnation } => self.read_store(node, incarnation),
             Event::Snapshot { from, to, incarnation } => self.send_snapshot(from, to, incarnation),
             Event::BackendProbed { agent, incarnation } => self.handle_probe(agent, incarnation),
+            Event::HealthChecked(check) => self.finish_health_check(check),
             Event::Deferred { node, incarnation, event } => {
                 if self.nodes[node].incarnation == incarnation && self.nodes[node].core.is_some() {
                     let since = self.nodes[node].frozen_since;
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -13,6 +13,7 @@
         process.knows_members = false;
         process.watch_hangs_until = Duration::ZERO;
         process.inbox = Inbox::default();
+        process.health_check = None;
         let incarnation = process.incarnation;
         let node_description = self.describe(node, incarnation);
         let format = PlainFormat;
@@ -133,6 +134,7 @@
                 }
             }
         }
+        self.check_health_if_needed(node);
         if let Some(next) = self.nodes[node].next_timeout() {
             self.schedule_wake(node, next.max(self.now + MIN_TIMER_DELAY));
         }
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -1,6 +1,6 @@
 //! Adapts the agent's core to the [`Core`] trait that the driver uses.
 
-use crate::command::{CoreMetrics, MemberUpdate, NodeStatus};
+use crate::command::{CoreMetrics, HealthCheck, MemberUpdate, NodeStatus};
 use crate::core::Core;
 use loftdrift_carried::{
     BackendReport, CarriedAgent, CarriedConfiguration, Incarnation, Output, ProbeOutcome,
@@ -68,14 +68,16 @@
     }
 
     fn status(&self, now: Duration) -> NodeStatus {
-        let backend_unknown = !self.agent.knows_backend();
         NodeStatus {
             is_ready: true,
             is_drained: self.agent.is_drained(now),
             backend_ended: self.agent.backend_has_ended(),
             configuration: self.agent.configuration_version(),
             watches_store: false,
-            health_path: self.agent.health_path().filter(|_| backend_unknown).map(str::to_owned),
+            health_check: self
+                .agent
+                .health_check()
+                .map(|(number, path)| HealthCheck { number, path: path.to_owned() }),
         }
     }
 
@@ -103,8 +105,8 @@
         self.agent.take_departure(now, departed);
     }
 
-    fn handle_health(&mut self, now: Duration, is_healthy: bool) {
-        self.agent.take_health(now, is_healthy);
+    fn handle_healthy(&mut self, now: Duration, check: u32) {
+        self.agent.take_healthy(now, check);
     }
 
     fn handle_probe(&mut self, now: Duration, outcome: ProbeOutcome) {
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -80,7 +80,7 @@
             backend_ended: false,
             configuration: self.balancer.configuration_version(),
             watches_store: self.balancer.watches_store(now),
-            health_path: None,
+            health_check: None,
         }
     }
 
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -30,8 +30,9 @@
     BackendDeparture(Incarnation, oneshot::Sender<()>),
     /// A request of the back end could not be parsed.
     UnreadableRequest,
-    /// The back end's health page has answered: whether it is healthy.
-    BackendHealth(bool),
+    /// The back end's health page has answered that the back end takes flows; with the number of
+    /// the health check.
+    BackendHealthy(u32),
     /// Result of an attempt to connect to the back end.
     ProbeFinished(ProbeOutcome),
     /// Whether the shared store has answered this node. Whatever it returned was sent to the core
@@ -73,6 +74,15 @@
     pub configuration: Version,
     /// Whether this node should watch the shared store for newer configurations.
     pub watches_store: bool,
-    /// Path of the back end's health page, while its health is still unknown to the agent.
-    pub health_path: Option<String>,
+    /// The health check of the back end that the agent needs.
+    pub health_check: Option<HealthCheck>,
+}
+
+/// A health check that an agent's core needs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HealthCheck {
+    /// Distinguishes it from earlier ones.
+    pub number: u32,
+    /// Path of the back end's health page.
+    pub path: String,
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -31,7 +31,7 @@
 mod snapshots;
 mod store_reader;
 
-pub use command::{Command, CoreMetrics, MemberUpdate, NodeStatus};
+pub use command::{Command, CoreMetrics, HealthCheck, MemberUpdate, NodeStatus};
 pub use configuration_follower::ConfigurationFollower;
 pub use member_audit::run as audit_members;
 pub use request_decoder::{Request, RequestDecoder, RequestKind};
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -130,7 +130,8 @@
         caller_port: role.caller_port,
     };
     let mut node = NodeTasks::start(&settings, core, role.outbound).await?;
-    let health_check = health::check(role.backend, node.status.clone(), node.commands.clone());
+    let health_check =
+        health::check_when_needed(role.backend, node.status.clone(), node.commands.clone());
     node.tasks.spawn(health_check);
     node.run(settings, decoder, store, Some(role.control)).await
 }
