A start that only may be later than one that leaves is verified before it gets flows

Cause: two late heartbeats of the start before, 1.2 s apart, counted as proof that this one lives, since a start that is heard twice replaces the known one. The known one had said that it leaves and got that acknowledged; that was forgotten with it.

Change: a start replaces one that leaves only under verification (the health page, or a heartbeat 5 s later), unless its start time shows that it is the later one. Starts that replace one in service are accepted as before.

Ruled out: refusing former starts for good. An agent that took a late heartbeat for the current start would refuse the live one.

Test: late_heartbeats_of_the_start_before_do_not_revoke_a_departure, red without the verification in replace_current. a_new_start_is_accepted_at_its_first_heartbeat demanded flows at the first heartbeat after a departure, which may be a late one of a start before; it now demands none before the health page has answered, and flows after.

--- a/crates/carried/src/backend.rs
+++ b/crates/carried/src/backend.rs
@@ -153,7 +153,7 @@
                 self.set_current(now, report, was_leaving);
                 ReportOutcome::Updated
             }
-            StartOrder::Later => self.replace_current(now, report),
+            StartOrder::Later => self.replace_current(now, report, true),
             StartOrder::Earlier => self.take_backdated(now, report),
             StartOrder::MissingStartTime => ReportOutcome::Outdated,
             StartOrder::OtherId => self.take_other_id(now, report),
@@ -170,7 +170,7 @@
             set_unconfirmed(&mut self.unconfirmed, now, report);
             return ReportOutcome::Unconfirmed;
         }
-        self.replace_current(now, report)
+        self.replace_current(now, report, false)
     }
 
     /// Handles a heartbeat with the current start's id and an earlier start time. If it is received
@@ -186,14 +186,24 @@
             is_same && report.sequence > earlier.sequence && is_late
         });
         if is_alive {
-            return self.replace_current(now, report);
+            return self.replace_current(now, report, true);
         }
         set_unconfirmed(&mut self.backdated, now, report);
         ReportOutcome::Outdated
     }
 
-    /// Replaces the current start by the one that sent `report`.
-    fn replace_current(&mut self, now: Duration, report: &BackendReport) -> ReportOutcome {
+    /// Replaces the current start by the one that sent `report`. `is_later`: it is certain that
+    /// this one started later. Otherwise the report may be a delayed one of a start before, and if
+    /// the current start leaves, nothing else shows that the back end takes flows again.
+    fn replace_current(
+        &mut self,
+        now: Duration,
+        report: &BackendReport,
+        is_later: bool,
+    ) -> ReportOutcome {
+        if !is_later && self.condition() == BackendCondition::Leaving {
+            self.readiness.verify(now);
+        }
         if let Some(current) = self.current.take() {
             remember(&mut self.previous, current.incarnation);
         }
--- a/crates/carried/tests/late_heartbeats.rs
+++ b/crates/carried/tests/late_heartbeats.rs
@@ -94,10 +94,12 @@
     receive(&mut agent, 3_000, "second", 2, false);
     agent.take_departure(milliseconds(8_000), &departed("second"));
     assert_eq!(receive(&mut agent, 8_500, "third", 1, true), ReportOutcome::Started);
+    assert!(!takes_flows(&mut agent, 8_500, 1), "it may be a late one of a start before");
+    answer_health_check(&mut agent, milliseconds(8_510));
     assert_eq!(
         receive(&mut agent, 8_600, "second", 3, true),
         ReportOutcome::Outdated,
         "it has departed"
     );
-    assert!(takes_flows(&mut agent, 8_700, 1));
+    assert!(takes_flows(&mut agent, 8_700, 2));
 }
--- a/crates/carried/tests/readiness.rs
+++ b/crates/carried/tests/readiness.rs
@@ -58,3 +58,19 @@
     assert!(takes_flows(&mut agent, 13));
     assert_eq!(agent.health_check(), None, "one answer is enough");
 }
+
+/// Guards against new flows to a departed back end: two late heartbeats of the start before it made
+/// that one the current start again.
+#[test]
+fn late_heartbeats_of_the_start_before_do_not_revoke_a_departure() {
+    let mut agent = agent(true);
+    receive(&mut agent, 0, "former", 5);
+    receive(&mut agent, 2_000, "departing", 1);
+    receive(&mut agent, 3_200, "departing", 2);
+    depart(&mut agent, 4_000, "departing");
+    for (at, sequence) in [(4_500, 6), (5_700, 7)] {
+        receive(&mut agent, at, "former", sequence);
+        assert!(!takes_flows(&mut agent, at + 1), "heartbeat {sequence}");
+    }
+    assert!(!takes_flows(&mut agent, 14_000));
+}
