A departure notice of a start that was not heard stops new flows until verified

Cause: a notice that named neither the known start nor an earlier one was remembered and had no effect on what is in force.

Change: such a notice begins a verification. A late notice of a start that is long over costs one health check, and nothing where the start times show that it is over or the notice was heard before. A health check that was requested before the notice does not end it.

Tests: a_departure_notice_of_a_start_that_was_not_heard_stops_new_flows and a_health_check_that_was_requested_before_a_departure_notice_does_not_count, both red without the verification in note_departed.

--- a/crates/carried/src/backend.rs
+++ b/crates/carried/src/backend.rs
@@ -271,12 +271,13 @@
         }
     }
 
-    /// Remembers the departure of a start other than the current one.
+    /// Remembers the departure of a start that is not known to be the current one or an earlier
+    /// one: it may be the live one.
     fn note_departed(&mut self, now: Duration, gone: &Incarnation) {
-        if self.current.is_none() {
+        if !self.departed.contains(gone) {
             self.readiness.verify(now);
+            remember(&mut self.departed, gone.clone());
         }
-        remember(&mut self.departed, gone.clone());
     }
 
     /// Records that the back end's health page, requested during a verification, answered that the
--- a/crates/carried/tests/readiness.rs
+++ b/crates/carried/tests/readiness.rs
@@ -59,6 +59,19 @@
     assert_eq!(agent.health_check(), None, "one answer is enough");
 }
 
+#[test]
+fn a_health_check_that_was_requested_before_a_departure_notice_does_not_count() {
+    let mut agent = agent(false);
+    agent.adopt(milliseconds(5), configuration(1, Vec::new()));
+    receive(&mut agent, 10, "one", 6);
+    let (before, _) = agent.health_check().expect("the state of the back end is not known");
+    depart(&mut agent, 20, "two");
+    agent.take_healthy(milliseconds(30), before);
+    assert!(!takes_flows(&mut agent, 31));
+    answer_health_check(&mut agent, milliseconds(40));
+    assert!(takes_flows(&mut agent, 41), "the notice was another start's");
+}
+
 /// Guards against new flows to a departed back end: two late heartbeats of the start before it made
 /// that one the current start again.
 #[test]
@@ -74,3 +87,17 @@
     }
     assert!(!takes_flows(&mut agent, 14_000));
 }
+
+/// Guards against new flows to a departed back end whose only heartbeat had not arrived: the start
+/// before it stayed in force.
+#[test]
+fn a_departure_notice_of_a_start_that_was_not_heard_stops_new_flows() {
+    let mut agent = agent(true);
+    receive(&mut agent, 0, "former", 5);
+    depart(&mut agent, 1_000, "departing");
+    assert!(!takes_flows(&mut agent, 1_001));
+    receive(&mut agent, 2_000, "former", 6);
+    assert!(!takes_flows(&mut agent, 2_001), "a late heartbeat");
+    receive(&mut agent, 1_000 + MAX_DELAY_MS, "former", 10);
+    assert!(takes_flows(&mut agent, 1_001 + MAX_DELAY_MS), "it lives: the notice was late");
+}
