A late heartbeat of the known start does not revoke the leaving of an unconfirmed one

Cause: any heartbeat of the known start clears the unconfirmed one, with its leaving; the heartbeat may have been sent before that one began.

Change: clearing a start that leaves begins a verification, counted from its last heartbeat.

Tests: a_late_heartbeat_of_the_current_start_does_not_revoke_the_leaving_of_an_unconfirmed_one, red without it.

--- a/crates/carried/src/backend.rs
+++ b/crates/carried/src/backend.rs
@@ -100,7 +100,9 @@
 struct UnconfirmedStart {
     incarnation: Incarnation,
     sequence: u64,
+    /// When its first and its last heartbeat arrived.
     first_received: Duration,
+    received_at: Duration,
     is_leaving: bool,
     cold_until: Duration,
 }
@@ -230,7 +232,11 @@
     }
 
     fn set_current(&mut self, now: Duration, report: &BackendReport, was_leaving: bool) {
-        self.unconfirmed = None;
+        let other = self.unconfirmed.take().filter(|start| start.incarnation != report.incarnation);
+        if let Some(leaving) = other.filter(|start| start.is_leaving) {
+            // The report may have been sent before the other start began.
+            self.readiness.verify(leaving.received_at);
+        }
         if self.current.as_ref().is_none_or(|current| current.incarnation != report.incarnation) {
             self.backdated = None;
         }
@@ -345,6 +351,7 @@
         incarnation: report.incarnation.clone(),
         sequence: report.sequence,
         first_received,
+        received_at: now,
         is_leaving: !report.is_ready,
         cold_until: now + report.warm_up_left,
     });
--- a/crates/carried/tests/readiness.rs
+++ b/crates/carried/tests/readiness.rs
@@ -4,8 +4,11 @@
 mod support;
 
 use loftdrift_carried::{Admission, CarriedAgent, ReportOutcome};
+use loftdrift_testkit::check_fixed_seeds;
 use support::*;
 
+/// Milliseconds between two heartbeats of a live start.
+const PERIOD_MS: u64 = 1_200;
 /// Heartbeats are delayed by less than this.
 const MAX_DELAY_MS: u64 = 5_000;
 
@@ -101,3 +104,153 @@
     receive(&mut agent, 1_000 + MAX_DELAY_MS, "former", 10);
     assert!(takes_flows(&mut agent, 1_001 + MAX_DELAY_MS), "it lives: the notice was late");
 }
+
+/// Guards against new flows to a draining back end in the time until its next heartbeat.
+#[test]
+fn a_late_heartbeat_of_the_current_start_does_not_revoke_the_leaving_of_an_unconfirmed_one() {
+    let mut agent = agent(true);
+    receive(&mut agent, 0, "former", 5);
+    agent.take_report(milliseconds(1_000), &report("draining", 4, false));
+    assert!(!takes_flows(&mut agent, 1_001));
+    receive(&mut agent, 1_500, "former", 6);
+    assert!(!takes_flows(&mut agent, 1_501));
+}
+
+/// One start of a back end in a drawn timeline.
+#[derive(Clone, Debug)]
+struct Start {
+    id: String,
+    begins: u64,
+    /// When it says that it leaves: at once with a departure notice, or first by draining.
+    leaves: Option<(u64, bool)>,
+    ends: u64,
+}
+
+impl Start {
+    fn takes_flows(&self, now: u64) -> bool {
+        let is_leaving = self.leaves.is_some_and(|(at, _)| at <= now);
+        self.begins <= now && now < self.ends && !is_leaving
+    }
+}
+
+/// A message of a back end and when it arrives.
+#[derive(Clone, Debug)]
+struct Arrival {
+    at: u64,
+    start: usize,
+    sequence: u64,
+    kind: Kind,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    Ready,
+    Draining,
+    Departure,
+}
+
+/// The messages of one start, each with its delay from `delay`.
+fn arrivals(
+    number: usize,
+    start: &Start,
+    mut delay: impl FnMut() -> arbtest::arbitrary::Result<u64>,
+) -> arbtest::arbitrary::Result<Vec<Arrival>> {
+    let mut arrivals = Vec::new();
+    let (leaves, departs_first) = start.leaves.unwrap_or((start.ends, true));
+    let sent_at = (start.begins + 50..start.ends).step_by(PERIOD_MS as usize);
+    for (sequence, sent) in (1..).zip(sent_at) {
+        if sent >= leaves && departs_first {
+            break;
+        }
+        let kind = if sent >= leaves { Kind::Draining } else { Kind::Ready };
+        arrivals.push(Arrival { at: sent + delay()?, start: number, sequence, kind });
+    }
+    if start.leaves.is_some() && departs_first {
+        let at = leaves + delay()?;
+        arrivals.push(Arrival { at, start: number, sequence: 0, kind: Kind::Departure });
+    }
+    Ok(arrivals)
+}
+
+/// Guards against the whole class: whatever is late, and however often the agent's process is
+/// replaced, a live back end that has said that it leaves, and got that acknowledged, gets no new
+/// flow; and one that takes flows gets them again once nothing late can be under way.
+#[test]
+fn no_order_of_late_reports_and_restarts_revokes_an_acknowledged_leaving() {
+    check_fixed_seeds(|input| {
+        let mut starts: Vec<Start> = Vec::new();
+        let mut begins = 0;
+        for number in 0..input.int_in_range(1..=3)? {
+            let leaves_at = begins + input.int_in_range(300..=4_000)?;
+            let leaves =
+                if input.arbitrary()? { Some((leaves_at, input.arbitrary()?)) } else { None };
+            let ends = leaves_at + input.int_in_range(0..=9_000)?;
+            starts.push(Start { id: format!("start-{number}"), begins, leaves, ends });
+            begins = ends + input.int_in_range(100..=800)?;
+        }
+        // What is late arrives within one such delay, and is in doubt for another one.
+        let end = begins + 2 * (MAX_DELAY_MS + PERIOD_MS);
+        starts.push(Start { id: "last".to_owned(), begins, leaves: None, ends: end });
+        let answers_health: bool = input.arbitrary()?;
+        let mut messages = Vec::new();
+        for (number, start) in starts.iter().enumerate() {
+            let is_last = number + 1 == starts.len();
+            messages.extend(arrivals(number, start, || {
+                let is_late = !is_last && input.ratio(2, 3)?;
+                input.int_in_range(1..=if is_late { MAX_DELAY_MS - 1 } else { 20 })
+            })?);
+        }
+        let kills: Vec<u64> = (0..input.int_in_range(0..=3)?)
+            .map(|_| input.int_in_range(100..=begins.max(200)))
+            .collect::<Result<_, _>>()?;
+        play(&starts, messages, &kills, answers_health);
+        Ok(())
+    });
+}
+
+/// Runs an agent through a timeline, and checks after each 100 ms what it accepts.
+fn play(starts: &[Start], mut messages: Vec<Arrival>, kills: &[u64], answers_health: bool) {
+    const STEP_MS: u64 = 100;
+    messages.sort_by_key(|message| message.at);
+    let mut messages = messages.into_iter().peekable();
+    let end = starts.last().expect("at least one start").ends;
+    let mut process_began = 0;
+    let mut agent = new_process(true);
+    let mut acknowledged: Vec<bool> = vec![false; starts.len()];
+    for step in (0..end).step_by(STEP_MS as usize) {
+        if kills.iter().any(|kill| (step..step + STEP_MS).contains(kill)) {
+            process_began = step;
+            agent = new_process(false);
+        }
+        let now = |at: u64| at.saturating_sub(process_began);
+        while let Some(message) = messages.next_if(|message| message.at < step + STEP_MS) {
+            let Arrival { at, start, sequence, kind } = message;
+            let id = starts[start].id.as_str();
+            match kind {
+                Kind::Departure => depart(&mut agent, now(at), id),
+                _ => {
+                    let report = report(id, sequence, kind == Kind::Ready);
+                    agent.take_report(milliseconds(now(at)), &report);
+                }
+            }
+            acknowledged[start] |= kind != Kind::Ready;
+        }
+        let at = step + STEP_MS;
+        let live = starts.iter().position(|start| start.begins <= at && at < start.ends);
+        let is_ready = live.is_some_and(|live| starts[live].takes_flows(at));
+        if answers_health && is_ready {
+            answer_health_check(&mut agent, milliseconds(now(at)));
+        }
+        if let Some(live) = live.filter(|live| acknowledged[*live]) {
+            assert!(!takes_flows(&mut agent, now(at)), "at {at}: {:?}", starts[live]);
+        }
+    }
+    assert!(takes_flows(&mut agent, end - process_began), "the last start takes flows");
+}
+
+/// An agent's process with a configuration.
+fn new_process(is_first_start: bool) -> CarriedAgent {
+    let mut agent = agent(is_first_start);
+    agent.adopt(milliseconds(0), configuration(1, Vec::new()));
+    agent
+}
