A first heartbeat counts as that of a new back end only if it cannot be a late one

A back end is added, its first heartbeat comes seconds late, its agent is stopped and started meanwhile, and that heartbeat is the first one that the new process receives.

Cause: heartbeat number 1 as the first one heard was taken as proof that the back end had started while this process ran, so that no earlier process had placed flows there. The number says nothing of when it was sent; flows may also be placed after a health check, before any heartbeat.

Change: it counts from 6.5 s after the process's start on: 5 s that a heartbeat may be late and 1.5 s in which a live back end has sent its first one. It also counts if the port refused connections before. Otherwise the agent knows its flows in part, and packets of unknown ones are given to the back end on trial.

Ruled out: the heartbeat after it (1 followed by 2): both may be equally late.

Tests: a_flow_is_reported_absent_only_if_the_back_end_has_certainly_started_since, red before at 10 ms and 6,499 ms. Two tests demanded the fault and are replaced by as strict ones: after_both_restarted_the_flow_is_reported_absent now has the back end return the packet first; an_agent_presumes_to_know_... demands Complete at 6,500 ms and Partial at 6,499.

--- a/crates/carried/src/agent/backend_probe.rs
+++ b/crates/carried/src/agent/backend_probe.rs
@@ -76,6 +76,11 @@
         self.unanswered_since.get_or_insert(now);
     }
 
+    /// Whether the back end's port has refused connections and nothing was received since.
+    pub(super) fn is_refused(&self) -> bool {
+        self.refusals >= REFUSALS_UNTIL_ENDED
+    }
+
     /// Whether the agent's stop has to wait for the outcome of a probe.
     pub(super) fn delays_stop(&self) -> bool {
         self.is_urgent && !self.has_ended
--- a/crates/carried/src/agent/lookups.rs
+++ b/crates/carried/src/agent/lookups.rs
@@ -13,7 +13,7 @@
 
 /// A live back end has sent a heartbeat by this time after its agent's start. Until then an agent
 /// that has received none answers lookups of unknown flows with [`FlowStatus::NotReady`].
-const FIRST_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
+pub(super) const FIRST_REPORT_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 impl<F: SegmentFormat> CarriedAgent<F> {
     /// Answers a balancer that asks whether this back end holds certain flows.
--- a/crates/carried/src/agent/reports.rs
+++ b/crates/carried/src/agent/reports.rs
@@ -1,13 +1,17 @@
 //! Handles what the back end, or a sender that claims to be it, reports about itself.
 
+use super::lookups::FIRST_REPORT_TIMEOUT;
 use super::*;
 use crate::backend::{BackendReport, ReportOutcome};
 use crate::incarnation::Incarnation;
+use crate::readiness::MAX_HEARTBEAT_DELAY;
 
-/// Sequence number of a back end's first heartbeat. A back end whose first heartbeat this process
-/// receives has started while this process ran, so no earlier process of the agent placed flows
-/// there.
+/// Sequence number of a back end's first heartbeat.
 const FIRST_SEQUENCE: u64 = 1;
+/// A first heartbeat that arrives this long after the process's start is that of a back end that
+/// started later than the process: an earlier one has sent its first heartbeat before, within
+/// [`FIRST_REPORT_TIMEOUT`] after its own start, and no heartbeat takes longer to arrive.
+const MIN_FIRST_REPORT_UPTIME: Duration = MAX_HEARTBEAT_DELAY.saturating_add(FIRST_REPORT_TIMEOUT);
 /// If back end and agent restart together, after a power failure of the machine, the back end sends
 /// its first heartbeat before this process listens. The next ones follow at once: one with a
 /// sequence number up to this ...
@@ -35,7 +39,7 @@
                 "backend_heard"
             );
         }
-        if is_first && report.sequence <= FIRST_SEQUENCE {
+        if is_first && self.has_started_since(now, report) {
             self.may_miss_flows = false;
             self.backend_started_at = Some(now);
             self.cold_rate_limit.clear_restart_block();
@@ -85,6 +89,14 @@
         }
     }
 
+    /// Whether it is certain that the back end, whose first heartbeat to be received this is, has
+    /// started while this process ran, so that no earlier process of the agent placed flows there:
+    /// its port was closed before, or this is its very first heartbeat and not a late one.
+    fn has_started_since(&self, now: Duration, report: &BackendReport) -> bool {
+        let is_certain = self.settings.is_first_start || now >= MIN_FIRST_REPORT_UPTIME;
+        self.probe.is_refused() || (is_certain && report.sequence <= FIRST_SEQUENCE)
+    }
+
     /// Whether the back end, whose first heartbeat this is, seems to have started together with
     /// this process.
     fn seems_started_together(&self, now: Duration, report: &BackendReport) -> bool {
--- a/crates/carried/tests/lookups_after_restart.rs
+++ b/crates/carried/tests/lookups_after_restart.rs
@@ -248,10 +248,11 @@
 fn an_agent_presumes_to_know_every_flow_of_a_cold_back_end_that_reports_at_once() {
     let first = heartbeat(1, 2_000);
     assert_eq!(
-        flow_knowledge_after(900, &first),
+        flow_knowledge_after(6_500, &first),
         FlowKnowledge::Complete,
-        "the very first heartbeat"
+        "the very first heartbeat, sent after the process's start"
     );
+    assert_eq!(flow_knowledge_after(6_499, &first), FlowKnowledge::Partial, "it may be late");
     assert_eq!(flow_knowledge_after(40, &heartbeat(2, 1_950)), FlowKnowledge::PresumedComplete);
     assert_eq!(
         flow_knowledge_after(40, &heartbeat(2, 0)),
--- a/crates/carried/tests/lost_flows.rs
+++ b/crates/carried/tests/lost_flows.rs
@@ -86,8 +86,9 @@
     assert_eq!((sent_to_backend(&after), resets(&after)), (0, 0));
 }
 
+/// The heartbeat may be a late one, and an earlier process may have placed flows since it was sent.
 #[test]
-fn after_both_restarted_the_flow_is_reported_absent() {
+fn after_a_first_heartbeat_that_may_be_late_the_back_end_decides_about_the_flow() {
     let mut agent = agent(false);
     agent.handle_peer(milliseconds(1), balancer_address(), &lookup(1, 501));
     assert_eq!(
@@ -97,9 +98,34 @@
     );
     agent.take_report(milliseconds(10), &report("two", 1, true));
     agent.handle_peer(milliseconds(11), balancer_address(), &lookup(1, 501));
+    assert_eq!(outputs(&mut agent), [replies(1, FlowStatus::Unknown)]);
+    agent.handle_peer(milliseconds(12), balancer_address(), &forward(1, 101));
+    assert_eq!(sent_to_backend(&outputs(&mut agent)), 1);
+    agent.handle_backend(milliseconds(13), returned(1, 101));
     assert_eq!(outputs(&mut agent), [replies(1, FlowStatus::Absent)]);
 }
 
+/// Guards against resets of flows that an earlier process of the agent placed: a first heartbeat
+/// that came seconds late counted as proof that the back end had just started.
+#[test]
+fn a_flow_is_reported_absent_only_if_the_back_end_has_certainly_started_since() {
+    let status_after = |heard_ms: u64, refused: bool| {
+        let mut agent = agent(false);
+        for at in [120, 160].into_iter().filter(|_| refused) {
+            agent.handle_timeout(milliseconds(at));
+            agent.take_probe(milliseconds(at), ProbeOutcome::Refused);
+        }
+        agent.take_report(milliseconds(heard_ms), &report("two", 1, true));
+        outputs(&mut agent);
+        agent.handle_peer(milliseconds(heard_ms + 1), balancer_address(), &lookup(1, 501));
+        outputs(&mut agent)
+    };
+    assert_eq!(status_after(10, false), [replies(1, FlowStatus::Unknown)]);
+    assert_eq!(status_after(6_499, false), [replies(1, FlowStatus::Unknown)]);
+    assert_eq!(status_after(6_500, false), [replies(1, FlowStatus::Absent)], "it was sent since");
+    assert_eq!(status_after(200, true), [replies(1, FlowStatus::Absent)], "its port was closed");
+}
+
 #[test]
 fn an_agent_started_after_its_back_ends_first_heartbeat_reports_unknown() {
     let mut agent = agent(false);
