A balancer that starts after a presumed power loss does not count itself to it

What callers would see: a balancer that is stopped and started as planned, seconds after a loss of all power, resets the open flows of an agent that is silent just then (frozen, cut off).

Cause: an agent that was not heard was ruled out if all others presume that their back ends started along with them. That says that nobody owns flows from before the power loss; the flows of a balancer that starts later are from after it. Only the starts of back ends, not the presumption, were compared with the process's own start.

The lab's back ends had always been warm, so that no presumption ever arose there.

Change: the presumption rules an unheard agent out only if this process started within the same second as the agents. The lab's back ends report 2 s of warm-up.

--- a/crates/carried/src/balancer/flow_absence.rs
+++ b/crates/carried/src/balancer/flow_absence.rs
@@ -60,6 +60,12 @@
             |at: StartTime| started_at.is_some_and(|start| at.between(start) <= JOINT_START_WINDOW);
         self.restarted_at.is_some_and(with)
     }
+
+    /// Whether this process started together with the agents that lost power.
+    fn has_restarted_with_agents(&self) -> bool {
+        let with_own = |at: StartTime| at.between(StartTime::OWN) <= JOINT_START_WINDOW;
+        self.restarted_at.is_some_and(with_own)
+    }
 }
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
@@ -199,7 +205,9 @@
         let reported = views().count();
         let is_prompt = |view: &&AgentView| view.was_discovered_within(MAX_PROMPT_DELAY);
         let prompt = views().filter(is_prompt).count();
-        let lost_power = |view: &AgentView| self.absence_evidence.lost_power(view.started_at());
+        let is_joint = self.absence_evidence.has_restarted_with_agents();
+        let lost_power =
+            |view: &AgentView| is_joint && self.absence_evidence.lost_power(view.started_at());
         views().all(|view| view.backend_started_after(now, RESTART_SPREAD) || lost_power(view))
             && reported >= MIN_RESTARTED_AGENTS
             && 2 * prompt >= reported
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -43,6 +43,9 @@
 pub(crate) struct StartTime(i64);
 
 impl StartTime {
+    /// The start of this process.
+    pub(crate) const OWN: StartTime = StartTime(0);
+
     /// Start time of a process that at `now` reports how many milliseconds it has run.
     pub(crate) fn from_uptime(now: Duration, uptime_ms: u32) -> Self {
         StartTime(i64::try_from(now.as_millis()).unwrap_or(i64::MAX) - i64::from(uptime_ms))
--- a/crates/carried/tests/lookups_after_restart.rs
+++ b/crates/carried/tests/lookups_after_restart.rs
@@ -142,6 +142,31 @@
     assert_eq!(reset_count, 0, "its back end may have the flow");
 }
 
+/// Guards against resets of flows of a frozen agent by a balancer that starts, as planned, seconds
+/// after the power has returned: it took the agents' joint start for its own.
+#[test]
+fn a_balancer_that_starts_after_a_power_loss_waits_for_silent_agents() {
+    let mut balancer = balancer_with_reports(|_| LoadReport {
+        backend_age_ms: Some(2_400),
+        ..load(FlowKnowledge::PresumedComplete, 2_500)
+    });
+    let silent = (agent_address(AGENTS + 1), NodeRole::Agent);
+    balancer.learn_members(milliseconds(100), &[silent]);
+    run_timers(&mut balancer, 101, 400);
+    balancer.handle_caller(milliseconds(401), &packet(&request(1)));
+    let mut reset_count = 0;
+    for at in 401..480 {
+        balancer.handle_timeout(milliseconds(at));
+        let outputs = outputs_of(&mut balancer);
+        reset_count += resets(&outputs);
+        for agent in asked(&outputs).into_iter().filter(|agent| *agent != silent.0) {
+            let unknown = encoded_answer(1, 2_800, FlowStatus::Unknown);
+            balancer.handle_peer(milliseconds(at), agent, &unknown);
+        }
+    }
+    assert_eq!(reset_count, 0);
+}
+
 #[test]
 fn a_machine_that_returned_without_a_back_end_and_left_does_not_block_a_lookup() {
     let mut balancer = balancer_with_reports(|agent| match agent {
--- a/crates/lab/src/carried/backend.rs
+++ b/crates/lab/src/carried/backend.rs
@@ -8,6 +8,8 @@
 
 /// Queued requests beyond the busy slots. At this limit the back end returns SYNs to its agent.
 const MAX_QUEUED_REQUESTS: usize = 12;
+/// A back end reports that it is still slow until this long after its start; here it only says so.
+const WARM_UP: Duration = Duration::from_secs(2);
 /// Time between a back end's leaving notice, once its agent has it, and its exit.
 pub(super) const SHUTDOWN_DELAY: Duration = Duration::from_secs(4);
 
@@ -67,6 +69,7 @@
     pub(super) service: &'static str,
     /// Number of this start, unique among all starts of all back ends.
     pub(super) start_id: u64,
+    started_at: Duration,
     pub(super) is_alive: bool,
     pub(super) is_leaving: bool,
     /// When the agent received the report that the back end is leaving.
@@ -82,10 +85,16 @@
 }
 
 impl SimulatedBackend {
-    pub(super) fn new(service: &'static str, slots: usize, start_id: u64) -> Self {
+    pub(super) fn new(
+        service: &'static str,
+        slots: usize,
+        start_id: u64,
+        started_at: Duration,
+    ) -> Self {
         SimulatedBackend {
             service,
             start_id,
+            started_at,
             is_alive: true,
             is_leaving: false,
             leaving_since: None,
@@ -101,14 +110,15 @@
         }
     }
 
-    pub(super) fn report(&mut self) -> BackendReport {
+    /// The next heartbeat, sent at `now`.
+    pub(super) fn report(&mut self, now: Duration) -> BackendReport {
         self.report_sequence += 1;
         BackendReport {
             incarnation: Incarnation::without_start_time(format!("start-{}", self.start_id)),
             service: self.service.to_owned(),
             capacity: self.slots as u16,
             is_ready: !self.is_leaving,
-            warm_up_left: Duration::ZERO,
+            warm_up_left: (self.started_at + WARM_UP).saturating_sub(now),
             sequence: self.report_sequence,
         }
     }
--- a/crates/lab/src/carried/world/backends.rs
+++ b/crates/lab/src/carried/world/backends.rs
@@ -9,7 +9,7 @@
     pub(super) fn new_backend(&mut self, agent: usize) -> SimulatedBackend {
         self.backend_starts += 1;
         let service = SERVICES[usize::from(agent % 3 == 2)];
-        SimulatedBackend::new(service, self.settings.slots, self.backend_starts)
+        SimulatedBackend::new(service, self.settings.slots, self.backend_starts, self.now)
     }
 
     pub(super) fn schedule_heartbeat(&mut self, agent: usize, after: Duration) {
@@ -28,7 +28,7 @@
         }
         let uptime = self.nodes[node].uptime(self.now);
         let Some(core) = self.nodes[node].agent() else { return };
-        core.take_report(uptime, &self.backends[agent].report());
+        core.take_report(uptime, &self.backends[agent].report(self.now));
         let backend = &mut self.backends[agent];
         if backend.is_leaving && backend.leaving_since.is_none() {
             backend.leaving_since = Some(self.now);
