A presumed power loss ends flows for three seconds after the joint start only

Cause: cold back ends whose second or third heartbeat comes within 150 ms of their agents' start seem to have started along with them. The flows that callers opened in between were known to the killed processes alone; the new ones took all unknown flows for flows from before the power loss, and the presumption stood for as long as agents are young, a minute.

Ruled out: telling the two apart at the agent.

Change: the presumption holds for 3 s after the joint start, in which callers that wait for an answer have retransmitted; from then on back ends get packets of unknown flows on trial. An agent no longer reports the presumed start of its back end as a start.

--- a/crates/carried/src/agent/reports.rs
+++ b/crates/carried/src/agent/reports.rs
@@ -45,7 +45,6 @@
             self.cold_rate_limit.clear_restart_block();
         } else if is_first && self.seems_started_together(now, report) {
             self.seems_started_together = true;
-            self.backend_started_at = Some(now);
         }
         match outcome {
             ReportOutcome::Started => {
--- a/crates/carried/src/balancer/flow_absence.rs
+++ b/crates/carried/src/balancer/flow_absence.rs
@@ -23,6 +23,9 @@
 /// Maximum time after the start of both until a balancer that is not partitioned has
 /// received a message from an agent.
 const MAX_PROMPT_DELAY: Duration = Duration::from_millis(200);
+/// The same for an agent that presumes that its back end started along with it: its back end's
+/// first heartbeat may take another 150 ms.
+const MAX_PROMPT_REPORT_DELAY: Duration = Duration::from_millis(350);
 /// Minimum number of agents that must have restarted with their back ends before a restart of the
 /// whole system is assumed.
 const MIN_RESTARTED_AGENTS: usize = 2;
@@ -35,6 +38,11 @@
 const POWER_CHECK_INTERVAL_PER_AGENT: Duration = Duration::from_micros(100);
 /// Maximum time between the starts of processes that have lost power together.
 const JOINT_START_WINDOW: Duration = Duration::from_secs(1);
+/// How long after their start the processes are presumed to have lost power together. Back ends
+/// may have run for a few heartbeats by then, beside processes that were killed since, so flows
+/// that rest longer are decided by the back ends. Callers that wait for an answer retransmit their
+/// packets every 1.6 s at least, and their lookups wait for a second.
+const PRESUMPTION_DURATION: Duration = Duration::from_secs(3);
 
 /// What this balancer must have observed before it may report that no agent owns a flow.
 #[derive(Debug, Default)]
@@ -53,12 +61,13 @@
         self.observing_since = now;
     }
 
-    /// Whether an agent whose process started at `started_at` lost power with the whole system, and
-    /// its back end too: it owns no flow from before.
-    pub(super) fn lost_power(&self, started_at: Option<StartTime>) -> bool {
+    /// Whether an agent whose process started at `started_at` is presumed to have lost power with
+    /// the whole system, and its back end too: it owns no flow from before.
+    pub(super) fn lost_power(&self, now: Duration, started_at: Option<StartTime>) -> bool {
         let with =
             |at: StartTime| started_at.is_some_and(|start| at.between(start) <= JOINT_START_WINDOW);
-        self.restarted_at.is_some_and(with)
+        let is_recent = |at: &StartTime| at.age(now) <= PRESUMPTION_DURATION;
+        self.restarted_at.filter(is_recent).is_some_and(with)
     }
 
     /// Whether this process started together with the agents that lost power.
@@ -71,7 +80,7 @@
 impl<F: SegmentFormat> CarriedBalancer<F> {
     /// Whether every known agent is ruled out as the owner of a flow, or does not know.
     pub(super) fn all_ruled_out_or_unknown(&self, now: Duration, lookup: &Lookup) -> bool {
-        let is_ruled_out = |agent: &SocketAddrV4| match self.known_answer(lookup, agent) {
+        let is_ruled_out = |agent: &SocketAddrV4| match self.known_answer(now, lookup, agent) {
             Some(AgentAnswer::Unknown | AgentAnswer::Tried(_)) => true,
             _ => self.is_ruled_out(now, lookup, agent),
         };
@@ -138,7 +147,7 @@
             Some(AgentAnswer::Absent(_)) => true,
             Some(AgentAnswer::Asked(at)) if now.saturating_sub(at) >= self.answer_timeout(now) => {
                 self.has_departed(agent)
-                    || self.never_had_backend(agent)
+                    || self.never_had_backend(now, agent)
                     || self.is_gone(now, agent)
             }
             _ => self.is_gone(now, agent),
@@ -153,10 +162,10 @@
 
     /// Whether an agent lost power with the whole system and, by its last report, had received
     /// nothing from a back end since: its machine may have been removed from service meanwhile.
-    fn never_had_backend(&self, agent: &SocketAddrV4) -> bool {
+    fn never_had_backend(&self, now: Duration, agent: &SocketAddrV4) -> bool {
         self.pool.view(agent).is_some_and(|view| {
             let is_unknown = view.report.condition == BackendCondition::Unknown;
-            is_unknown && self.absence_evidence.lost_power(view.started_at())
+            is_unknown && self.absence_evidence.lost_power(now, view.started_at())
         })
     }
 
@@ -203,11 +212,14 @@
     pub(super) fn has_system_restarted(&self, now: Duration) -> bool {
         let views = || self.pool.iter().map(|(_, view)| view).filter(|view| view.has_backend());
         let reported = views().count();
-        let is_prompt = |view: &&AgentView| view.was_discovered_within(MAX_PROMPT_DELAY);
-        let prompt = views().filter(is_prompt).count();
         let is_joint = self.absence_evidence.has_restarted_with_agents();
         let lost_power =
-            |view: &AgentView| is_joint && self.absence_evidence.lost_power(view.started_at());
+            |view: &AgentView| is_joint && self.absence_evidence.lost_power(now, view.started_at());
+        let is_prompt = |view: &&AgentView| {
+            view.was_discovered_within(MAX_PROMPT_DELAY)
+                || (lost_power(view) && view.reported_within(MAX_PROMPT_REPORT_DELAY))
+        };
+        let prompt = views().filter(is_prompt).count();
         views().all(|view| view.backend_started_after(now, RESTART_SPREAD) || lost_power(view))
             && reported >= MIN_RESTARTED_AGENTS
             && 2 * prompt >= reported
--- a/crates/carried/src/balancer/lookup_order.rs
+++ b/crates/carried/src/balancer/lookup_order.rs
@@ -33,19 +33,20 @@
     /// records does not know.
     pub(super) fn known_answer(
         &self,
+        now: Duration,
         lookup: &Lookup,
         agent: &SocketAddrV4,
     ) -> Option<AgentAnswer> {
         lookup
             .answer(agent)
-            .or_else(|| self.may_have_forgotten(agent).then_some(AgentAnswer::Unknown))
+            .or_else(|| self.may_have_forgotten(now, agent).then_some(AgentAnswer::Unknown))
     }
 
     /// Whether an agent's back end may have flows that the agent has no record of.
-    fn may_have_forgotten(&self, agent: &SocketAddrV4) -> bool {
+    fn may_have_forgotten(&self, now: Duration, agent: &SocketAddrV4) -> bool {
         let Some(view) = self.pool.view(agent) else { return false };
         view.flow_knowledge() != FlowKnowledge::Complete
-            && !self.absence_evidence.lost_power(view.started_at())
+            && !self.absence_evidence.lost_power(now, view.started_at())
     }
 
     /// Up to `most` of some agents whose answer is not known, the likeliest owners first.
@@ -56,7 +57,7 @@
         agents: impl Iterator<Item = SocketAddrV4>,
         most: usize,
     ) -> Vec<SocketAddrV4> {
-        let is_open = |agent: &SocketAddrV4| self.known_answer(lookup, agent).is_none();
+        let is_open = |agent: &SocketAddrV4| self.known_answer(now, lookup, agent).is_none();
         let ranked = self.sort_by_likelihood(&lookup.segment.flow(), agents.filter(is_open));
         ranked.into_iter().filter(|agent| !self.is_gone(now, agent)).take(most).collect()
     }
@@ -64,10 +65,10 @@
     /// Agents that may have lost their record of a flow and may receive its packets, the likeliest
     /// owners first: those of the services that the address is or was routed to, if any, else all
     /// others.
-    pub(super) fn trial_candidates(&self, lookup: &Lookup) -> Vec<SocketAddrV4> {
+    pub(super) fn trial_candidates(&self, now: Duration, lookup: &Lookup) -> Vec<SocketAddrV4> {
         let flow = lookup.segment.flow();
         let is_candidate = |agent: &SocketAddrV4| {
-            self.known_answer(lookup, agent) == Some(AgentAnswer::Unknown)
+            self.known_answer(now, lookup, agent) == Some(AgentAnswer::Unknown)
                 && self.is_region_allowed(&flow, agent)
         };
         let services = self.routes.candidate_services(&flow.service);
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -181,7 +181,7 @@
             true => INITIAL_TRIALS << lookup.trial_rounds.min(MAX_TRIAL_DOUBLINGS),
             false => MAX_TRIALS.saturating_sub(lookup.trials),
         };
-        let mut candidates = self.trial_candidates(lookup);
+        let mut candidates = self.trial_candidates(now, lookup);
         candidates.truncate(most);
         if candidates.is_empty() {
             return false;
@@ -271,7 +271,7 @@
         answers: &[FlowAnswer],
     ) {
         let lost_power =
-            self.absence_evidence.lost_power(Some(StartTime::from_uptime(now, uptime_ms)));
+            self.absence_evidence.lost_power(now, Some(StartTime::from_uptime(now, uptime_ms)));
         self.pool.note_alive(&from);
         for FlowAnswer { flow, status } in answers {
             match status {
@@ -359,7 +359,7 @@
     fn describe_blocking(&self, now: Duration, lookup: &Lookup) -> String {
         let blocking = self.known_agents().filter(|agent| !self.is_ruled_out(now, lookup, agent));
         let describe = |agent: SocketAddrV4| {
-            let answer = match self.known_answer(lookup, &agent) {
+            let answer = match self.known_answer(now, lookup, &agent) {
                 None => "not_asked",
                 Some(AgentAnswer::Asked(_)) => "silent",
                 Some(AgentAnswer::Unknown) => "unsure",
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -51,6 +51,17 @@
         StartTime(i64::try_from(now.as_millis()).unwrap_or(i64::MAX) - i64::from(uptime_ms))
     }
 
+    /// Time since that start.
+    pub(crate) fn age(self, now: Duration) -> Duration {
+        let now_ms = i64::try_from(now.as_millis()).unwrap_or(i64::MAX);
+        Duration::from_millis(u64::try_from(now_ms.saturating_sub(self.0)).unwrap_or(0))
+    }
+
+    /// Time of that start after the one of this process, at least 0.
+    fn since_own(self) -> Duration {
+        Duration::from_millis(u64::try_from(self.0).unwrap_or(0))
+    }
+
     /// Time between two starts.
     pub(crate) fn between(self, other: StartTime) -> Duration {
         Duration::from_millis(self.0.abs_diff(other.0))
@@ -259,6 +270,13 @@
         self.backend_started_at().is_some_and(|at| self.first_reported_at <= at + delay)
     }
 
+    /// Whether the agent's first report arrived within `delay` after both its process and this one
+    /// had started.
+    pub(crate) fn reported_within(&self, delay: Duration) -> bool {
+        let start = self.started_at().map(StartTime::since_own);
+        start.is_some_and(|at| self.first_reported_at <= at + delay)
+    }
+
     /// Whether it takes new flows, even if only as a last resort because its back end fails
     /// requests.
     pub(crate) fn may_take_flows(&self) -> bool {
