An agent does not own a flow whose SYN its back end never answered

What callers saw: an open flow reset by the agent of another back end. A back end crashes; an offer passes a SYN to it, is not answered, and the flow is placed at another agent. A balancer that does not know the flow asks, gets 'owned' from the first agent, forwards the caller's packets there, and when that agent notices the end of its back end it resets the caller, whose flow is open elsewhere.

Cause: with nothing sent by the back end yet, any acknowledgement number counted as fitting. A SYN that was passed on was taken for a flow that was opened, however long ago.

Change: where the agent passed the SYN on itself and the back end has sent nothing, a packet that acknowledges anything is of another agent's flow.

Ruled out: that the answer to the SYN passed unseen: every packet of the back end goes through its agent before its caller can acknowledge it.

Test: a_flow_whose_syn_the_back_end_never_answered_is_not_owned, red before.

--- a/crates/carried/src/agent/flow.rs
+++ b/crates/carried/src/agent/flow.rs
@@ -106,8 +106,12 @@
 
     /// As [`CarriedFlow::acknowledges_backend_data`], given the acknowledgement number alone.
     pub(super) fn acknowledges_up_to(&self, acknowledged: Option<u32>) -> bool {
-        let (Some(end), Some(acknowledged)) = (self.backend_data_end, acknowledged) else {
-            return true;
+        let Some(acknowledged) = acknowledged else { return true };
+        let Some(end) = self.backend_data_end else {
+            // A back end that has not answered the SYN has sent nothing to acknowledge: the caller
+            // opened the flow elsewhere. Without a SYN an earlier process of the agent may have
+            // passed the answer on.
+            return self.syn_sequence.is_none();
         };
         acknowledged.wrapping_sub(end).cast_signed().unsigned_abs() <= MAX_WINDOW_BYTES
     }
--- a/crates/carried/tests/lost_flows.rs
+++ b/crates/carried/tests/lost_flows.rs
@@ -326,3 +326,28 @@
     agent.handle_peer(milliseconds(9_000), balancer_address(), &lookup(1, 501));
     assert_eq!(outputs(&mut agent), [replies(1, FlowStatus::Owned)]);
 }
+
+/// Guards against resets of flows that are open elsewhere: an agent whose back end had crashed and
+/// never answered the SYN took the caller's next packets for its own, and reset the caller.
+#[test]
+fn a_flow_whose_syn_the_back_end_never_answered_is_not_owned() {
+    let mut agent = agent(true);
+    agent.take_report(milliseconds(0), &report("one", 1, true));
+    agent.handle_peer(milliseconds(1), balancer_address(), &offer(1, 1, Admission::FreeSlot));
+    assert_eq!(sent_to_backend(&outputs(&mut agent)), 1);
+    for at in [40, 90] {
+        agent.handle_peer(milliseconds(at), balancer_address(), &lookup(1, 501));
+        assert_eq!(outputs(&mut agent), [replies(1, FlowStatus::Absent)], "at {at} ms");
+        agent.handle_timeout(milliseconds(at + 30));
+        outputs(&mut agent);
+    }
+    agent.handle_peer(milliseconds(130), balancer_address(), &forward(1, 101));
+    assert_eq!(sent_to_backend(&outputs(&mut agent)), 0);
+    agent.start_draining(milliseconds(140));
+    for at in [140, 190] {
+        agent.handle_timeout(milliseconds(at));
+        agent.take_probe(milliseconds(at), ProbeOutcome::Refused);
+    }
+    assert!(agent.backend_has_ended());
+    assert_eq!(resets(&outputs(&mut agent)), 0);
+}
