A presumed power loss ends no flows of an agent that does not presume it itself

What callers would see: open flows reset in the seconds after a loss of all power, at an agent that has put its flows on trial.

Cause: 'unknown' from any agent that started with the others counted as a denial where most of them presume a loss of power. An agent also answers 'unknown' for flows that it placed itself and has put on trial, because a late heartbeat of the start before the power loss was the first one that it heard.

Change: a denial is concluded only for agents that presume the loss themselves, or had no back end since by their last report; the back ends of all others get the packet on trial.

Test: an_agent_that_does_not_presume_a_power_loss_is_tried, red before (the caller is reset).

--- a/crates/carried/src/balancer/flow_absence.rs
+++ b/crates/carried/src/balancer/flow_absence.rs
@@ -78,6 +78,23 @@
 }
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
+    /// Whether an agent, whose process started at `started_at`, is presumed to know every flow of
+    /// its back end since a loss of power: it presumes that itself, or has had no back end since.
+    /// Another one may have flows whose state at the back end it does not know.
+    pub(super) fn knows_flows_since_power_loss(
+        &self,
+        now: Duration,
+        agent: &SocketAddrV4,
+        started_at: Option<StartTime>,
+    ) -> bool {
+        let is_presumed = |view: &AgentView| {
+            view.flow_knowledge() == FlowKnowledge::PresumedComplete
+                || view.report.condition == BackendCondition::Unknown
+        };
+        self.pool.view(agent).is_some_and(is_presumed)
+            && self.absence_evidence.lost_power(now, started_at)
+    }
+
     /// Whether every known agent is ruled out as the owner of a flow, or does not know.
     pub(super) fn all_ruled_out_or_unknown(&self, now: Duration, lookup: &Lookup) -> bool {
         let is_ruled_out = |agent: &SocketAddrV4| match self.known_answer(now, lookup, agent) {
--- a/crates/carried/src/balancer/lookup_order.rs
+++ b/crates/carried/src/balancer/lookup_order.rs
@@ -46,7 +46,7 @@
     fn may_have_forgotten(&self, now: Duration, agent: &SocketAddrV4) -> bool {
         let Some(view) = self.pool.view(agent) else { return false };
         view.flow_knowledge() != FlowKnowledge::Complete
-            && !self.absence_evidence.lost_power(now, view.started_at())
+            && !self.knows_flows_since_power_loss(now, agent, view.started_at())
     }
 
     /// Up to `most` of some agents whose answer is not known, the likeliest owners first.
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -270,8 +270,8 @@
         uptime_ms: u32,
         answers: &[FlowAnswer],
     ) {
-        let lost_power =
-            self.absence_evidence.lost_power(now, Some(StartTime::from_uptime(now, uptime_ms)));
+        let started_at = StartTime::from_uptime(now, uptime_ms);
+        let knows_flows = self.knows_flows_since_power_loss(now, &from, Some(started_at));
         self.pool.note_alive(&from);
         for FlowAnswer { flow, status } in answers {
             match status {
@@ -281,7 +281,7 @@
                 }
                 // The agent has a record of every flow placed since the loss of power, and flows
                 // from before it have ended with their back ends.
-                FlowStatus::Unknown if lost_power => {
+                FlowStatus::Unknown if knows_flows => {
                     self.on_answer(now, from, (*flow).into(), AgentAnswer::Absent(now));
                 }
                 FlowStatus::Unknown => {
--- a/crates/carried/tests/lookups_after_restart.rs
+++ b/crates/carried/tests/lookups_after_restart.rs
@@ -98,6 +98,20 @@
     assert!(!tried(&outputs).is_empty(), "the back ends' reactions decide");
 }
 
+/// Guards against resets of flows of an agent that has heard of two starts of its back end after
+/// the power loss, and has to try its flows: its own doubt counts more than what the others presume.
+#[test]
+fn an_agent_that_does_not_presume_a_power_loss_is_tried() {
+    let unsure = agent_address(5);
+    let mut balancer = balancer_with_reports(|agent| match agent {
+        5 => load(FlowKnowledge::Partial, 90),
+        _ => load(FlowKnowledge::PresumedComplete, 90),
+    });
+    balancer.handle_caller(milliseconds(101), &packet(&request(1)));
+    let outputs = answer_all(&mut balancer, 95, FlowStatus::Unknown);
+    assert_eq!((tried(&outputs), resets(&outputs)), (vec![unsure], 0));
+}
+
 #[test]
 fn back_ends_that_restart_at_different_times_are_no_power_loss() {
     let uptime_ms = |agent: u8| 90 + 500 * u32::from(agent);
