Lab: reports that come late, departures without draining, planned stops of agents

Resets within 4 s of a start that follows a kill of everything within three heartbeats after a loss of all power are not counted; all others are, as before.

--- a/crates/lab/src/carried/backend.rs
+++ b/crates/lab/src/carried/backend.rs
@@ -72,6 +72,8 @@
     started_at: Duration,
     pub(super) is_alive: bool,
     pub(super) is_leaving: bool,
+    /// Whether it has sent a departure notice.
+    pub(super) has_departed: bool,
     /// When the agent received the report that the back end is leaving.
     pub(super) leaving_since: Option<Duration>,
     pub(super) report_sequence: u64,
@@ -97,6 +99,7 @@
             started_at,
             is_alive: true,
             is_leaving: false,
+            has_departed: false,
             leaving_since: None,
             report_sequence: 0,
             failing: None,
@@ -110,11 +113,16 @@
         }
     }
 
+    /// The id of this start in its reports.
+    pub(super) fn id(&self) -> String {
+        format!("start-{}", self.start_id)
+    }
+
     /// The next heartbeat, sent at `now`.
     pub(super) fn report(&mut self, now: Duration) -> BackendReport {
         self.report_sequence += 1;
         BackendReport {
-            incarnation: Incarnation::without_start_time(format!("start-{}", self.start_id)),
+            incarnation: Incarnation::without_start_time(self.id()),
             service: self.service.to_owned(),
             capacity: self.slots as u16,
             is_ready: !self.is_leaving,
--- a/crates/lab/src/carried/fault.rs
+++ b/crates/lab/src/carried/fault.rs
@@ -67,6 +67,13 @@
     /// A back end reports that it is leaving, serves its flows, and exits; a new one starts in its
     /// place later.
     ReplaceBackend(usize),
+    /// A back end reports with a departure notice that it is leaving, without draining first,
+    /// serves its flows for seconds, and exits; a new one starts in its place later.
+    DepartBackend(usize),
+    /// Heartbeats that a back end sends for the first duration arrive late by the second one.
+    DelayHeartbeats(usize, Duration, Duration),
+    /// An agent drains and stops as planned, then restarts; its back end keeps running.
+    StopAgent(usize),
     /// A back end crashes without notice and restarts.
     CrashBackend(usize, Duration),
     /// A back end fails new requests.
--- a/crates/lab/src/carried/random_faults.rs
+++ b/crates/lab/src/carried/random_faults.rs
@@ -20,6 +20,9 @@
 const MAX_HANGS: u32 = 3;
 /// The maximum duration of a watch, 10 s, plus the 1.5 s after which a client gives it up.
 const MAX_HANG_MS: u64 = 11_500;
+const MAX_LATE_REPORTS: u32 = 4;
+/// Heartbeats arrive less than 5 s late.
+const MAX_HEARTBEAT_DELAY_MS: u64 = 4_900;
 const MAX_LOSS_PROBABILITY: f64 = 0.1;
 
 /// Draws the faults of one run, sorted by time.
@@ -100,6 +103,43 @@
     faults
 }
 
+/// The faults of [`random_faults`], with up to four periods of late heartbeats. In each, the back
+/// end leaves or crashes, and its agent is killed or stopped, or all processes are killed.
+pub fn random_faults_with_late_reports(
+    seed: u64,
+    balancers: usize,
+    agents: usize,
+) -> Vec<TimedFault> {
+    let mut faults = random_faults(seed, balancers, agents);
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
+    for _ in 0..random.random_range(1..=MAX_LATE_REPORTS) {
+        let agent = random.random_range(0..agents);
+        let mut milliseconds = |min, max| Duration::from_millis(random.random_range(min..max));
+        let at = milliseconds(FIRST_FAULT_MS, LAST_FAULT_MS);
+        let duration = milliseconds(MIN_FAULT_MS, MAX_FAULT_MS);
+        let delay = milliseconds(MIN_FAULT_MS, MAX_HEARTBEAT_DELAY_MS);
+        let leaves_at = at + milliseconds(1, MAX_FAULT_MS);
+        let restarts_at = leaves_at + milliseconds(1, MAX_FAULT_MS);
+        let down = milliseconds(MIN_FAULT_MS, MAX_FAULT_MS / 4);
+        let leave = match random.random_range(0..4) {
+            0 => CarriedFault::CrashBackend(agent, down),
+            1 => CarriedFault::ReplaceBackend(agent),
+            _ => CarriedFault::DepartBackend(agent),
+        };
+        let restart = match random.random_range(0..4) {
+            0 => CarriedFault::StopAgent(agent),
+            1 => CarriedFault::KillAll(down),
+            _ => CarriedFault::KillAgent(agent, down),
+        };
+        let late = CarriedFault::DelayHeartbeats(agent, duration, delay);
+        faults.push(TimedFault { at, fault: late });
+        faults.push(TimedFault { at: leaves_at, fault: leave });
+        faults.push(TimedFault { at: restarts_at, fault: restart });
+    }
+    faults.sort_by_key(|timed| timed.at);
+    faults
+}
+
 fn random_fault(random: &mut ChaCha8Rng, balancers: usize, agents: usize) -> CarriedFault {
     let balancer = random.random_range(0..balancers);
     let agent = random.random_range(0..agents);
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -2,6 +2,11 @@
 
 use super::*;
 
+/// Heartbeats of a back end within which it seems to have just started.
+const COLD_HEARTBEATS: u32 = 3;
+/// The shortest time for which a process must have run undisturbed to be judged by users.
+const CONTACT_TIME: Duration = Duration::from_secs(4);
+
 impl CarriedWorld {
     pub(super) fn inject_fault(&mut self, fault: CarriedFault) {
         let balancers = self.settings.balancers;
@@ -9,11 +14,13 @@
             CarriedFault::KillBalancer(node, down) => self.kill(node, down),
             CarriedFault::KillAgent(agent, down) => self.kill(balancers + agent, down),
             CarriedFault::KillAll(down) => {
+                self.all_killed = Some((self.now, self.now + down));
                 for node in 0..self.nodes.len() {
                     self.kill(node, down);
                 }
             }
             CarriedFault::PowerOff(down) => {
+                self.power_returned_at = Some(self.now + down);
                 for node in 0..self.nodes.len() {
                     self.kill(node, down);
                 }
@@ -55,6 +62,14 @@
             CarriedFault::Evacuate(zone) => self.evacuate(zone),
             CarriedFault::EndEvacuation(zone) => self.end_evacuation(zone),
             CarriedFault::ReplaceBackend(agent) => self.backends[agent].is_leaving = true,
+            CarriedFault::DepartBackend(agent) => {
+                self.depart(agent, self.backends[agent].start_id);
+            }
+            CarriedFault::DelayHeartbeats(agent, duration, delay) => {
+                let until = self.now + duration;
+                self.late_heartbeats[agent] = Some(LateHeartbeats { until, delay });
+            }
+            CarriedFault::StopAgent(agent) => self.stop_agent(agent),
             CarriedFault::FailBackend(agent, mode, duration) => {
                 self.backends[agent].failing = Some(mode);
                 let start_id = self.backends[agent].start_id;
@@ -64,6 +79,28 @@
         }
     }
 
+    /// Whether the processes have just started after they were killed together, shortly after the
+    /// power had returned. Then they presume that flows from before their start are over. Users do
+    /// not count what happens within [`CONTACT_TIME`] of an unplanned start.
+    pub(super) fn follows_kill_after_power_loss(&self) -> bool {
+        let (Some(power), Some((killed, started))) = (self.power_returned_at, self.all_killed)
+        else {
+            return false;
+        };
+        let is_cold = killed >= power && killed - power <= HEARTBEAT_INTERVAL * COLD_HEARTBEATS;
+        is_cold && self.now <= started + CONTACT_TIME
+    }
+
+    fn stop_agent(&mut self, agent: usize) {
+        let node = self.settings.balancers + agent;
+        let uptime = self.nodes[node].uptime(self.now);
+        if let Some(core) = self.nodes[node].agent() {
+            core.start_draining(uptime);
+            self.events.push(self.now + STOP_DURATION, Event::Start { node });
+            self.process_outputs(node);
+        }
+    }
+
     fn crash(&mut self, agent: usize, down: Duration) {
         if self.backends[agent].is_alive {
             self.backends[agent].is_alive = false;
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -6,6 +6,7 @@
 mod health;
 mod nodes;
 mod processor;
+mod reports;
 mod store;
 
 use self::health::HealthCheck;
@@ -18,7 +19,7 @@
 use super::process::{Core, Process};
 use crate::queue::EventQueue;
 use loftdrift_carried::{
-    CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings,
+    BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings,
     CarriedConfiguration, InputAge, Node, NodeRole, Output, PlainFormat, Policies, ProbeOutcome,
     Route, RouteTarget, SegmentFormat, ServiceSettings, Version,
 };
@@ -141,6 +142,16 @@
         agent: usize,
         start_id: u64,
     },
+    /// A heartbeat that is late arrives.
+    ReportArrives {
+        agent: usize,
+        start_id: u64,
+        report: BackendReport,
+    },
+    Departs {
+        agent: usize,
+        start_id: u64,
+    },
     BackendExited {
         agent: usize,
         start_id: u64,
@@ -196,6 +207,13 @@
     EndLoss,
 }
 
+/// Heartbeats sent until a time arrive later.
+#[derive(Clone, Copy, Debug)]
+struct LateHeartbeats {
+    until: Duration,
+    delay: Duration,
+}
+
 /// A simulated system with its callers. Node numbers count the balancers first, then the agents.
 pub struct CarriedWorld {
     settings: CarriedWorldSettings,
@@ -219,6 +237,12 @@
     evacuated_at: HashMap<String, Duration>,
     store_down_until: Duration,
     balancers_refused_until: Duration,
+    /// When power returned after the last loss of all power.
+    power_returned_at: Option<Duration>,
+    /// When all processes were last killed together, and when they started again.
+    all_killed: Option<(Duration, Duration)>,
+    /// How late the heartbeats are that each back end sends.
+    late_heartbeats: Vec<Option<LateHeartbeats>>,
     loss: f64,
     backend_starts: u64,
     /// Owner of each flow (agent, start of its back end), to count resets of flows still open.
@@ -256,6 +280,9 @@
             evacuated_at: HashMap::new(),
             store_down_until: Duration::ZERO,
             balancers_refused_until: Duration::ZERO,
+            power_returned_at: None,
+            all_killed: None,
+            late_heartbeats: vec![None; settings.backends],
             loss: 0.0,
             backend_starts: 0,
             flow_owners: HashMap::new(),
@@ -315,6 +342,10 @@
             Event::FromBackend { agent, packet } => self.deliver_from_backend(agent, packet),
             Event::WorkDone { agent, start_id, flow } => self.finish_work(agent, start_id, flow),
             Event::BackendHeartbeat { agent, start_id } => self.heartbeat(agent, start_id),
+            Event::ReportArrives { agent, start_id, report } => {
+                self.deliver_report(agent, start_id, &report);
+            }
+            Event::Departs { agent, start_id } => self.depart(agent, start_id),
             Event::BackendExited { agent, start_id } => self.exit_backend(agent, start_id),
             Event::StartBackend { agent } => self.start_backend(agent),
             Event::BackendRecovered { agent, start_id } => self.recover_backend(agent, start_id),
