Tests of a power loss, and the lab's layout, in files of their own

Tests moved unchanged from lookups_after_restart to power_loss, their shared fixture to support/restarts; the lab's addresses and configuration to world/layout; the time after which a departed agent counts as gone to membership, since agents and balancers use it. Docs of FlowKnowledge say what it takes to be complete now.

--- a/crates/carried/src/balancer/audit.rs
+++ b/crates/carried/src/balancer/audit.rs
@@ -14,7 +14,7 @@
 //!   its heartbeats, and at its first heartbeat after the removal by the auditor that removed it.
 
 use super::*;
-use crate::membership::ALIVE_INTERVALS;
+use crate::membership::{ALIVE_INTERVALS, DEPARTED_TIMEOUT};
 use crate::rank::stable_hash;
 
 /// Mean time between two audits by one auditor. Corrections are not urgent: entries are read by
@@ -33,9 +33,6 @@
 /// and store outages last, and shorter than peers remember the node.
 const DEAD_TIMEOUT: Duration = Duration::from_secs(540);
 
-/// Silence after which an agent that has reported the end of its back end is taken to have left.
-pub(crate) const DEPARTED_TIMEOUT: Duration = Duration::from_secs(2);
-
 /// A node in the shared store's list.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ListedNode {
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -29,7 +29,6 @@
 
 use self::admission_pause::AdmissionPause;
 use self::audit::Audit;
-pub(crate) use self::audit::DEPARTED_TIMEOUT;
 pub use self::audit::{ListedNode, NodeList};
 use self::delegated_reads::DelegatedReads;
 use self::discovery::Discovery;
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -35,6 +35,8 @@
 const PEER_TTL: Duration = Duration::from_secs(600);
 /// A peer that was silent for this many intervals is not considered alive.
 pub(crate) const ALIVE_INTERVALS: u32 = 4;
+/// Silence after which an agent that has reported the end of its back end is taken to have left.
+pub(crate) const DEPARTED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum number of peers remembered.
 const MAX_PEERS: usize = 8_192;
 /// Number of peers that news is sent to at once, spread evenly over all and different each time.
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -98,12 +98,13 @@
 /// Whether an agent knows all flows of its back end.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Encode, Decode)]
 pub enum FlowKnowledge {
-    /// It knows all: it received the back end's very first heartbeat, or has run for as long as a
-    /// flow lasts.
+    /// It knows all: the back end has certainly started while it ran, or it has run for as long as
+    /// a flow lasts.
     #[default]
     Complete,
     /// It knows all if the back end started while this process was running, which is how it looks
-    /// to this agent alone. If nearly every agent sees the same, the whole system has lost power.
+    /// to this agent alone. If nearly every agent sees the same, the whole system is presumed to
+    /// have lost power.
     PresumedComplete,
     /// An earlier process of the agent may have placed flows that this one does not know. It would
     /// answer `Unknown` for those, so it need not be asked.
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Test fixtures: drives one agent with its back end, or one balancer, by hand-written messages.
 #![allow(dead_code, missing_docs)]
 
+pub mod restarts;
+
 use loftdrift_carried::{
     Admission, BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer,
     CarriedBalancerSettings, CarriedConfiguration, Confirmation, DeclineReason, FlowAnswer,
