A cold back end's first heartbeat, heard early, is a sign of a power loss as well

Cause: since the first heartbeat is no proof any more, an agent that hears it later than 150 ms after its start neither knows all flows nor presumes a power loss. After a loss of all power many agents do, so that callers of flows from before wait for trials, up to their deadlines.

Change: an agent also presumes that its back end started along with it where heartbeat number 1 of a cold back end arrives within 1.5 s. That is a presumption like the other: it counts only where nearly all processes started together, for 3 s, and a late heartbeat 1 at a single agent that was restarted changes nothing (the stand-in first).

Test: an_agent_presumes_to_know_... at 1,500 and 1,501 ms.

--- a/crates/carried/src/agent/reports.rs
+++ b/crates/carried/src/agent/reports.rs
@@ -18,7 +18,8 @@
 const MAX_EARLY_SEQUENCE: u64 = 3;
 /// ... arrives within this time after the process's start. A back end that was running before sends
 /// a heartbeat about every second, so about one in seven of those arrives this early too;
-/// the agent only presumes the restart.
+/// the agent only presumes the restart. So it does at a very first heartbeat that arrives within
+/// [`FIRST_REPORT_TIMEOUT`].
 const EARLY_REPORT_WINDOW: Duration = Duration::from_millis(150);
 
 impl<F: SegmentFormat> CarriedAgent<F> {
@@ -100,7 +101,9 @@
     /// this process.
     fn seems_started_together(&self, now: Duration, report: &BackendReport) -> bool {
         let is_cold = !report.warm_up_left.is_zero();
-        is_cold && report.sequence <= MAX_EARLY_SEQUENCE && now <= EARLY_REPORT_WINDOW
+        let is_first = report.sequence <= FIRST_SEQUENCE && now <= FIRST_REPORT_TIMEOUT;
+        let is_early = report.sequence <= MAX_EARLY_SEQUENCE && now <= EARLY_REPORT_WINDOW;
+        is_cold && (is_first || is_early)
     }
 
     /// Counts a heartbeat or departure notice of a back end that could not be decoded.
--- a/crates/carried/tests/lookups_after_restart.rs
+++ b/crates/carried/tests/lookups_after_restart.rs
@@ -117,6 +117,12 @@
         "the very first heartbeat, sent after the process's start"
     );
     assert_eq!(flow_knowledge_after(6_499, &first), FlowKnowledge::Partial, "it may be late");
+    assert_eq!(flow_knowledge_after(1_501, &first), FlowKnowledge::Partial);
+    assert_eq!(
+        flow_knowledge_after(1_500, &first),
+        FlowKnowledge::PresumedComplete,
+        "a live back end sends its first heartbeat by then"
+    );
     assert_eq!(flow_knowledge_after(40, &heartbeat(2, 1_950)), FlowKnowledge::PresumedComplete);
     assert_eq!(
         flow_knowledge_after(40, &heartbeat(2, 0)),
