--- a/crates/node/src/registration.rs
+++ b/crates/node/src/registration.rs
@@ -7,10 +7,9 @@
 //! earlier process, and a removal that its caller gave up may still be carried out. Every removal
 //! is conditioned on the revision of the entry that it means, so it never removes a later one.
 //!
-//! A store that
-//! is restored from an older copy has lost the latest entries. Nodes that registered recently write
-//! theirs again when they learn of the new era, all others when an auditor finds the entry missing;
-//! all entries are back two seconds after the restore.
+//! A store that is restored from an older copy has lost the latest entries. Nodes that registered
+//! recently write theirs again when they learn of the new era, all others when an auditor finds the
+//! entry missing; all entries are back two seconds after the restore.
 
 use crate::backoff::Backoff;
 use crate::command::NodeStatus;
