Packets on trial, and the answers about them, share messages

Cause: after all processes were replaced beside their back ends, each open flow is given to every back end on trial, one message for each flow and agent and one for each answer. On the wire site 73 back ends are tried for each of some 2,500 flows. While an agent stays silent, each lookup of a flow starts over after 1.5 s and tries all back ends once more: 450 trials were logged for one flow within ten seconds.

Ruled out as a reason for slow lookups: the back ends' reactions.

Change: a balancer gathers packets for the same agent for 4 ms and sends as many as fit in a message (`TryForwardBatch`, after the last variant, so that the other messages keep their numbers; a single packet is sent as before). An agent gathers the answers that its back end's returns give, except that it owns a flow, for which a caller waits. A later lookup of the same flow asks the agents that have denied it: they remember that, so a query of 20 bytes does instead of a packet.

--- a/crates/carried/src/agent/lookups.rs
+++ b/crates/carried/src/agent/lookups.rs
@@ -9,7 +9,7 @@
 
 use super::condition::message_ms;
 use super::*;
-use crate::message::{FlowAnswer, FlowQuery, FlowStatus};
+use crate::message::{FlowQuery, FlowStatus, MAX_FLOWS_PER_MESSAGE};
 
 /// A live back end has sent a heartbeat by this time after its agent's start. Until then an agent
 /// that has received none answers lookups of unknown flows with [`FlowStatus::NotReady`].
@@ -29,10 +29,12 @@
             FlowAnswer { flow: query.flow, status }
         };
         let answers = queries.iter().map(&mut answer).collect();
-        self.outputs.push_back(Output::ToPeer {
-            to: from,
-            message: Message::LookupReply { uptime_ms: message_ms(now), answers },
-        });
+        self.reply_to_lookup(now, from, answers);
+    }
+
+    fn reply_to_lookup(&mut self, now: Duration, to: SocketAddrV4, answers: Vec<FlowAnswer>) {
+        let message = Message::LookupReply { uptime_ms: message_ms(now), answers };
+        self.outputs.push_back(Output::ToPeer { to, message });
     }
 
     /// The answer about one flow, given what the packet that the balancer received acknowledges.
@@ -64,12 +66,32 @@
         if is_early { FlowStatus::NotReady } else { FlowStatus::Unknown }
     }
 
+    /// Handles packets on trial, each of another flow.
+    pub(super) fn handle_trials(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        datagrams: Vec<Vec<u8>>,
+    ) {
+        let datagrams = datagrams.into_iter();
+        let answers: Vec<_> =
+            datagrams.filter_map(|datagram| self.try_packet(now, from, datagram)).collect();
+        if !answers.is_empty() {
+            self.reply_to_lookup(now, from, answers);
+        }
+    }
+
     /// Passes a trial packet to the back end if this agent does not know whether the back end holds
-    /// the flow; otherwise answers at once.
-    pub(super) fn handle_trial(&mut self, now: Duration, from: SocketAddrV4, datagram: Vec<u8>) {
+    /// the flow; otherwise returns the answer.
+    fn try_packet(
+        &mut self,
+        now: Duration,
+        from: SocketAddrV4,
+        datagram: Vec<u8>,
+    ) -> Option<FlowAnswer> {
         let Ok(segment) = self.format.parse(&datagram) else {
             self.counters.packets_malformed += 1;
-            return;
+            return None;
         };
         let flow = segment.flow();
         let known = self.flows.find(&flow).and_then(|id| self.flows.get(id));
@@ -78,13 +100,15 @@
             None => self.backend_may_hold(now, &flow),
         };
         if may_be_held && !self.probe.has_ended {
-            return self.deliver(now, from, datagram);
+            self.deliver(now, from, datagram);
+            return None;
         }
         let acknowledged = segment.ack.then_some(segment.acknowledgement);
         let status = self.lookup_answer(now, from, &flow, acknowledged);
-        self.send_lookup_answer(now, from, flow, status);
+        Some(FlowAnswer { flow: flow.into(), status })
     }
 
+    /// Sends an answer that a back end's reaction to a packet on trial has given.
     pub(super) fn send_lookup_answer(
         &mut self,
         now: Duration,
@@ -92,11 +116,22 @@
         flow: FlowKey,
         status: FlowStatus,
     ) {
-        let answers = vec![FlowAnswer { flow: flow.into(), status }];
-        self.outputs.push_back(Output::ToPeer {
-            to,
-            message: Message::LookupReply { uptime_ms: message_ms(now), answers },
-        });
+        let answer = FlowAnswer { flow: flow.into(), status };
+        if status == FlowStatus::Owned {
+            // The caller waits for this one.
+            return self.reply_to_lookup(now, to, vec![answer]);
+        }
+        self.answer_batches.add(now, to, answer);
+        self.send_answers(now);
+    }
+
+    /// Sends the batched answers, if a batch is due.
+    pub(super) fn send_answers(&mut self, now: Duration) {
+        for (to, answers) in self.answer_batches.take_due(now) {
+            for part in answers.chunks(MAX_FLOWS_PER_MESSAGE) {
+                self.reply_to_lookup(now, to, part.to_vec());
+            }
+        }
     }
 
     /// Handles a packet of a known flow after the back end's process has ended: resets the flow if
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -31,6 +31,7 @@
 use self::outcomes::RequestOutcome;
 use self::wait_queue::{WaitQueue, WaitingFlow};
 use crate::backend::Backend;
+use crate::batches::Batches;
 use crate::breaker::{Breaker, BreakerState};
 use crate::cluster_state::{Adoption, ClusterState};
 use crate::configuration::CarriedConfiguration;
@@ -38,7 +39,9 @@
 use crate::latency::AgentLatency;
 use crate::load::ServiceTimeMeter;
 use crate::membership::{DEPARTED_TIMEOUT, Membership, Node};
-use crate::message::{Admission, BackendCondition, DeclineReason, LoadReport, Message, Snapshot};
+use crate::message::{
+    Admission, BackendCondition, DeclineReason, FlowAnswer, LoadReport, Message, Snapshot,
+};
 use crate::output::Output;
 use crate::plain_format::PlainFormat;
 use crate::policy::{Policies, Policy};
@@ -146,6 +149,8 @@
     departure_notice_until: Option<Duration>,
     /// When balancers were notified that the back end has ended, while that is the last notice.
     announced_end_at: Option<Duration>,
+    /// Answers about flows that were tried.
+    answer_batches: Batches<FlowAnswer>,
     outputs: VecDeque<Output>,
     counters: CarriedAgentCounters,
     latency: AgentLatency,
@@ -185,6 +190,7 @@
             stopping: false,
             departure_notice_until: None,
             announced_end_at: None,
+            answer_batches: Batches::default(),
             outputs: VecDeque::new(),
             counters: CarriedAgentCounters::default(),
             latency: AgentLatency::default(),
@@ -260,7 +266,12 @@
             }
             Some(Message::Forward { datagram }) => self.deliver(now, from, datagram),
             Some(Message::Lookup { queries }) => self.handle_lookup(now, from, &queries),
-            Some(Message::TryForward { datagram }) => self.handle_trial(now, from, datagram),
+            Some(Message::TryForward { datagram }) => {
+                self.handle_trials(now, from, vec![datagram]);
+            }
+            Some(Message::TryForwardBatch { datagrams }) => {
+                self.handle_trials(now, from, datagrams);
+            }
             Some(Message::ReadStore) => {
                 self.counters.store_errands += 1;
                 self.store_read_for = Some(from);
@@ -288,6 +299,7 @@
             self.cluster.next_retention_end(),
             self.next_probe(),
             self.wait_queue.next_expiry(),
+            self.answer_batches.next_send(),
         ];
         due.into_iter().flatten().min()
     }
@@ -309,6 +321,7 @@
         }
         self.probe_if_due(now);
         self.serve_wait_queue(now);
+        self.send_answers(now);
         for (peer, wants_reply) in self.cluster.membership.take_due(now) {
             self.send_heartbeat(now, peer, wants_reply);
         }
--- a/crates/carried/src/balancer/lookup_order.rs
+++ b/crates/carried/src/balancer/lookup_order.rs
@@ -39,7 +39,12 @@
     ) -> Option<AgentAnswer> {
         lookup
             .answer(agent)
-            .or_else(|| self.may_have_forgotten(now, agent).then_some(AgentAnswer::Unknown))
+            .or_else(|| self.would_not_know(now, lookup, agent).then_some(AgentAnswer::Unknown))
+    }
+
+    /// Whether an agent would answer that it does not know the flow.
+    fn would_not_know(&self, now: Duration, lookup: &Lookup, agent: &SocketAddrV4) -> bool {
+        self.may_have_forgotten(now, agent) && !lookup.was_denied_by(agent)
     }
 
     /// Whether an agent's back end may have flows that the agent has no record of.
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -10,11 +10,12 @@
 //!   yet, the caller waits.
 
 use super::*;
+use crate::batches::split_by_size;
 use crate::lookup::{
     ANSWER_TIMEOUT, AgentAnswer, INITIAL_RETRY_DELAY, INITIAL_TRIALS, LOOKUP_TIMEOUT, Lookup,
     MAX_TRIAL_DOUBLINGS, MAX_TRIALS, TRIAL_TIMEOUT,
 };
-use crate::message::{FlowAnswer, FlowQuery, FlowStatus, MAX_FLOWS_PER_MESSAGE};
+use crate::message::{FlowAnswer, FlowStatus, MAX_FLOWS_PER_MESSAGE, MAX_PACKET_BYTES_PER_MESSAGE};
 use crate::view::StartTime;
 
 /// Maximum number of lookups. Packets of further flows are dropped; their callers retransmit them.
@@ -83,7 +84,7 @@
         self.counters.lookups_started += 1;
         let mut lookup = Lookup::new(now, *segment, datagram);
         if let Some(before) = before.filter(|before| before.segment.may_share_flow(segment)) {
-            lookup.trials = before.trials;
+            lookup.continue_from(before);
         }
         let is_urgent = lookup.expects_answer();
         let number = self.lookups.start(now, flow, lookup);
@@ -171,12 +172,23 @@
         }
     }
 
+    /// Sends the batched packets on trial, if a batch is due.
+    pub(super) fn send_trials(&mut self, now: Duration) {
+        for (to, packets) in self.trial_batches.take_due(now) {
+            for group in split_by_size(packets, MAX_PACKET_BYTES_PER_MESSAGE) {
+                let message = Message::try_forward(group.iter().map(|packet| packet.to_vec()));
+                self.outputs.push_back(Output::ToPeer { to, message });
+            }
+        }
+    }
+
     /// Sends a packet on trial to back ends whose agents may have lost their record of the flow,
     /// the likeliest owners first. Returns `false` if there are none or no further trial is
     /// allowed.
     fn send_trial_packets(&mut self, now: Duration, number: u64) -> bool {
         let Some(lookup) = self.lookups.get(number) else { return false };
-        let Some(datagram) = lookup.trial_packet(now).cloned() else { return false };
+        let Some(datagram) = lookup.trial_packet(now) else { return false };
+        let datagram: Arc<[u8]> = datagram.as_slice().into();
         let most = match self.all_ruled_out_or_unknown(now, lookup) {
             true => INITIAL_TRIALS << lookup.trial_rounds.min(MAX_TRIAL_DOUBLINGS),
             false => MAX_TRIALS.saturating_sub(lookup.trials),
@@ -195,8 +207,7 @@
         );
         for to in candidates {
             lookup.note_answer(to, AgentAnswer::Tried(now));
-            let message = Message::TryForward { datagram: datagram.clone() };
-            self.outputs.push_back(Output::ToPeer { to, message });
+            self.trial_batches.add(now, to, datagram.clone());
         }
         self.lookups.wake_at(number, now + TRIAL_TIMEOUT);
         true
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -21,7 +21,6 @@
 mod lookup_order;
 mod lookups;
 mod pending_flows;
-mod query_batches;
 mod refusals;
 mod scheduling_delay;
 mod store_watch;
@@ -34,11 +33,11 @@
 use self::discovery::Discovery;
 use self::flow_absence::AbsenceEvidence;
 use self::lookup_limiter::LookupLimiter;
-use self::query_batches::QueryBatches;
 use self::refusals::Refusal;
 use self::scheduling_delay::SchedulingDelay;
 use self::store_watch::StoreWatch;
 use self::unrouted::UnroutedFlows;
+use crate::batches::Batches;
 use crate::cluster_state::{Adoption, ClusterState};
 use crate::configuration::{CarriedConfiguration, RoutingTable};
 use crate::counters::CarriedBalancerCounters;
@@ -48,7 +47,7 @@
 use crate::lookup::Lookup;
 use crate::membership::{Membership, Node, Peer};
 use crate::message::{
-    Admission, DeclineReason, Heartbeat, LoadReport, Message, NodeRole, Snapshot,
+    Admission, DeclineReason, FlowQuery, Heartbeat, LoadReport, Message, NodeRole, Snapshot,
 };
 use crate::output::Output;
 use crate::pending_flow::{Offer, OfferAnswer, PendingFlow, PendingFlows};
@@ -65,6 +64,7 @@
 use rand_chacha::ChaCha8Rng;
 use std::collections::{HashSet, VecDeque};
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Time after which an unanswered offer is also made to the next agent.
@@ -113,7 +113,9 @@
     /// New flows that arrived before any configuration was known.
     unrouted: UnroutedFlows,
     lookups: FlowTable<Lookup>,
-    query_batches: QueryBatches,
+    query_batches: Batches<FlowQuery>,
+    /// Packets on trial.
+    trial_batches: Batches<Arc<[u8]>>,
     lookup_limiter: LookupLimiter,
     absence_evidence: AbsenceEvidence,
     discovery: Discovery,
@@ -146,7 +148,8 @@
             unrouted: UnroutedFlows::default(),
             pending_flows: PendingFlows::new(random.random()),
             lookups: FlowTable::new(random.random()),
-            query_batches: QueryBatches::default(),
+            query_batches: Batches::default(),
+            trial_batches: Batches::default(),
             absence_evidence: AbsenceEvidence::default(),
             discovery: Discovery::default(),
             delegated_reads: DelegatedReads::default(),
@@ -273,6 +276,7 @@
             self.pending_flows.next_wake_up(),
             self.lookups.next_wake_up(),
             self.query_batches.next_send(),
+            self.trial_batches.next_send(),
             self.lookup_limiter.next_start(),
             self.unrouted.next_due(),
             self.cluster.membership.next_due(),
@@ -300,6 +304,7 @@
         self.start_unrouted(now);
         self.start_lookups(now);
         self.send_queries(now);
+        self.send_trials(now);
         for (peer, wants_reply) in self.cluster.membership.take_due(now) {
             self.send_heartbeat(now, peer, wants_reply);
         }
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -11,6 +11,7 @@
 mod agent;
 mod backend;
 mod balancer;
+mod batches;
 mod breaker;
 mod cluster_state;
 mod configuration;
--- a/crates/carried/src/lookup.rs
+++ b/crates/carried/src/lookup.rs
@@ -6,7 +6,7 @@
 //! long as the caller cannot have reused its port.
 
 use crate::segment::Segment;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -65,6 +65,9 @@
     /// Packets of the flow, each with the time of its arrival.
     buffered: Vec<(Duration, Vec<u8>)>,
     answers: BTreeMap<SocketAddrV4, AgentAnswer>,
+    /// Agents that denied the flow in an earlier lookup. They remember what their back ends have
+    /// returned, so a query is enough.
+    denied_before: BTreeSet<SocketAddrV4>,
     /// Number of batches asked so far.
     pub(crate) batches: u32,
     /// Back ends given a trial packet; at most [`MAX_TRIALS`] while the owner may be an agent that
@@ -91,6 +94,7 @@
             last_packet: now,
             buffered: vec![(now, datagram.to_vec())],
             answers: BTreeMap::new(),
+            denied_before: BTreeSet::new(),
             batches: 0,
             trials: 0,
             trial_rounds: 0,
@@ -102,6 +106,20 @@
         }
     }
 
+    /// Takes over from an earlier lookup of the same flow what does not expire.
+    pub(crate) fn continue_from(&mut self, before: Lookup) {
+        self.trials = before.trials;
+        self.denied_before = before.denied_before;
+        let answers = before.answers.into_iter();
+        let absent = answers.filter(|(_, answer)| matches!(answer, AgentAnswer::Absent(_)));
+        self.denied_before.extend(absent.map(|(agent, _)| agent));
+    }
+
+    /// Whether an agent denied the flow in an earlier lookup.
+    pub(crate) fn was_denied_by(&self, agent: &SocketAddrV4) -> bool {
+        self.denied_before.contains(agent)
+    }
+
     /// Whether a packet belongs to this lookup: it is of the same flow, not of another one between
     /// the same addresses, and the answers so far have not expired.
     pub(crate) fn applies_to(&self, now: Duration, segment: &Segment) -> bool {
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -190,6 +190,10 @@
     pub status: FlowStatus,
 }
 
+/// Maximum size of all packets in one `TryForwardBatch`; with the lengths of the packets it stays
+/// below [`MAX_MESSAGE_BYTES`], as no packet is shorter than its header.
+pub(crate) const MAX_PACKET_BYTES_PER_MESSAGE: usize = 1_800;
+
 /// Maximum number of flows in one lookup or reply; keeps it below [`MAX_MESSAGE_BYTES`].
 pub const MAX_FLOWS_PER_MESSAGE: usize = 64;
 
@@ -299,9 +303,23 @@
     /// Balancer to any node: the shared store's list lacks the receiver, which should add itself
     /// again.
     NotListed,
+    /// Balancer to agent: like several `TryForward`, each with a packet of another flow.
+    TryForwardBatch {
+        /// The packets, [`MAX_PACKET_BYTES_PER_MESSAGE`] together unless there is only one.
+        datagrams: Vec<Vec<u8>>,
+    },
 }
 
 impl Message {
+    /// The message that gives packets of different flows to a back end on trial.
+    pub(crate) fn try_forward(packets: impl Iterator<Item = Vec<u8>>) -> Self {
+        let mut datagrams: Vec<_> = packets.collect();
+        match datagrams.len() {
+            1 => Message::TryForward { datagram: datagrams.remove(0) },
+            _ => Message::TryForwardBatch { datagrams },
+        }
+    }
+
     /// Encodes the message as a datagram.
     pub fn encode(&self) -> Vec<u8> {
         // Encoding plain data into a growing buffer cannot fail.
