Agents relay packets on trial for balancers with narrower links

Cause: the bytes of the trials. Balancers with 10 Mbit/s there sent each flow's packet, 250 to 1,232 bytes, to 73 agents: 18 to 90 kB a flow. Their links were full; the logs show agents that got no packet at all of such a balancer, and lookups with all 73 unanswered, tried again with each packet of the caller. Balancers with 200 Mbit/s resolved their lookups within 10 ms.

Ruled out: the size of single datagrams (the flows that failed had packets of 32 to 1,232 bytes; batches of 1,300 bytes instead of 1,800 changed nothing), agents' and balancers' processors (0.7 and 3.0 % in the mean at the busiest).

Change: once agents have answered in a lookup, further rounds of trials go to one of them for up to 24 agents (`RelayTrial`); it passes the packet on in batches, and each agent answers the balancer. A relay has just answered and has a wider link; without one, trials are direct as before. The relay keeps no state but 4 ms of packets; if it dies, the caller's next packet is tried again. A flow costs a 10 Mbit/s balancer six packets instead of 73.

Messages with packets on trial stay below the usual size of an IP packet now, and the limit leaves room for lists; the test decodes what it sends and failed before ("1784 bytes").

--- a/crates/carried/src/agent/lookups.rs
+++ b/crates/carried/src/agent/lookups.rs
@@ -10,6 +10,8 @@
 use super::condition::message_ms;
 use super::*;
 use crate::message::{FlowQuery, FlowStatus, MAX_FLOWS_PER_MESSAGE};
+use std::collections::BTreeMap;
+use std::sync::Arc;
 
 /// A live back end has sent a heartbeat by this time after its agent's start. Until then an agent
 /// that has received none answers lookups of unknown flows with [`FlowStatus::NotReady`].
@@ -66,19 +68,39 @@
         if is_early { FlowStatus::NotReady } else { FlowStatus::Unknown }
     }
 
-    /// Handles packets on trial, each of another flow.
-    pub(super) fn handle_trials(
+    /// Handles packets on trial, each of another flow. Answers that are known go back at once.
+    pub(super) fn handle_trials(&mut self, now: Duration, packets: Vec<TrialPacket>) {
+        let mut known: BTreeMap<SocketAddrV4, Vec<FlowAnswer>> = BTreeMap::new();
+        for TrialPacket { balancer, datagram } in packets {
+            if let Some(answer) = self.try_packet(now, balancer, datagram) {
+                known.entry(balancer).or_default().push(answer);
+            }
+        }
+        for (balancer, answers) in known {
+            self.reply_to_lookup(now, balancer, answers);
+        }
+    }
+
+    /// Passes a packet on trial to other agents, which answer the balancer.
+    pub(super) fn relay_trial(
         &mut self,
         now: Duration,
-        from: SocketAddrV4,
-        datagrams: Vec<Vec<u8>>,
+        balancer: SocketAddrV4,
+        agents: Vec<SocketAddrV4>,
+        datagram: Vec<u8>,
     ) {
-        let datagrams = datagrams.into_iter();
-        let answers: Vec<_> =
-            datagrams.filter_map(|datagram| self.try_packet(now, from, datagram)).collect();
-        if !answers.is_empty() {
-            self.reply_to_lookup(now, from, answers);
+        self.counters.trials_relayed += agents.len() as u64;
+        let datagram: Arc<[u8]> = datagram.into();
+        for agent in agents {
+            self.relayed_trials.add(now, agent, (balancer, datagram.clone()));
         }
+        self.send_relayed_trials(now);
+    }
+
+    /// Sends the batched packets that this agent relays, if a batch is due.
+    pub(super) fn send_relayed_trials(&mut self, now: Duration) {
+        let me = self.cluster.membership.me().address;
+        self.outputs.extend(self.relayed_trials.take_due_messages(now, me));
     }
 
     /// Passes a trial packet to the back end if this agent does not know whether the back end holds
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -31,7 +31,7 @@
 use self::outcomes::RequestOutcome;
 use self::wait_queue::{WaitQueue, WaitingFlow};
 use crate::backend::Backend;
-use crate::batches::Batches;
+use crate::batches::{Batches, SharedTrial};
 use crate::breaker::{Breaker, BreakerState};
 use crate::cluster_state::{Adoption, ClusterState};
 use crate::configuration::CarriedConfiguration;
@@ -41,6 +41,7 @@
 use crate::membership::{DEPARTED_TIMEOUT, Membership, Node};
 use crate::message::{
     Admission, BackendCondition, DeclineReason, FlowAnswer, LoadReport, Message, Snapshot,
+    TrialPacket,
 };
 use crate::output::Output;
 use crate::plain_format::PlainFormat;
@@ -149,6 +150,8 @@
     announced_end_at: Option<Duration>,
     /// Answers about flows that were tried.
     answer_batches: Batches<FlowAnswer>,
+    /// Packets on trial that other agents get for balancers.
+    relayed_trials: Batches<SharedTrial>,
     outputs: VecDeque<Output>,
     counters: CarriedAgentCounters,
     latency: AgentLatency,
@@ -188,6 +191,7 @@
             departure_notice_until: None,
             announced_end_at: None,
             answer_batches: Batches::default(),
+            relayed_trials: Batches::default(),
             outputs: VecDeque::new(),
             counters: CarriedAgentCounters::default(),
             latency: AgentLatency::default(),
@@ -264,10 +268,11 @@
             Some(Message::Forward { datagram }) => self.deliver(now, from, datagram),
             Some(Message::Lookup { queries }) => self.handle_lookup(now, from, &queries),
             Some(Message::TryForward { datagram }) => {
-                self.handle_trials(now, from, vec![datagram]);
+                self.handle_trials(now, vec![TrialPacket { balancer: from, datagram }]);
             }
-            Some(Message::TryForwardBatch { datagrams }) => {
-                self.handle_trials(now, from, datagrams);
+            Some(Message::TryForwardBatch { packets }) => self.handle_trials(now, packets),
+            Some(Message::RelayTrial { agents, datagram }) => {
+                self.relay_trial(now, from, agents, datagram);
             }
             Some(Message::ReadStore) => {
                 self.counters.store_errands += 1;
@@ -297,6 +302,7 @@
             self.next_probe(),
             self.wait_queue.next_expiry(),
             self.answer_batches.next_send(),
+            self.relayed_trials.next_send(),
         ];
         due.into_iter().flatten().min()
     }
@@ -319,6 +325,7 @@
         self.probe_if_due(now);
         self.serve_wait_queue(now);
         self.send_answers(now);
+        self.send_relayed_trials(now);
         for (peer, wants_reply) in self.cluster.membership.take_due(now) {
             self.send_heartbeat(now, peer, wants_reply);
         }
--- a/crates/carried/src/balancer/lookup_order.rs
+++ b/crates/carried/src/balancer/lookup_order.rs
@@ -83,6 +83,20 @@
         self.sort_by_likelihood(&flow, self.known_agents().filter(is_candidate))
     }
 
+    /// Agents that can pass a packet on trial to others: they have answered in this lookup, and their
+    /// links are wider than this node's. The flow's ranking spreads the flows over them.
+    pub(super) fn trial_relays(&self, lookup: &Lookup) -> Vec<SocketAddrV4> {
+        let membership = &self.cluster.membership;
+        let has_wider_link = |agent: &SocketAddrV4| {
+            membership.peer(agent).is_some_and(|peer| peer.link_mbps > membership.me().link_mbps)
+        };
+        let answered = lookup.answers().filter_map(|(agent, answer)| match answer {
+            AgentAnswer::Absent(_) => Some(*agent),
+            _ => None,
+        });
+        self.sort_by_likelihood(&lookup.segment.flow(), answered.filter(has_wider_link))
+    }
+
     /// Sorts agents by how likely they own a flow: first those with which balancers of this zone
     /// place it, then those with which all other balancers do.
     fn sort_by_likelihood(
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -10,12 +10,11 @@
 //!   yet, the caller waits.
 
 use super::*;
-use crate::batches::split_by_size;
 use crate::lookup::{
     ANSWER_TIMEOUT, AgentAnswer, INITIAL_RETRY_DELAY, INITIAL_TRIALS, LOOKUP_TIMEOUT, Lookup,
     MAX_TRIAL_DOUBLINGS, MAX_TRIALS, TRIAL_TIMEOUT,
 };
-use crate::message::{FlowAnswer, FlowStatus, MAX_FLOWS_PER_MESSAGE, MAX_PACKET_BYTES_PER_MESSAGE};
+use crate::message::{FlowAnswer, FlowStatus, MAX_FLOWS_PER_MESSAGE, MAX_RELAYED_AGENTS};
 
 /// Maximum number of lookups. Packets of further flows are dropped; their callers retransmit them.
 const MAX_LOOKUPS: usize = 4_096;
@@ -172,12 +171,8 @@
 
     /// Sends the batched packets on trial, if a batch is due.
     pub(super) fn send_trials(&mut self, now: Duration) {
-        for (to, packets) in self.trial_batches.take_due(now) {
-            for group in split_by_size(packets, MAX_PACKET_BYTES_PER_MESSAGE) {
-                let message = Message::try_forward(group.iter().map(|packet| packet.to_vec()));
-                self.outputs.push_back(Output::ToPeer { to, message });
-            }
-        }
+        let me = self.cluster.membership.me().address;
+        self.outputs.extend(self.trial_batches.take_due_messages(now, me));
     }
 
     /// Sends a packet on trial to back ends whose agents may have lost their record of the flow,
@@ -187,6 +182,7 @@
         let Some(lookup) = self.lookups.get(number) else { return false };
         let Some(datagram) = lookup.trial_packet(now) else { return false };
         let datagram: Arc<[u8]> = datagram.as_slice().into();
+        let relays = self.trial_relays(lookup);
         let most = match self.all_ruled_out_or_unknown(now, lookup) {
             true => INITIAL_TRIALS << lookup.trial_rounds.min(MAX_TRIAL_DOUBLINGS),
             false => MAX_TRIALS.saturating_sub(lookup.trials),
@@ -203,14 +199,39 @@
         log::debug!(
             flow = flow_name(&lookup.segment.flow()).as_str(), agents = candidates.len(); "flow_tried"
         );
-        for to in candidates {
-            lookup.note_answer(to, AgentAnswer::Tried(now));
-            self.trial_batches.add(now, to, datagram.clone());
+        for to in &candidates {
+            lookup.note_answer(*to, AgentAnswer::Tried(now));
+        }
+        match relays.is_empty() || candidates.len() <= INITIAL_TRIALS {
+            true => self.try_directly(now, &candidates, &datagram),
+            false => self.try_through_relays(&candidates, &relays, &datagram),
         }
         self.lookups.wake_at(number, now + TRIAL_TIMEOUT);
         true
     }
 
+    fn try_directly(&mut self, now: Duration, agents: &[SocketAddrV4], datagram: &Arc<[u8]>) {
+        let me = self.cluster.membership.me().address;
+        for to in agents {
+            self.trial_batches.add(now, *to, (me, datagram.clone()));
+        }
+    }
+
+    /// Has relays pass a packet on trial to the agents. Over this node's link it goes once for many
+    /// agents.
+    fn try_through_relays(
+        &mut self,
+        agents: &[SocketAddrV4],
+        relays: &[SocketAddrV4],
+        datagram: &Arc<[u8]>,
+    ) {
+        for (agents, to) in agents.chunks(MAX_RELAYED_AGENTS).zip(relays.iter().cycle()) {
+            let message =
+                Message::RelayTrial { agents: agents.to_vec(), datagram: datagram.to_vec() };
+            self.outputs.push_back(Output::ToPeer { to: *to, message });
+        }
+    }
+
     /// Resets the caller: no agent owns its flow.
     fn reset_caller(&mut self, now: Duration, number: u64) {
         let Some(lookup) = self.lookups.get_mut(number) else { return };
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -37,7 +37,7 @@
 use self::scheduling_delay::SchedulingDelay;
 use self::store_watch::StoreWatch;
 use self::unrouted::UnroutedFlows;
-use crate::batches::Batches;
+use crate::batches::{Batches, SharedTrial};
 use crate::cluster_state::{Adoption, ClusterState};
 use crate::configuration::{CarriedConfiguration, RoutingTable};
 use crate::counters::CarriedBalancerCounters;
@@ -114,8 +114,7 @@
     unrouted: UnroutedFlows,
     lookups: FlowTable<Lookup>,
     query_batches: Batches<FlowQuery>,
-    /// Packets on trial.
-    trial_batches: Batches<Arc<[u8]>>,
+    trial_batches: Batches<SharedTrial>,
     lookup_limiter: LookupLimiter,
     absence_evidence: AbsenceEvidence,
     discovery: Discovery,
--- a/crates/carried/src/batches.rs
+++ b/crates/carried/src/batches.rs
@@ -1,7 +1,10 @@
 //! Batches what is sent to the same node, so that many flows share a message.
 
+use crate::message::{MAX_PACKET_BYTES_PER_MESSAGE, Message, TrialPacket};
+use crate::output::Output;
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Minimum time between two batches.
@@ -43,13 +46,44 @@
     }
 }
 
-/// Splits packets into groups whose sizes add up to `max_bytes` at most; a larger packet is alone.
-pub(crate) fn split_by_size<P: AsRef<[u8]>>(packets: Vec<P>, max_bytes: usize) -> Vec<Vec<P>> {
-    let mut groups: Vec<Vec<P>> = Vec::new();
+/// A packet on trial, with the balancer that gets the answer; shared by the agents that get it.
+pub(crate) type SharedTrial = (SocketAddrV4, Arc<[u8]>);
+
+impl Batches<SharedTrial> {
+    /// Removes all packets on trial if a batch is due, and returns the messages that carry them from
+    /// the node `me`.
+    pub(crate) fn take_due_messages(&mut self, now: Duration, me: SocketAddrV4) -> Vec<Output> {
+        let due = self.take_due(now).into_iter();
+        let groups = due.flat_map(|(to, packets)| {
+            split_by_size(packets).into_iter().map(move |group| (to, group))
+        });
+        let outputs =
+            groups.map(|(to, packets)| Output::ToPeer { to, message: trial_message(packets, me) });
+        outputs.collect()
+    }
+}
+
+fn trial_message(mut packets: Vec<TrialPacket>, me: SocketAddrV4) -> Message {
+    match packets.pop() {
+        Some(packet) if packets.is_empty() && packet.balancer == me => {
+            Message::TryForward { datagram: packet.datagram }
+        }
+        last => {
+            packets.extend(last);
+            Message::TryForwardBatch { packets }
+        }
+    }
+}
+
+/// Splits packets into groups that fit in one message each; a larger packet is alone.
+fn split_by_size(packets: Vec<SharedTrial>) -> Vec<Vec<TrialPacket>> {
+    let mut groups: Vec<Vec<TrialPacket>> = Vec::new();
     let mut group_bytes = 0;
-    for packet in packets {
-        let bytes = packet.as_ref().len();
-        match groups.last_mut().filter(|_| group_bytes + bytes <= max_bytes) {
+    for (balancer, datagram) in packets {
+        let packet = TrialPacket { balancer, datagram: datagram.to_vec() };
+        let bytes = packet.datagram.len();
+        let has_room = group_bytes + bytes <= MAX_PACKET_BYTES_PER_MESSAGE;
+        match groups.last_mut().filter(|_| has_room) {
             Some(group) => {
                 group.push(packet);
                 group_bytes += bytes;
--- a/crates/carried/src/counters.rs
+++ b/crates/carried/src/counters.rs
@@ -162,7 +162,9 @@
         /// Packets dropped because they do not decode.
         packets_malformed,
         /// Packets of possibly forgotten flows, delivered to the back end to decide.
-        packets_tried,
+packets_tried,
+        /// Packets on trial passed on to other agents for balancers.
+        trials_relayed,
         /// Messages from other nodes that do not decode.
         messages_malformed,
         /// Delegated store reads requested by balancers.
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -50,7 +50,7 @@
 pub use message::{
     Admission, BackendCondition, DeclineReason, FlowAnswer, FlowKnowledge, FlowName, FlowQuery,
     FlowStatus, Heartbeat, LoadReport, MAX_FLOWS_PER_MESSAGE, MAX_MESSAGE_BYTES, Message, NodeRole,
-    Snapshot,
+    Snapshot, TrialPacket,
 };
 pub use output::Output;
 pub use plain_format::PlainFormat;
--- a/crates/carried/src/membership.rs
+++ b/crates/carried/src/membership.rs
@@ -256,6 +256,10 @@
         self.due.first().map(|(at, _)| *at)
     }
 
+    pub(crate) fn peer(&self, address: &SocketAddrV4) -> Option<&Peer> {
+        self.peers.get(address)
+    }
+
     pub(crate) fn knows(&self, address: &SocketAddrV4) -> bool {
         self.peers.contains_key(address)
     }
--- a/crates/carried/src/message.rs
+++ b/crates/carried/src/message.rs
@@ -216,9 +216,23 @@
     pub status: FlowStatus,
 }
 
-/// Maximum size of all packets in one `TryForwardBatch`; with the lengths of the packets it stays
-/// below [`MAX_MESSAGE_BYTES`], as no packet is shorter than its header.
-pub(crate) const MAX_PACKET_BYTES_PER_MESSAGE: usize = 1_800;
+/// Maximum size of all packets in one `TryForwardBatch`; with addresses and lengths, no packet being
+/// shorter than its header, it stays below the usual size of an IP packet.
+pub(crate) const MAX_PACKET_BYTES_PER_MESSAGE: usize = 1_100;
+/// Maximum number of agents in one `RelayTrial`; with the largest packet it stays below the usual
+/// size of an IP packet.
+pub(crate) const MAX_RELAYED_AGENTS: usize = 24;
+/// Maximum size of a decoded message in memory: lists take more room there than in a datagram.
+const MAX_DECODED_BYTES: usize = 2 * MAX_MESSAGE_BYTES;
+
+/// A packet on trial, passed on for a balancer.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct TrialPacket {
+    /// The balancer that gets the answer.
+    pub balancer: SocketAddrV4,
+    /// The packet.
+    pub datagram: Vec<u8>,
+}
 
 /// Maximum number of flows in one lookup or reply; keeps it below [`MAX_MESSAGE_BYTES`].
 pub const MAX_FLOWS_PER_MESSAGE: usize = 64;
@@ -329,23 +343,23 @@
     /// Balancer to any node: the shared store's list lacks the receiver, which should add itself
     /// again.
     NotListed,
-    /// Balancer to agent: like several `TryForward`, each with a packet of another flow.
+    /// Balancer or relay to agent: like several `TryForward`, each with a packet of another flow and
+    /// perhaps of another balancer.
     TryForwardBatch {
         /// The packets, [`MAX_PACKET_BYTES_PER_MESSAGE`] together unless there is only one.
-        datagrams: Vec<Vec<u8>>,
+        packets: Vec<TrialPacket>,
+    },
+    /// Balancer to agent: asks the agent to pass a packet on trial to other agents, which answer the
+    /// balancer.
+    RelayTrial {
+        /// The agents, at most [`MAX_RELAYED_AGENTS`].
+        agents: Vec<SocketAddrV4>,
+        /// The packet.
+        datagram: Vec<u8>,
     },
 }
 
 impl Message {
-    /// The message that gives packets of different flows to a back end on trial.
-    pub(crate) fn try_forward(packets: impl Iterator<Item = Vec<u8>>) -> Self {
-        let mut datagrams: Vec<_> = packets.collect();
-        match datagrams.len() {
-            1 => Message::TryForward { datagram: datagrams.remove(0) },
-            _ => Message::TryForwardBatch { datagrams },
-        }
-    }
-
     /// Encodes the message as a datagram.
     pub fn encode(&self) -> Vec<u8> {
         // Encoding plain data into a growing buffer cannot fail.
@@ -354,7 +368,7 @@
 
     /// Decodes a datagram; `None` if it is not a message or has trailing bytes.
     pub fn decode(datagram: &[u8]) -> Option<Self> {
-        let limited = bincode::config::standard().with_limit::<MAX_MESSAGE_BYTES>();
+        let limited = bincode::config::standard().with_limit::<MAX_DECODED_BYTES>();
         let (message, used) = bincode::decode_from_slice(datagram, limited).ok()?;
         (used == datagram.len()).then_some(message)
     }
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -331,8 +331,8 @@
             Output::ToPeer { to, message: Message::TryForward { datagram } } => {
                 trials.push((*to, datagram.clone()));
             }
-            Output::ToPeer { to, message: Message::TryForwardBatch { datagrams } } => {
-                trials.extend(datagrams.iter().map(|datagram| (*to, datagram.clone())));
+            Output::ToPeer { to, message: Message::TryForwardBatch { packets } } => {
+                trials.extend(packets.iter().map(|packet| (*to, packet.datagram.clone())));
             }
             _ => {}
         }
--- a/crates/carried/tests/support/restarts.rs
+++ b/crates/carried/tests/support/restarts.rs
@@ -18,7 +18,19 @@
 
 /// A balancer that has read the list of nodes and has received each agent's `report` at 100 ms.
 pub fn balancer_with_reports(report: impl Fn(u8) -> LoadReport) -> CarriedBalancer {
-    let mut balancer = new_balancer(1);
+    informed(new_balancer(1), report)
+}
+
+/// The same with a link that is narrower than those of the agents.
+pub fn narrow_balancer_with_reports(report: impl Fn(u8) -> LoadReport) -> CarriedBalancer {
+    let mut settings = balancer_settings(1);
+    settings.node.link_mbps = 10;
+    let mut balancer = CarriedBalancer::new(settings, PlainFormat);
+    balancer.adopt(milliseconds(0), configuration(1, vec![route(service_address(), SERVICE)]));
+    informed(balancer, report)
+}
+
+fn informed(mut balancer: CarriedBalancer, report: impl Fn(u8) -> LoadReport) -> CarriedBalancer {
     let list: Vec<_> = (1..=AGENTS).map(|agent| (agent_address(agent), NodeRole::Agent)).collect();
     balancer.learn_members(milliseconds(0), &list);
     run_timers(&mut balancer, 0, 100);
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -2,6 +2,9 @@
 
 use super::*;
 
+const BALANCER_LINK_MBPS: u32 = 100;
+const AGENT_LINK_MBPS: u32 = 1_000;
+
 impl CarriedWorld {
     pub(super) fn start_node(&mut self, node: usize) {
         let settings = self.settings;
@@ -59,7 +62,8 @@
             zone: zone_name(node),
             region: "region".to_owned(),
             incarnation,
-            link_mbps: 1_000,
+            // Packets on trial go through relays where balancers have the narrower links.
+            link_mbps: if is_balancer { BALANCER_LINK_MBPS } else { AGENT_LINK_MBPS },
         }
     }
 
