A back end's port that refuses connections at its agent's start ends the doubt about its flows

Their agents' ports were probed only 120 ms after the start, and not at all once the machine had returned a packet, which it does although no process listens. So their agents reported nothing certain (`Unknown`, flows unsure) until they vanished, and each lookup waited for them: logs show the same four to eight agents holding up 1,178 of the slow lookups. One that had reported the end of its back end was given packets on trial nevertheless, and its departure notice counts only for queries.

Ruled out: the number of trials (rounds at 73 back ends take 9 ms), the presumption's length.

Change: a starting agent probes its back end's port at once. Two refusals, 40 ms apart, prove that no process listens: the next back end starts while this agent runs, so the agent knows every flow and says so. A returned packet does not stop the probes. Balancers ask an agent whose back end has ended instead of trying it, and its departure notice counts for an unanswered trial as well.

Tests, red before: a_port_that_refuses_at_the_agents_start_..., a_port_that_has_refused_only_once_... (the control; it failed since nothing was probed at once), an_agent_that_has_reported_the_end_of_its_back_end_holds_no_lookup_up.

--- a/crates/carried/src/agent/backend_probe.rs
+++ b/crates/carried/src/agent/backend_probe.rs
@@ -2,18 +2,18 @@
 //!
 //! A back end that crashed sends no notice, but its port then refuses connections. The agent probes
 //! the port only when it has a reason for doubt: the back end has not reacted to packets for longer
-//! than a live one leaves a retransmission unanswered; the agent has just started and received
-//! nothing from the back end; or the agent is stopping, since a machine is taken away once its back
-//! end has ended.
+//! than a live one leaves a retransmission unanswered; the agent has just started; or the agent is
+//! stopping, since a machine is taken away once its back end has ended.
+//!
+//! A port that refuses connections at the agent's start proves that every flow of earlier processes
+//! is over: the next back end starts while this process runs. Nothing else is known that soon of a
+//! machine that has returned without its back end, and may be gone again within a second.
 
 use super::*;
 
 /// A back end that has not reacted to packets for this long is probed. A caller retransmits a
 /// packet after 200 ms, and a live back end acknowledges the retransmission.
 const QUIET_TIMEOUT: Duration = Duration::from_millis(450);
-/// A back end that has sent nothing this long after the agent's start is probed; a live one has
-/// sent a heartbeat by then, or accepts the connection.
-const FIRST_PROBE_DELAY: Duration = Duration::from_millis(120);
 /// Consecutive refused connections after which the back end counts as ended.
 const REFUSALS_UNTIL_ENDED: u32 = 2;
 /// Minimum time between two probes, unless the back end may be alive.
@@ -71,6 +71,11 @@
         self.has_ended = false;
     }
 
+    /// Records that the back end's machine has returned a packet. That shows nothing of the port.
+    pub(super) fn note_returned_packet(&mut self) {
+        self.unanswered_since = None;
+    }
+
     /// Records that a packet to which a live back end reacts was passed to it.
     pub(super) fn note_packet(&mut self, now: Duration) {
         self.unanswered_since.get_or_insert(now);
@@ -93,7 +98,7 @@
         }
         let due_by_silence = match self.has_received {
             true => self.unanswered_since.map(|since| since + QUIET_TIMEOUT),
-            false => Some(FIRST_PROBE_DELAY),
+            false => Some(Duration::ZERO),
         };
         let due = if self.is_urgent { Some(self.next_at) } else { due_by_silence };
         let earliest = self.sent_at.map_or(self.next_at, |at| at + PROBE_TIMEOUT);
@@ -147,7 +152,8 @@
             ProbeOutcome::Refused => {
                 self.probe.refusals += 1;
                 self.probe.next_at = now + RETRY_INTERVAL;
-                if self.probe.refusals >= REFUSALS_UNTIL_ENDED && !self.probe.has_ended {
+                if self.probe.is_refused() && !self.probe.has_ended {
+                    self.may_miss_flows = false;
                     self.note_backend_end(now, "refuses_connections");
                 }
             }
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -212,7 +212,7 @@
     /// Handles a packet that the back end did not accept and has returned.
     pub(super) fn handle_returned(&mut self, now: Duration, segment: &Segment, datagram: Vec<u8>) {
         self.counters.packets_returned += 1;
-        self.probe.note_activity();
+        self.probe.note_returned_packet();
         let flow = segment.flow();
         let Some(id) = self.flows.find(&flow) else { return };
         let Some(entry) = self.flows.get(id) else { return };
--- a/crates/carried/src/balancer/flow_absence.rs
+++ b/crates/carried/src/balancer/flow_absence.rs
@@ -60,9 +60,10 @@
         lookup: &Lookup,
         agent: &SocketAddrV4,
     ) -> bool {
+        let is_overdue = |at: Duration| now.saturating_sub(at) >= self.answer_timeout(now);
         match lookup.answer(agent) {
             Some(AgentAnswer::Absent(_)) => true,
-            Some(AgentAnswer::Asked(at)) if now.saturating_sub(at) >= self.answer_timeout(now) => {
+            Some(AgentAnswer::Asked(at) | AgentAnswer::Tried(at)) if is_overdue(at) => {
                 self.has_departed(agent) || self.is_gone(now, agent)
             }
             _ => self.is_gone(now, agent),
--- a/crates/carried/src/balancer/lookup_order.rs
+++ b/crates/carried/src/balancer/lookup_order.rs
@@ -46,10 +46,12 @@
         self.may_have_forgotten(agent) && !lookup.was_denied_by(agent)
     }
 
-    /// Whether an agent's back end may have flows that the agent has no record of.
+    /// Whether an agent's back end may have flows that the agent has no record of. One that has
+    /// ended has none, as the agent answers if it is asked.
     fn may_have_forgotten(&self, agent: &SocketAddrV4) -> bool {
-        let view = self.pool.view(agent);
-        view.is_some_and(|view| view.flow_knowledge() == FlowKnowledge::Partial)
+        self.pool.view(agent).is_some_and(|view| {
+            view.flow_knowledge() == FlowKnowledge::Partial && !view.backend_ended()
+        })
     }
 
     /// Up to `most` of some agents whose answer is not known, the likeliest owners first.
--- a/crates/carried/tests/lost_flows.rs
+++ b/crates/carried/tests/lost_flows.rs
@@ -126,6 +126,45 @@
     assert_eq!(status_after(200, true), [replies(1, FlowStatus::Absent)], "its port was closed");
 }
 
+/// Guards against machines that return without their back ends after a loss of power and vanish
+/// within a second: lookups waited 15 s for agents that had concluded nothing.
+#[test]
+fn a_port_that_refuses_at_the_agents_start_proves_that_flows_from_before_are_over() {
+    let mut agent = agent(false);
+    assert_eq!(until_probed(&mut agent, 0, 10), Some(0), "it is probed at once");
+    agent.take_probe(milliseconds(1), ProbeOutcome::Refused);
+    agent.handle_peer(milliseconds(10), balancer_address(), &forward(2, 101));
+    outputs(&mut agent);
+    // The packet comes back although no process listens.
+    agent.handle_backend(milliseconds(20), returned(2, 101));
+    outputs(&mut agent);
+    let probed_at = until_probed(&mut agent, 20, 60).expect("probed again");
+    agent.take_probe(milliseconds(probed_at), ProbeOutcome::Refused);
+    assert!(agent.backend_has_ended(), "at {probed_at} ms");
+    outputs(&mut agent);
+    agent.handle_peer(milliseconds(61), balancer_address(), &lookup(1, 501));
+    assert_eq!(outputs(&mut agent), [replies(1, FlowStatus::Absent)]);
+    // The next back end has started since, whatever its heartbeat's number.
+    agent.take_report(milliseconds(900), &report("two", 3, true));
+    outputs(&mut agent);
+    agent.handle_peer(milliseconds(901), balancer_address(), &lookup(1, 501));
+    assert_eq!(outputs(&mut agent), [replies(1, FlowStatus::Absent)]);
+}
+
+/// Guards against flows ended by a port that refuses once, as a back end does that is just starting.
+#[test]
+fn a_port_that_has_refused_only_once_proves_nothing() {
+    let mut agent = agent(false);
+    until_probed(&mut agent, 0, 10);
+    agent.take_probe(milliseconds(1), ProbeOutcome::Refused);
+    let probed_at = until_probed(&mut agent, 2, 60).expect("probed again");
+    agent.take_probe(milliseconds(probed_at), ProbeOutcome::NotRefused);
+    agent.take_report(milliseconds(60), &report("one", 2, true));
+    outputs(&mut agent);
+    agent.handle_peer(milliseconds(61), balancer_address(), &lookup(1, 501));
+    assert_eq!(outputs(&mut agent), [replies(1, FlowStatus::Unknown)]);
+}
+
 #[test]
 fn an_agent_started_after_its_back_ends_first_heartbeat_reports_unknown() {
     let mut agent = agent(false);
--- a/crates/carried/tests/power_loss.rs
+++ b/crates/carried/tests/power_loss.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use loftdrift_carried::{
-    CarriedBalancer, FlowKnowledge, FlowStatus, LoadReport, Message, NodeRole, Output,
+    BackendCondition, CarriedBalancer, FlowKnowledge, FlowStatus, LoadReport, Message, NodeRole,
+    Output,
 };
 use support::restarts::{AGENTS, balancer_with_reports, load, request, run_timers};
 use support::*;
@@ -79,6 +80,20 @@
     assert_eq!(resets(&outputs), 0);
 }
 
+/// Guards against lookups that wait 15 s for a machine which has returned without its back end, has
+/// said so, and has vanished again.
+#[test]
+fn an_agent_that_has_reported_the_end_of_its_back_end_holds_no_lookup_up() {
+    let mut balancer = balancer_with_reports(|agent| match agent {
+        5 => LoadReport { condition: BackendCondition::Ended, ..load(FlowKnowledge::Partial, 90) },
+        _ => load(FlowKnowledge::Partial, 90),
+    });
+    balancer.handle_caller(milliseconds(ASKED_AT), &packet(&request(1)));
+    let outputs = answer_all(&mut balancer, 250, FlowStatus::Absent, |agent| agent == 5);
+    assert!(!tried(&outputs).contains(&agent_address(5)), "there is no back end to try");
+    assert_eq!(resets(&outputs), 1);
+}
+
 /// Guards against waits for an owner that has answered: the flow goes on at once.
 #[test]
 fn after_a_joint_start_a_flow_goes_on_at_the_back_end_that_holds_it() {
