A departure notice of an earlier process counts no more once a later one has answered

What callers may see: a reset of an open flow.

Cause: an agent that reports the end of its back end is ruled out as the owner of a flow once it leaves a query unanswered for 20 ms. If its process is replaced and a back end starts, the new process may answer that it is unsure and then fall silent before its first heartbeat arrives here; the report of the earlier process still counted.

Change: `LookupReply` carries how long the process has run. If that is less than the report is old, the report is an earlier process's, and the departure counts no more.

Test: a_departure_notice_of_an_earlier_process_rules_no_later_one_out, red before.

--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -297,9 +297,10 @@
         &mut self,
         now: Duration,
         from: SocketAddrV4,
+        uptime: Duration,
         answers: &[FlowAnswer],
     ) {
-        self.pool.note_alive(&from);
+        self.pool.note_answer(now, &from, uptime);
         for FlowAnswer { flow, status } in answers {
             match status {
                 FlowStatus::Owned => self.handle_owned(now, from, (*flow).into()),
@@ -377,7 +378,7 @@
         );
     }
 
-    /// Describes the first agents that may still own the flow: last answer, age of last report.
+    /// Describes the first agents that may still own the flow: last answer and last report.
     fn describe_blocking(&self, now: Duration, lookup: &Lookup) -> String {
         let blocking = self.known_agents().filter(|agent| !self.is_ruled_out(now, lookup, agent));
         let describe = |agent: SocketAddrV4| {
@@ -388,8 +389,8 @@
                 Some(AgentAnswer::Tried(_)) => "tried",
                 Some(AgentAnswer::Absent(_)) => "absent",
             };
-            let age = self.pool.view(&agent).map(|view| view.age(now).as_millis().to_string());
-            format!("{}:{answer}:{}ms", agent.ip(), age.unwrap_or_else(|| "never".to_owned()))
+            let report = self.pool.view(&agent).map(|view| view.describe_report(now));
+            format!("{}:{answer}:{}", agent.ip(), report.unwrap_or_else(|| "never".to_owned()))
         };
         blocking.take(MAX_DESCRIBED_AGENTS).map(describe).collect::<Vec<_>>().join(",")
     }
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -224,8 +224,9 @@
             Some(Message::Queued { number, report }) => {
                 self.handle_queued(now, from, number, report);
             }
-            Some(Message::LookupReply { answers, .. }) => {
-                self.handle_lookup_reply(now, from, &answers);
+            Some(Message::LookupReply { uptime_ms, answers }) => {
+                let uptime = Duration::from_millis(u64::from(uptime_ms));
+                self.handle_lookup_reply(now, from, uptime, &answers);
             }
             Some(Message::Ended { flow }) => self.handle_ended(now, from, flow.into()),
             Some(Message::NotOwned { datagram }) => self.handle_not_owned(now, from, &datagram),
--- a/crates/carried/src/pool.rs
+++ b/crates/carried/src/pool.rs
@@ -124,6 +124,13 @@
         view.map(AgentView::note_alive).is_some()
     }
 
+    /// Records an answer about flows of an agent's process that has run for `uptime`.
+    pub(crate) fn note_answer(&mut self, now: Duration, agent: &AgentId, uptime: Duration) {
+        if let Some(view) = self.agents.get_mut(agent) {
+            view.note_answer(now, uptime);
+        }
+    }
+
     /// Records that an agent has not answered a query sent at `asked_at`.
     pub(crate) fn note_unanswered_query(&mut self, agent: &AgentId, asked_at: Duration) {
         if let Some(view) = self.agents.get_mut(agent) {
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -148,6 +148,27 @@
         self.unresponsive_since = None;
     }
 
+    /// Records an answer about flows of a process that has run for `uptime`. If the last report is
+    /// older, it is that of an earlier process: a back end whose end it reported may have been
+    /// followed by another one.
+    pub(crate) fn note_answer(&mut self, now: Duration, uptime: Duration) {
+        self.note_alive();
+        if self.backend_ended() && uptime < self.age(now) {
+            self.report.condition = BackendCondition::Unknown;
+            self.report.flow_knowledge = FlowKnowledge::Partial;
+        }
+    }
+
+    /// Describes the last report for logs: its age, the condition, how long the process had run and
+    /// how long its back end, if known.
+    pub(crate) fn describe_report(&self, now: Duration) -> String {
+        let LoadReport { condition, flow_knowledge, uptime_ms, backend_age_ms, .. } = &self.report;
+        let milliseconds = |value: &Option<u32>| value.map_or("-".to_owned(), |ms| ms.to_string());
+        let (uptime, backend_age) = (milliseconds(uptime_ms), milliseconds(backend_age_ms));
+        let age = self.age(now).as_millis();
+        format!("{age}ms:{condition:?}:{flow_knowledge:?}:up={uptime}:backend={backend_age}")
+    }
+
     /// Records that a query sent at `asked_at` has not been answered.
     pub(crate) fn note_unanswered_query(&mut self, asked_at: Duration) {
         if self.reported_at <= asked_at {
--- a/crates/carried/tests/power_loss.rs
+++ b/crates/carried/tests/power_loss.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use loftdrift_carried::{
-    BackendCondition, CarriedBalancer, FlowKnowledge, FlowStatus, LoadReport, Message, NodeRole,
-    Output,
+    BackendCondition, CarriedBalancer, FlowAnswer, FlowKnowledge, FlowStatus, LoadReport, Message,
+    NodeRole, Output,
 };
 use support::restarts::{AGENTS, balancer_with_reports, load, request, run_timers};
 use support::*;
@@ -94,6 +94,41 @@
     assert_eq!(resets(&outputs), 1);
 }
 
+/// Guards against resets of flows of a restarted agent that has fallen silent: a departure notice of
+/// its earlier process counted, although the new one had answered that it was unsure.
+#[test]
+fn a_departure_notice_of_an_earlier_process_rules_no_later_one_out() {
+    let ended =
+        LoadReport { condition: BackendCondition::Ended, ..load(FlowKnowledge::Complete, 30_000) };
+    let mut balancer = balancer_with_reports(|agent| match agent {
+        5 => ended.clone(),
+        _ => load(FlowKnowledge::Complete, 30_000),
+    });
+    run_timers(&mut balancer, 101, 900);
+    outputs_of(&mut balancer);
+    let answer = |status, uptime_ms| {
+        let answers = vec![FlowAnswer { flow: flow_named(2), status }];
+        Message::LookupReply { uptime_ms, answers }.encode()
+    };
+    balancer.handle_peer(milliseconds(900), agent_address(5), &answer(FlowStatus::Unknown, 60));
+    for agent in (1..=AGENTS).filter(|agent| *agent != 5) {
+        send(&mut balancer, milliseconds(900), agent, load(FlowKnowledge::Complete, 30_800));
+    }
+    outputs_of(&mut balancer);
+    balancer.handle_caller(milliseconds(901), &packet(&request(1)));
+    let mut reset_count = 0;
+    for at in 901..1_200 {
+        balancer.handle_timeout(milliseconds(at));
+        let outputs = outputs_of(&mut balancer);
+        reset_count += resets(&outputs);
+        for agent in asked(&outputs).into_iter().filter(|agent| *agent != agent_address(5)) {
+            let denial = reply(1, FlowStatus::Absent).encode();
+            balancer.handle_peer(milliseconds(at), agent, &denial);
+        }
+    }
+    assert_eq!(reset_count, 0);
+}
+
 /// Guards against waits for an owner that has answered: the flow goes on at once.
 #[test]
 fn after_a_joint_start_a_flow_goes_on_at_the_back_end_that_holds_it() {
