Trials and what agents know of flows, in files of their own

Change: `balancer/trials.rs` takes the packets on trial, their candidates and relays from lookups and their order; `flow_knowledge.rs` takes the type from the messages. Moved as they were; names and behaviour are the same.

--- a/crates/carried/src/agent/condition.rs
+++ b/crates/carried/src/agent/condition.rs
@@ -1,7 +1,7 @@
 //! Whether the back end takes new flows, and how the agent reports that to balancers.
 
 use super::*;
-use crate::message::FlowKnowledge;
+use crate::flow_knowledge::FlowKnowledge;
 
 impl<F: SegmentFormat> CarriedAgent<F> {
     /// If the condition differs from the one that balancers were notified of last, logs the change
--- a/crates/carried/src/balancer/lookup_order.rs
+++ b/crates/carried/src/balancer/lookup_order.rs
@@ -1,9 +1,8 @@
-//! Selects and orders the agents that a lookup asks about its flow, and those that receive one of
-//! the flow's packets on trial.
+//! Selects and orders the agents that a lookup asks about its flow.
 
 use super::*;
+use crate::flow_knowledge::FlowKnowledge;
 use crate::lookup::{AgentAnswer, INITIAL_BATCH, Lookup};
-use crate::message::FlowKnowledge;
 use crate::pool::SAMPLE_SIZE;
 use crate::rank::Ranking;
 
@@ -67,41 +66,9 @@
         ranked.into_iter().filter(|agent| !self.is_gone(now, agent)).take(most).collect()
     }
 
-    /// Agents that may have lost their record of a flow and may receive its packets, the likeliest
-    /// owners first: those of the services that the address is or was routed to, if any, else all
-    /// others.
-    pub(super) fn trial_candidates(&self, lookup: &Lookup) -> Vec<SocketAddrV4> {
-        let flow = lookup.segment.flow();
-        let is_candidate = |agent: &SocketAddrV4| {
-            self.known_answer(lookup, agent) == Some(AgentAnswer::Unknown)
-                && self.is_region_allowed(&flow, agent)
-        };
-        let services = self.routes.candidate_services(&flow.service);
-        let of_services = services.flat_map(|service| self.pool.of_service(service));
-        let likely: Vec<_> = of_services.map(|(agent, _)| *agent).filter(is_candidate).collect();
-        if !likely.is_empty() {
-            return self.sort_by_likelihood(&flow, likely.into_iter());
-        }
-        self.sort_by_likelihood(&flow, self.known_agents().filter(is_candidate))
-    }
-
-    /// Agents that can pass a packet on trial to others: they have answered in this lookup, and their
-    /// links are wider than this node's. The flow's ranking spreads the flows over them.
-    pub(super) fn trial_relays(&self, lookup: &Lookup) -> Vec<SocketAddrV4> {
-        let membership = &self.cluster.membership;
-        let has_wider_link = |agent: &SocketAddrV4| {
-            membership.peer(agent).is_some_and(|peer| peer.link_mbps > membership.me().link_mbps)
-        };
-        let answered = lookup.answers().filter_map(|(agent, answer)| match answer {
-            AgentAnswer::Absent(_) => Some(*agent),
-            _ => None,
-        });
-        self.sort_by_likelihood(&lookup.segment.flow(), answered.filter(has_wider_link))
-    }
-
     /// Sorts agents by how likely they own a flow: first those with which balancers of this zone
     /// place it, then those with which all other balancers do.
-    fn sort_by_likelihood(
+    pub(super) fn sort_by_likelihood(
         &self,
         flow: &FlowKey,
         agents: impl Iterator<Item = SocketAddrV4>,
@@ -116,12 +83,6 @@
         ranked.into_iter().map(|(.., agent)| agent).collect()
     }
 
-    /// Whether the flow's route allows its data to be sent to an agent's region.
-    fn is_region_allowed(&self, flow: &FlowKey, agent: &SocketAddrV4) -> bool {
-        let Some(route) = self.routes.route(&flow.service) else { return true };
-        self.pool.view(agent).is_some_and(|view| view.is_in(&route.regions))
-    }
-
     fn is_in_same_zone(&self, agent: &SocketAddrV4) -> bool {
         self.pool.view(agent).is_some_and(|view| view.location.distance == Distance::SameZone)
     }
--- a/crates/carried/src/balancer/lookups.rs
+++ b/crates/carried/src/balancer/lookups.rs
@@ -10,11 +10,8 @@
 //!   yet, the caller waits.
 
 use super::*;
-use crate::lookup::{
-    ANSWER_TIMEOUT, AgentAnswer, INITIAL_RETRY_DELAY, INITIAL_TRIALS, LOOKUP_TIMEOUT, Lookup,
-    MAX_TRIAL_DOUBLINGS, MAX_TRIALS, TRIAL_TIMEOUT,
-};
-use crate::message::{FlowAnswer, FlowStatus, MAX_FLOWS_PER_MESSAGE, MAX_RELAYED_AGENTS};
+use crate::lookup::{ANSWER_TIMEOUT, AgentAnswer, INITIAL_RETRY_DELAY, LOOKUP_TIMEOUT, Lookup};
+use crate::message::{FlowAnswer, FlowStatus, MAX_FLOWS_PER_MESSAGE};
 
 /// Maximum number of lookups. Packets of further flows are dropped; their callers retransmit them.
 const MAX_LOOKUPS: usize = 4_096;
@@ -169,69 +166,6 @@
         }
     }
 
-    /// Sends the batched packets on trial, if a batch is due.
-    pub(super) fn send_trials(&mut self, now: Duration) {
-        let me = self.cluster.membership.me().address;
-        self.outputs.extend(self.trial_batches.take_due_messages(now, me));
-    }
-
-    /// Sends a packet on trial to back ends whose agents may have lost their record of the flow,
-    /// the likeliest owners first. Returns `false` if there are none or no further trial is
-    /// allowed.
-    fn send_trial_packets(&mut self, now: Duration, number: u64) -> bool {
-        let Some(lookup) = self.lookups.get(number) else { return false };
-        let Some(datagram) = lookup.trial_packet(now) else { return false };
-        let datagram: Arc<[u8]> = datagram.as_slice().into();
-        let relays = self.trial_relays(lookup);
-        let most = match self.all_ruled_out_or_unknown(now, lookup) {
-            true => INITIAL_TRIALS << lookup.trial_rounds.min(MAX_TRIAL_DOUBLINGS),
-            false => MAX_TRIALS.saturating_sub(lookup.trials),
-        };
-        let mut candidates = self.trial_candidates(lookup);
-        candidates.truncate(most);
-        if candidates.is_empty() {
-            return false;
-        }
-        let Some(lookup) = self.lookups.get_mut(number) else { return false };
-        lookup.trial_rounds += 1;
-        lookup.trials += candidates.len();
-        self.counters.lookup_trials += candidates.len() as u64;
-        log::debug!(
-            flow = flow_name(&lookup.segment.flow()).as_str(), agents = candidates.len(); "flow_tried"
-        );
-        for to in &candidates {
-            lookup.note_answer(*to, AgentAnswer::Tried(now));
-        }
-        match relays.is_empty() || candidates.len() <= INITIAL_TRIALS {
-            true => self.try_directly(now, &candidates, &datagram),
-            false => self.try_through_relays(&candidates, &relays, &datagram),
-        }
-        self.lookups.wake_at(number, now + TRIAL_TIMEOUT);
-        true
-    }
-
-    fn try_directly(&mut self, now: Duration, agents: &[SocketAddrV4], datagram: &Arc<[u8]>) {
-        let me = self.cluster.membership.me().address;
-        for to in agents {
-            self.trial_batches.add(now, *to, (me, datagram.clone()));
-        }
-    }
-
-    /// Has relays pass a packet on trial to the agents. Over this node's link it goes once for many
-    /// agents.
-    fn try_through_relays(
-        &mut self,
-        agents: &[SocketAddrV4],
-        relays: &[SocketAddrV4],
-        datagram: &Arc<[u8]>,
-    ) {
-        for (agents, to) in agents.chunks(MAX_RELAYED_AGENTS).zip(relays.iter().cycle()) {
-            let message =
-                Message::RelayTrial { agents: agents.to_vec(), datagram: datagram.to_vec() };
-            self.outputs.push_back(Output::ToPeer { to: *to, message });
-        }
-    }
-
     /// Resets the caller: no agent owns its flow.
     fn reset_caller(&mut self, now: Duration, number: u64) {
         let Some(lookup) = self.lookups.get_mut(number) else { return };
--- a/crates/carried/src/balancer/mod.rs
+++ b/crates/carried/src/balancer/mod.rs
@@ -24,6 +24,7 @@
 mod refusals;
 mod scheduling_delay;
 mod store_watch;
+mod trials;
 mod unrouted;
 
 use self::admission_pause::AdmissionPause;
--- a/crates/carried/src/lib.rs
+++ b/crates/carried/src/lib.rs
@@ -17,6 +17,7 @@
 mod configuration;
 mod counters;
 mod flow_cache;
+mod flow_knowledge;
 mod flow_table;
 mod incarnation;
 mod input_age;
@@ -44,13 +45,14 @@
 pub use balancer::{CarriedBalancer, CarriedBalancerSettings, ListedNode, NodeList};
 pub use configuration::{CarriedConfiguration, Route, RouteTarget, ServiceSettings};
 pub use counters::{CarriedAgentCounters, CarriedBalancerCounters};
+pub use flow_knowledge::FlowKnowledge;
 pub use incarnation::Incarnation;
 pub use input_age::InputAge;
 pub use membership::{Membership, Node, Peer};
 pub use message::{
-    Admission, BackendCondition, DeclineReason, FlowAnswer, FlowKnowledge, FlowName, FlowQuery,
-    FlowStatus, Heartbeat, LoadReport, MAX_FLOWS_PER_MESSAGE, MAX_MESSAGE_BYTES, Message, NodeRole,
-    Snapshot, TrialPacket,
+    Admission, BackendCondition, DeclineReason, FlowAnswer, FlowName, FlowQuery, FlowStatus,
+    Heartbeat, LoadReport, MAX_FLOWS_PER_MESSAGE, MAX_MESSAGE_BYTES, Message, NodeRole, Snapshot,
+    TrialPacket,
 };
 pub use output::Output;
 pub use plain_format::PlainFormat;
--- a/crates/carried/src/view.rs
+++ b/crates/carried/src/view.rs
@@ -5,7 +5,8 @@
 //! end then does not attract the flows of every balancer, and an agent that has measured nothing
 //! appears neither fast nor slow.
 
-use crate::message::{BackendCondition, FlowKnowledge, LoadReport};
+use crate::flow_knowledge::FlowKnowledge;
+use crate::message::{BackendCondition, LoadReport};
 use crate::policy::{Policies, Policy};
 use std::collections::BTreeSet;
 use std::time::Duration;
