A balancer that has not read the store's list resets no caller, however long it has run

Cause: all processes were killed while the store answered none of them. Each balancer knew one agent of five and no other way to the rest; 5.0 s after its start it took that for all of them, had the one agent's denial, and reset every caller (`nobody_holds said=absent:1`, 18 lines within 0.3 s). That heartbeats of all nodes arrive within 5 s holds where the others know this balancer; after a start of all, they learn of it from the same list.

Change: without the list nothing counts as known.

One test of lookups demanded a reset after 5 s without the list; it now demands none until the list is read.

--- a/crates/carried/src/balancer/discovery.rs
+++ b/crates/carried/src/balancer/discovery.rs
@@ -4,13 +4,16 @@
 //! new entry is still to be written, which takes as long as the store refuses or delays the write.
 //! Balancers that run exchange heartbeats with that agent, so one of them is asked as well.
 //!
+//! Without the list nothing is known: balancers that start together while the store is away know no
+//! agent but those that know them, however long they wait.
+//!
 //! A peer that started together with this process knows no more than the list. If all balancers
 //! start at once, an agent without an entry is learned of at its next heartbeat.
 
 use super::*;
 
-/// Time after its start in which a balancer that could not read the list of nodes, or gets no
-/// snapshot of another balancer, has learned of all nodes from heartbeats.
+/// Time after its start in which a balancer that gets no snapshot of another balancer has received
+/// heartbeats of all nodes that know it.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which a snapshot that has not arrived is requested from another balancer.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
@@ -44,19 +47,21 @@
         is_due
     }
 
-    /// From when on the store's list counts as known.
+    /// When the store's list is read at the latest, if the store answers.
     pub(super) fn list_known_at(&self) -> Duration {
         if self.has_member_list { Duration::ZERO } else { DISCOVERY_TIMEOUT }
     }
 }
 
 impl<F: SegmentFormat> CarriedBalancer<F> {
-    /// From when on this balancer is taken to know all nodes.
-    pub(super) fn members_known_at(&self) -> Duration {
+    /// Whether this balancer is taken to know all nodes: it has read the store's list, and another
+    /// balancer has answered, or none has for long enough.
+    pub(super) fn knows_all_nodes(&self, now: Duration) -> bool {
         let is_balancer = |(_, peer): (&SocketAddrV4, &Peer)| peer.role == NodeRole::Balancer;
-        let has_asked_peers =
-            self.discovery.has_peer_snapshot || !self.cluster.membership.peers().any(is_balancer);
-        if has_asked_peers { self.discovery.list_known_at() } else { DISCOVERY_TIMEOUT }
+        let has_asked_peers = self.discovery.has_peer_snapshot
+            || !self.cluster.membership.peers().any(is_balancer)
+            || now >= DISCOVERY_TIMEOUT;
+        self.discovery.has_member_list && has_asked_peers
     }
 
     /// Requests the snapshot of a balancer from which a heartbeat has arrived, unless one was
--- a/crates/carried/src/balancer/flow_absence.rs
+++ b/crates/carried/src/balancer/flow_absence.rs
@@ -48,7 +48,7 @@
         self.policies.is_enabled(Policy::ResetUnowned)
             && lookup.expects_answer()
             && is_asked_enough
-            && now >= self.members_known_at()
+            && self.knows_all_nodes(now)
             && self.known_agents().all(|agent| self.is_ruled_out(now, lookup, &agent))
     }
 
--- a/crates/carried/tests/discovery.rs
+++ b/crates/carried/tests/discovery.rs
@@ -79,6 +79,24 @@
     assert_eq!(fetches(&hear_peer(&mut balancer, 1_000)), 0, "one is enough");
 }
 
+/// Guards against resets of all flows after a kill of all processes while the store is away: balancers
+/// that knew one agent of five took it for the only one after 5 s.
+#[test]
+fn without_the_list_no_caller_is_reset_however_long_the_balancer_has_run() {
+    let mut balancer = new_balancer(1);
+    let condition = BackendCondition::Accepting;
+    let load = LoadReport { service: SERVICE.to_owned(), condition, ..LoadReport::default() };
+    for at in [1, DISCOVERED_MS, 2 * DISCOVERED_MS, 60_000] {
+        send(&mut balancer, milliseconds(at), LISTED, load.clone());
+        assert_eq!(resets(&deliver(&mut balancer, at + 50)), 0, "{at} ms after the start");
+    }
+    let agents = [LISTED, UNLISTED].map(|agent| (agent_address(agent), NodeRole::Agent));
+    balancer.learn_members(milliseconds(60_200), &agents);
+    let outputs = deliver(&mut balancer, 60_250);
+    assert!(asked(&outputs).contains(&agent_address(UNLISTED)));
+    assert_eq!(resets(&outputs), 1);
+}
+
 #[test]
 fn a_caller_is_reset_once_another_balancer_was_asked() {
     let mut balancer = balancer_with_list(&[peer()]);
--- a/crates/carried/tests/lookups.rs
+++ b/crates/carried/tests/lookups.rs
@@ -184,8 +184,9 @@
     assert_eq!(resets(&outputs), 0);
 }
 
+/// Guards against resets after a time alone: what is missing is the list, not time.
 #[test]
-fn a_balancer_that_has_not_read_the_list_resets_no_caller_for_seconds() {
+fn a_balancer_resets_no_caller_before_it_has_read_the_list() {
     let mut balancer = new_balancer(1);
     for agent in 1..=3 {
         send(&mut balancer, milliseconds(0), agent, load());
@@ -198,6 +199,11 @@
     }
     balancer.handle_caller(milliseconds(5_100), &packet(&request()));
     let outputs = answer_all(&mut balancer, milliseconds(5_101), |_| Some(FlowStatus::Absent));
+    assert_eq!(resets(&outputs), 0, "there still may be");
+    let list: Vec<_> = (1..=3).map(|agent| (agent_address(agent), NodeRole::Agent)).collect();
+    balancer.learn_members(milliseconds(5_200), &list);
+    balancer.handle_caller(milliseconds(5_200), &packet(&request()));
+    let outputs = answer_all(&mut balancer, milliseconds(5_201), |_| Some(FlowStatus::Absent));
     assert_eq!(resets(&outputs), 1);
 }
 
