The allocation test runs without the harness, whose thread it counted

Ruled out: the test's own thread, which counted 0 in each traced run. Change: the test has a `main` of its own, so that the process has one thread; the check is the same. With one allocation added to the measured region it fails (left 1, right 0).

--- a/crates/balancer/tests/allocations.rs
+++ b/crates/balancer/tests/allocations.rs
@@ -21,9 +21,12 @@
     encode_packet(0, None, &packet)
 }
 
-// Must stay the only test of this binary: the allocator counts for the whole process, and a second
-// test would allocate at the same time.
-#[test]
+/// Runs without the test harness, whose thread allocates now and then: the allocator counts for the
+/// whole process.
+fn main() {
+    a_packet_is_forwarded_without_allocation();
+}
+
 fn a_packet_is_forwarded_without_allocation() {
     let script = "create service tiles at 10.20.0.1:80\n\
          attach backend tiles-1 to tiles at 127.0.0.1:9001 agent 10.2.0.1:6081 state active\n\
