Review: one route's priority above 255 keeps a whole configuration out of force (CONFIG)

The document is parsed as a whole with priority as a u8. With a priority of 300 on one route no node took the version: 138 or 139 of as many requests sent later than config_apply_ms ran at the old service. Nothing is fixed.

--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod leave;
 mod net;
 mod nodes;
+mod priority;
 mod record;
 mod store;
 
@@ -38,6 +39,7 @@
         "crowd" => crowd::run(&record, has_trouble),
         "idle" => idle::run(&record, has_trouble),
         "leave" => leave::run(&record, has_trouble),
+        "priority" => priority::run(&record, has_trouble),
         other => Verdict::CouldNotRun(format!("unknown case {other}")),
     };
     let (text, code) = match verdict {
