--- a/review/standin-2/crowd.rs
+++ b/review/standin-2/crowd.rs
@@ -84,7 +84,7 @@
         let served = sent.iter().filter(|(_, is_served)| *is_served).count();
         served as f64 / sent.len().max(1) as f64
     };
-    let before = share(&|at| *at < BURST_AT);
+    let before = share(&|at| *at + WORK * 2 < BURST_AT);
     let after = share(&|at| *at >= CALM_AT);
     record.line(&format!("served before {before:.2}, in ordinary traffic after {after:.2}"));
     for (agent, backend) in agents.iter_mut().zip(&backends) {
