A flow rests from the last packet of either end

Cause: an agent counted a flow's rest from its change to the phase `Idle`, the first packet of an answer. Later packets of either end did not renew it, so whatever made an answer last longer (packets lost and sent again, a slow link, a large answer) shortened the rest that was allowed.

Ruled out: the balancer's cache (its line `flow_not_held` says that the agent returned the packet), the back end (no `packet_returned_by_backend`).

Change: each packet that the agent passes on renews the rest, in every phase that a flow may be forgotten in (idle, on trial, closing). A flow is kept 5 s beyond the limit: each end counts its rest from its own packets, and the packet that ends a rest in time may be lost and sent again.

Related paths, read: the balancers' cache (a lookup follows), the maximum age after which an agent knows all flows (older than it by then), opening and waiting flows (their callers' timeouts), UDP flows of the older path (from their last packet).

--- a/crates/carried/src/agent/flow.rs
+++ b/crates/carried/src/agent/flow.rs
@@ -49,6 +49,8 @@
     pub(super) balancer: SocketAddrV4,
     pub(super) phase: Phase,
     pub(super) phase_since: Duration,
+    /// When the latest packet of either end was passed on. The flow has rested since then.
+    pub(super) last_packet: Duration,
     /// Sequence number of the SYN; distinguishes its retransmissions from the SYN of another flow.
     pub(super) syn_sequence: Option<u32>,
     /// The caller has closed its side; if a request is outstanding, the caller has given it up.
@@ -69,6 +71,7 @@
             balancer,
             phase,
             phase_since: now,
+            last_packet: now,
             syn_sequence: None,
             caller_closed: false,
             backend_closed: false,
@@ -78,6 +81,15 @@
         }
     }
 
+    /// From when on the timeout of the flow's phase counts: a flow that may be forgotten rests from
+    /// its last packet on, whatever that packet carried.
+    pub(super) fn timeout_begins_at(&self) -> Duration {
+        match self.phase {
+            Phase::Idle | Phase::OnTrial | Phase::Closing => self.phase_since.max(self.last_packet),
+            _ => self.phase_since,
+        }
+    }
+
     /// Whether a caller's packet carries data that was not received before.
     pub(super) fn is_new_data(&self, segment: &Segment) -> bool {
         let end = segment.end();
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -75,6 +75,10 @@
 /// How long a flow is remembered after its caller has closed it, since packets of either end may
 /// still arrive.
 const CLOSING_TTL: Duration = Duration::from_secs(3);
+/// How long a flow is remembered beyond the idle timeout. Each end counts a rest from the packets
+/// that it has sent or received itself, and the packet that ends a rest in time may be lost and sent
+/// again for some seconds, until the routers avoid a balancer that is frozen.
+const REST_MARGIN: Duration = Duration::from_secs(5);
 /// Offers that are read this soon after a stall of the process waited in the socket during it. They
 /// are ignored, since their balancers have offered the flows to other agents meanwhile.
 const STALE_OFFER_WINDOW: Duration = Duration::from_millis(20);
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -27,6 +27,7 @@
             return self.handle_packet_after_end(now, from, id, &segment, datagram);
         }
         entry.body.balancer = from;
+        entry.body.last_packet = now;
         if segment.ack {
             entry.body.caller_acknowledged = Some(segment.acknowledgement);
         }
@@ -173,6 +174,7 @@
     ) {
         let Some(flow) = self.flows.get_mut(id) else { return };
         let is_overtaking = flow.body.is_overtaking_fin(segment);
+        flow.body.last_packet = now;
         flow.body.backend_data_end = Some(segment.end());
         flow.body.backend_closed |= segment.fin || segment.rst;
         let (balancer, phase, since) = (flow.body.balancer, flow.body.phase, flow.body.phase_since);
--- a/crates/carried/src/agent/phases.rs
+++ b/crates/carried/src/agent/phases.rs
@@ -23,11 +23,11 @@
             Phase::SynAcked => HANDSHAKE_TIMEOUT,
             Phase::AwaitingResponse { in_system } => self.response_timeout(in_system),
             Phase::Overdue => OVERDUE_TIMEOUT,
-            Phase::Idle | Phase::OnTrial => self.idle_timeout(),
+            Phase::Idle | Phase::OnTrial => self.rest_timeout(),
             Phase::Closing if caller_closed => CLOSING_TTL,
             // The caller may not have received the back end's FIN yet. If the flow were forgotten
             // now, its next packet would get a reset.
-            Phase::Closing => self.idle_timeout(),
+            Phase::Closing => self.rest_timeout(),
         }
     }
 
@@ -39,8 +39,9 @@
         (expected * RESPONSE_TIMEOUT_FACTOR).clamp(MIN_RESPONSE_TIMEOUT, MAX_RESPONSE_TIMEOUT)
     }
 
-    pub(super) fn idle_timeout(&self) -> Duration {
-        self.cluster.idle_timeout(self.settings.max_flow_age)
+    /// How long a flow that rests is remembered.
+    fn rest_timeout(&self) -> Duration {
+        self.cluster.idle_timeout(self.settings.max_flow_age) + REST_MARGIN
     }
 
     /// Updates the number of requests in work when a flow's change of phase begins or ends one.
@@ -68,7 +69,8 @@
     pub(super) fn handle_phase_timeout(&mut self, now: Duration, id: FlowId) {
         let Some(flow) = self.flows.get(id) else { return };
         let phase = flow.body.phase;
-        let ends_at = flow.body.phase_since + self.phase_timeout(phase, flow.body.caller_closed);
+        let since = flow.body.timeout_begins_at();
+        let ends_at = since + self.phase_timeout(phase, flow.body.caller_closed);
         if now < ends_at {
             return self.flows.wake_by(id, Some(ends_at));
         }
