A flow that only its caller has finished is kept until both ends have

What callers may see: a reset while the back end is still sending the answer, more than 3 s after the caller's FIN (FLOW: "A flow is closed by FIN from both ends").

Cause: the short time for which a finished flow is remembered began with the caller's FIN alone.

Change: it begins once both ends have closed the flow or the caller has reset it; until then the flow is kept like an open one.

Test: a_flow_that_only_its_caller_has_finished_is_remembered_like_an_open_one, red before ("left: Absent, right: Owned"); flows_that_are_over_are_forgotten holds the other side.

--- a/crates/carried/src/agent/flow.rs
+++ b/crates/carried/src/agent/flow.rs
@@ -57,6 +57,8 @@
     pub(super) caller_closed: bool,
     /// The back end has closed its side.
     pub(super) backend_closed: bool,
+    /// The caller has reset the flow.
+    pub(super) caller_reset: bool,
     /// Sequence number after the last data received from the caller.
     pub(super) caller_data_end: Option<u32>,
     /// Acknowledgement number of the caller's last packet.
@@ -75,12 +77,18 @@
             syn_sequence: None,
             caller_closed: false,
             backend_closed: false,
+            caller_reset: false,
             caller_data_end: None,
             caller_acknowledged: None,
             backend_data_end: None,
         }
     }
 
+    /// Whether no end will send anything new: both have closed the flow, or the caller has reset it.
+    pub(super) fn is_over(&self) -> bool {
+        self.caller_reset || (self.caller_closed && self.backend_closed)
+    }
+
     /// From when on the timeout of the flow's phase counts: a flow that may be forgotten rests from
     /// its last packet on, whatever that packet carried.
     pub(super) fn timeout_begins_at(&self) -> Duration {
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -72,8 +72,7 @@
 const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
 /// ... and at the latest after this time.
 const MAX_RESPONSE_TIMEOUT: Duration = Duration::from_secs(3);
-/// How long a flow is remembered after its caller has closed it, since packets of either end may
-/// still arrive.
+/// How long a flow is remembered after it is over, since packets of either end may still arrive.
 const CLOSING_TTL: Duration = Duration::from_secs(3);
 /// How long a flow is remembered beyond the idle timeout. Each end counts a rest from the packets
 /// that it has sent or received itself, and the packet that ends a rest in time may be lost and sent
--- a/crates/carried/src/agent/packets.rs
+++ b/crates/carried/src/agent/packets.rs
@@ -86,6 +86,7 @@
         let body = &mut flow.body;
         if segment.rst || segment.fin {
             body.caller_closed = true;
+            body.caller_reset |= segment.rst;
             if !body.phase.awaits_response() || segment.rst {
                 self.set_phase(now, id, Phase::Closing);
             }
--- a/crates/carried/src/agent/phases.rs
+++ b/crates/carried/src/agent/phases.rs
@@ -4,10 +4,10 @@
 
 impl<F: SegmentFormat> CarriedAgent<F> {
     pub(super) fn set_phase(&mut self, now: Duration, id: FlowId, phase: Phase) {
-        let Some(caller_closed) = self.flows.get(id).map(|flow| flow.body.caller_closed) else {
+        let Some(is_over) = self.flows.get(id).map(|flow| flow.body.is_over()) else {
             return;
         };
-        let timeout = self.phase_timeout(phase, caller_closed);
+        let timeout = self.phase_timeout(phase, is_over);
         let Some(flow) = self.flows.get_mut(id) else { return };
         let before = std::mem::replace(&mut flow.body.phase, phase);
         flow.body.phase_since = now;
@@ -17,16 +17,16 @@
         self.flows.wake_by(id, Some(now + timeout));
     }
 
-    pub(super) fn phase_timeout(&self, phase: Phase, caller_closed: bool) -> Duration {
+    pub(super) fn phase_timeout(&self, phase: Phase, is_over: bool) -> Duration {
         match phase {
             Phase::Opening { .. } => SYN_ACK_TIMEOUT,
             Phase::SynAcked => HANDSHAKE_TIMEOUT,
             Phase::AwaitingResponse { in_system } => self.response_timeout(in_system),
             Phase::Overdue => OVERDUE_TIMEOUT,
             Phase::Idle | Phase::OnTrial => self.rest_timeout(),
-            Phase::Closing if caller_closed => CLOSING_TTL,
-            // The caller may not have received the back end's FIN yet. If the flow were forgotten
-            // now, its next packet would get a reset.
+            Phase::Closing if is_over => CLOSING_TTL,
+            // The end that has not closed the flow still sends, or has not received the other's FIN
+            // yet. If the flow were forgotten now, its caller's next packet would get a reset.
             Phase::Closing => self.rest_timeout(),
         }
     }
@@ -70,7 +70,7 @@
         let Some(flow) = self.flows.get(id) else { return };
         let phase = flow.body.phase;
         let since = flow.body.timeout_begins_at();
-        let ends_at = since + self.phase_timeout(phase, flow.body.caller_closed);
+        let ends_at = since + self.phase_timeout(phase, flow.body.is_over());
         if now < ends_at {
             return self.flows.wake_by(id, Some(ends_at));
         }
--- a/crates/carried/tests/rest.rs
+++ b/crates/carried/tests/rest.rs
@@ -75,6 +75,15 @@
     assert_eq!(status(&mut agent, 10 + IDLE_MS + 3_500), FlowStatus::Owned);
 }
 
+/// Guards against resets of flows that only the caller has finished: they were forgotten after 3 s,
+/// while the back end still had an answer to send.
+#[test]
+fn a_flow_that_only_its_caller_has_finished_is_remembered_like_an_open_one() {
+    let mut agent = agent_with_answered_flow();
+    from_caller(&mut agent, 20, Segment { fin: true, ..acknowledgement() });
+    assert_eq!(status(&mut agent, 19 + IDLE_MS), FlowStatus::Owned);
+}
+
 /// Guards against a table that grows: what is certainly over is forgotten within seconds.
 #[test]
 fn flows_that_are_over_are_forgotten() {
