The most flows that may wait is a bound whatever capacity a back end reports

Cause: `max_waiting` clamped between 2 flows a slot and 512; above 256 slots the bounds cross and `clamp` panics ("min > max. min = 520, max = 512" on standard error).

Ruled out: a starved process, a full back end (it was idle): the panic names the place.

Change: the larger of the two wishes, then at most 512, which bounds memory.

Related paths, read: the two other places with `clamp` (constants in order), every range that is drawn from and every division and product of durations in the cores; none can cross or panic.

Test flows_wait_beside_back_ends_of_any_capacity, red before (panicked at wait_queue.rs:179, "min = 514, max = 512"); it plays capacities 0, 1, 256, 257, 260 and 65,535 and passes now.

--- a/crates/carried/src/agent/wait_queue.rs
+++ b/crates/carried/src/agent/wait_queue.rs
@@ -176,7 +176,9 @@
     let full_rate = f64::from(capacity.max(1)) / work.max(Duration::from_millis(1)).as_secs_f64();
     let rate = rate.map_or(full_rate * ATTEMPTS_PER_CALLER, |rate| rate.min(full_rate));
     let served = rate * MAX_WAIT.as_secs_f64();
-    (served as usize).clamp(usize::from(capacity) * MIN_WAITING_PER_SLOT, MAX_WAITING_FLOWS)
+    // A back end may report more slots than flows may wait; the bound on memory holds nevertheless.
+    let wanted = (served as usize).max(usize::from(capacity) * MIN_WAITING_PER_SLOT);
+    wanted.min(MAX_WAITING_FLOWS)
 }
 
 impl<F: SegmentFormat> CarriedAgent<F> {
--- a/crates/carried/tests/wait_queue.rs
+++ b/crates/carried/tests/wait_queue.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use loftdrift_carried::{
-    Admission, CarriedAgent, DeclineReason, Message, Output, PlainFormat, Segment,
+    Admission, BackendReport, CarriedAgent, DeclineReason, Message, Output, PlainFormat, Segment,
 };
 use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
@@ -14,6 +14,8 @@
 /// Flows that the back end is given beyond its slots, since their handshakes overlap with the
 /// requests of others.
 const HANDSHAKING: u16 = 1;
+/// Flows that may wait at one agent, whatever its back end reports: each keeps its SYN in memory.
+const MAX_WAITING: u64 = 512;
 
 fn queueing(attempt_remaining_ms: u16, priority: u8) -> Admission {
     Admission::WaitQueue { within_ms: 0, attempt_remaining_ms, priority }
@@ -339,3 +341,26 @@
     assert!(with_queue.late >= 41, "{with_queue:?}");
     assert!(without.late < 15, "{without:?}");
 }
+
+/// Guards against an agent that hangs for good: the first flow that had to wait beside a back end of
+/// more than 256 slots ended the task of its core, since the least and the most that may wait crossed.
+#[test]
+fn flows_wait_beside_back_ends_of_any_capacity() {
+    for capacity in [0, 1, 256, 257, 260, u16::MAX] {
+        let mut agent = agent(true);
+        let slots = BackendReport { capacity, ..report("one", 1, true) };
+        agent.take_report(milliseconds(0), &slots);
+        let offers = u64::from(capacity) + u64::from(HANDSHAKING) + 1_000;
+        for number in 1..=offers {
+            let from = SocketAddrV4::new([100, 64, (number >> 16) as u8, 7].into(), number as u16);
+            let datagram = packet(&Segment { source: from, ..syn(1) });
+            let admission = queueing(1_300, 1);
+            let offer = Message::Offer { number, service: SERVICE.to_owned(), admission, datagram };
+            agent.handle_peer(milliseconds(1), balancer_address(), &offer.encode());
+        }
+        let counters = agent.counters(milliseconds(1));
+        assert!(counters.in_line > 0, "flows wait at capacity {capacity}");
+        assert!(counters.in_line <= MAX_WAITING, "{} wait", counters.in_line);
+        assert_eq!(counters.in_line + counters.declined_busy + counters.offers_taken, offers);
+    }
+}
