A panic of a task that the process cannot go on without ends the process

Cause: the core and all tasks around it were spawned into a set that nobody waited for. Whatever panicked there was gone without a line of the log; the status that others read kept its last value.

Change: `loftdrift-tasks` holds named tasks and reports the first panic; the node, and the processes of the older path (configuration, counters, metrics in the background), end with it as their error, and the platform starts them again. A panic anywhere, in tasks that serve one connection and in threads too, is a line `panicked` with its place and counts in `loftdrift_log_panics_total`.

--- a/crates/logging/src/lib.rs
+++ b/crates/logging/src/lib.rs
@@ -12,11 +12,13 @@
 //! limit of failures (level `warn` and above), which is also higher.
 
 mod line;
+mod panics;
 mod queue;
 mod rate;
 mod trace;
 
 pub use line::{Line, format_line};
+pub use panics::panics;
 pub use queue::{LineQueue, QueueSettings};
 pub use rate::{RateLimits, Rates};
 pub use trace::trace;
@@ -58,7 +60,7 @@
     }
 }
 
-/// Installs the logger of the process, which writes to `output`. The default level is `info`; the
+/// Installs the logger of the process, which writes to `output` and logs panics too. The default level is `info`; the
 /// environment variable `RUST_LOG` overrides it. Only the first call in a process takes effect.
 pub fn install(identity: Identity, output: impl Write + Send + 'static) -> LogGuard {
     let queue = LineQueue::start(QueueSettings::default(), output);
@@ -84,6 +86,8 @@
         buffer.write_all(format_line(&identity, now, unix, record, omitted).as_bytes())
     });
     builder.target(env_logger::Target::Pipe(Box::new(queue.writer())));
-    let _ = builder.try_init();
+    if builder.try_init().is_ok() {
+        panics::log_panics();
+    }
     LogGuard { queue }
 }
--- a/crates/logging/src/trace.rs
+++ b/crates/logging/src/trace.rs
@@ -3,7 +3,7 @@
 use crate::line::Line;
 
 /// Events that may explain what happened to a flow although their lines do not contain its name.
-const CAUSES: [&str; 13] = [
+const CAUSES: [&str; 14] = [
     "agent_suspect",
     "agent_back",
     "backend_changed",
@@ -14,6 +14,7 @@
     "draining",
     "evacuation_changed",
     "log_lines_dropped",
+    "panicked",
     "started",
     "stopped",
     "store_restored",
--- a/crates/node/src/metrics.rs
+++ b/crates/node/src/metrics.rs
@@ -16,6 +16,8 @@
     pub struct LogCounters {
         /// Lines dropped because standard output was too slow or closed.
         lines_dropped,
+        /// Panics of the process. A task that the process cannot go on without ends it.
+        panics,
     }
 }
 
@@ -62,7 +64,10 @@
     let (sender, metrics) = oneshot::channel();
     commands.send(Command::GetMetrics(sender)).await.ok()?;
     let CoreMetrics { samples, histograms } = metrics.await.ok()?;
-    let log = LogCounters { lines_dropped: loftdrift_logging::lines_dropped() };
+    let log = LogCounters {
+        lines_dropped: loftdrift_logging::lines_dropped(),
+        panics: loftdrift_logging::panics(),
+    };
     let core = PublishedSet { role, samples, histograms };
     let log = PublishedSet { role: "log", samples: log.samples(), histograms: Vec::new() };
     Some(render(&[core, store.publish(), log]))
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -26,12 +26,12 @@
     NodeRole, ReportOutcome, SegmentFormat,
 };
 use loftdrift_http::{HttpResponse, text_response};
+use loftdrift_tasks::WatchedTasks;
 use std::net::SocketAddrV4;
 use std::path::PathBuf;
 use std::time::Duration;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::task::JoinSet;
 use tokio::time::Instant;
 
 const COMMAND_QUEUE_CAPACITY: usize = 64;
@@ -48,7 +48,7 @@
 /// Requested from the kernel, which may grant less.
 const SOCKET_BUFFER_BYTES: usize = 1024 * 1024;
 
-/// Runs a node until it is asked to stop.
+/// Runs a node until it is asked to stop, or until one of its tasks panics.
 pub async fn run<F: SegmentFormat, S: SharedStore, D: RequestDecoder>(
     file: PathBuf,
     settings: NodeSettings,
@@ -57,27 +57,21 @@
     store: S,
 ) -> Result<()> {
     let hangups = settings_check::hangup_signals()?;
-    let _settings_check =
-        AbortOnDrop(tokio::spawn(settings_check::check_on_hangup(hangups, file, settings.clone())));
+    let mut tasks = WatchedTasks::default();
+    tasks.spawn("settings", settings_check::check_on_hangup(hangups, file, settings.clone()));
     let store = CountedStore::new(store);
     match settings.role_settings.clone() {
-        RoleSettings::Balancer(role) => run_balancer(settings, role, format, decoder, store).await,
-        RoleSettings::Agent(role) => run_agent(settings, role, format, decoder, store).await,
-    }
-}
-
-/// Aborts a task when dropped.
-struct AbortOnDrop(tokio::task::JoinHandle<()>);
-
-impl Drop for AbortOnDrop {
-    fn drop(&mut self) {
-        self.0.abort();
+        RoleSettings::Balancer(role) => {
+            run_balancer(settings, role, tasks, format, decoder, store).await
+        }
+        RoleSettings::Agent(role) => run_agent(settings, role, tasks, format, decoder, store).await,
     }
 }
 
 async fn run_balancer<F: SegmentFormat, S: SharedStore, D: RequestDecoder>(
     settings: NodeSettings,
     role: BalancerSettings,
+    tasks: WatchedTasks,
     format: F,
     decoder: D,
     store: CountedStore<S>,
@@ -95,7 +89,7 @@
         caller_port: role.ingress.port(),
         last_packet: Duration::ZERO,
     };
-    let mut node = NodeTasks::start(&settings, core, role.ingress).await?;
+    let mut node = NodeTasks::start(&settings, tasks, core, role.ingress).await?;
     let follower = ConfigurationFollower {
         store: store.clone(),
         status: node.status.clone(),
@@ -103,13 +97,14 @@
         initial_fetch_delay: initial_fetch_delay(settings.link_mbps * BITS_PER_MEGABIT),
         unreachable_since: None,
     };
-    node.tasks.spawn(follower.run());
+    node.tasks.spawn("configuration", follower.run());
     node.run(settings, decoder, store, None).await
 }
 
 async fn run_agent<F: SegmentFormat, S: SharedStore, D: RequestDecoder>(
     settings: NodeSettings,
     role: AgentSettings,
+    tasks: WatchedTasks,
     format: F,
     decoder: D,
     store: CountedStore<S>,
@@ -129,10 +124,10 @@
         backend: role.backend,
         caller_port: role.caller_port,
     };
-    let mut node = NodeTasks::start(&settings, core, role.outbound).await?;
+    let mut node = NodeTasks::start(&settings, tasks, core, role.outbound).await?;
     let health_check =
         health::check_when_needed(role.backend, node.status.clone(), node.commands.clone());
-    node.tasks.spawn(health_check);
+    node.tasks.spawn("health check", health_check);
     node.run(settings, decoder, store, Some(role.control)).await
 }
 
@@ -146,11 +141,16 @@
     audits: mpsc::Receiver<Consistency>,
     /// The core's notices that an auditor found this node's entry missing.
     entry_missing: mpsc::Receiver<()>,
-    tasks: JoinSet<()>,
+    tasks: WatchedTasks,
 }
 
 impl NodeTasks {
-    async fn start(settings: &NodeSettings, core: impl Core, local: SocketAddrV4) -> Result<Self> {
+    async fn start(
+        settings: &NodeSettings,
+        mut tasks: WatchedTasks,
+        core: impl Core,
+        local: SocketAddrV4,
+    ) -> Result<Self> {
         let (commands, command_queue) = mpsc::channel(COMMAND_QUEUE_CAPACITY);
         let (status_sender, status) = watch::channel(NodeStatus::default());
         let (snapshot_fetches, snapshot_fetch_queue) = mpsc::channel(SNAPSHOT_FETCH_QUEUE_CAPACITY);
@@ -173,13 +173,15 @@
             entry_rewrites,
             local_input_age: InputAge::default(),
         };
-        let mut tasks = JoinSet::new();
-        tasks.spawn(driver.run());
-        tasks.spawn(probe::run(probe_queue, commands.clone()));
+        tasks.spawn("core", driver.run());
+        tasks.spawn("probe", probe::run(probe_queue, commands.clone()));
         let budget = SnapshotBudget::for_link(settings.link_mbps * BITS_PER_MEGABIT);
-        tasks.spawn(snapshots::serve(listener, budget, commands.clone()));
-        tasks.spawn(snapshots::fetch_requested(snapshot_fetch_queue, commands.clone()));
-        tasks.spawn(snapshots::fetch_from_seeds(settings.seeds.clone(), commands.clone()));
+        tasks.spawn("snapshots", snapshots::serve(listener, budget, commands.clone()));
+        let fetch_requested = snapshots::fetch_requested(snapshot_fetch_queue, commands.clone());
+        tasks.spawn("snapshot fetch", fetch_requested);
+        let fetch_from_seeds =
+            snapshots::fetch_from_seeds(settings.seeds.clone(), commands.clone());
+        tasks.spawn("seeds", fetch_from_seeds);
         Ok(NodeTasks {
             commands,
             status,
@@ -204,9 +206,9 @@
         };
         let store_meter = store.meter();
         let store_read = store_reader::run(store.clone(), self.store_reads, self.commands.clone());
-        self.tasks.spawn(store_read);
+        self.tasks.spawn("store read", store_read);
         let audit = member_audit::run(store.clone(), self.audits, self.commands.clone());
-        self.tasks.spawn(audit);
+        self.tasks.spawn("member audit", audit);
         let lists = MemberListReader {
             store: store.clone(),
             member: member.clone(),
@@ -220,26 +222,30 @@
             status: self.status.clone(),
             written,
         };
-        self.tasks.spawn(registration.run());
+        self.tasks.spawn("registration", registration.run());
         for address in [settings.readiness, control].into_iter().flatten() {
             let listener = bind_tcp("requests", address).await?;
-            self.tasks.spawn(serve_requests(
+            let server = serve_requests(
                 listener,
                 decoder.clone(),
                 self.commands.clone(),
                 self.status.clone(),
-            ));
+            );
+            self.tasks.spawn("requests", server);
         }
         let is_balancer = settings.node.role == NodeRole::Balancer;
         if let Some(address) = settings.metrics {
             let role = if is_balancer { "carried_balancer" } else { "carried_agent" };
             let (commands, store) = (self.commands.clone(), store_meter);
-            self.tasks.spawn(Metrics { role, commands, store }.serve(address));
+            self.tasks.spawn("metrics", Metrics { role, commands, store }.serve(address));
         }
         let status = self.status.clone();
-        let outcome =
-            shutdown::wait_for_stop(settings.stop_grace, is_balancer, self.commands, self.status)
-                .await?;
+        let stop =
+            shutdown::wait_for_stop(settings.stop_grace, is_balancer, self.commands, self.status);
+        let outcome = tokio::select! {
+            outcome = stop => outcome?,
+            panicked = self.tasks.wait_for_panic() => return Err(panicked.into()),
+        };
         if status.borrow().backend_ended {
             let written = *entry_written.borrow();
             registration::deregister(store, &member, written).await;
