--- a/crates/carried/src/agent/condition.rs
+++ b/crates/carried/src/agent/condition.rs
@@ -31,10 +31,11 @@
         }
     }
 
-    /// When the condition may change without any input: the back end no longer counts as silent, or
-    /// the open circuit breaker lets a trial request through.
+    /// When the condition may change without any input: the back end no longer counts as silent, the
+    /// open circuit breaker lets a trial request through, or the health page is no longer relied on.
     pub(super) fn next_condition_change(&self) -> Option<Duration> {
-        [self.silent_until, self.breaker.open_until()].into_iter().flatten().min()
+        let presumed_until = self.backend.presumed_until();
+        [self.silent_until, self.breaker.open_until(), presumed_until].into_iter().flatten().min()
     }
 
     pub(super) fn condition(&self, now: Duration) -> BackendCondition {
--- a/crates/carried/src/agent/mod.rs
+++ b/crates/carried/src/agent/mod.rs
@@ -36,6 +36,7 @@
 use crate::cluster_state::{Adoption, ClusterState};
 use crate::configuration::CarriedConfiguration;
 use crate::counters::CarriedAgentCounters;
+use crate::incarnation::Incarnation;
 use crate::latency::AgentLatency;
 use crate::load::ServiceTimeMeter;
 use crate::membership::{DEPARTED_TIMEOUT, Membership, Node};
@@ -222,10 +223,20 @@
         Some(&service.health_path)
     }
 
-    /// The health check that is needed now: its number and the path of the health page. A number is
-    /// requested until [`CarriedAgent::take_healthy`] is called with it or another one is needed.
-    pub fn health_check(&self) -> Option<(u32, &str)> {
-        Some((self.backend.health_check()?, self.health_path()?))
+    /// Path of the health page, if its answer is needed.
+    pub fn health_check(&self) -> Option<&str> {
+        self.health_path().filter(|_| self.backend.needs_health_check())
+    }
+
+    /// The starts of the back end whose leaving was acknowledged, for as long as later processes of
+    /// the agent have to know them.
+    pub fn acknowledged_departures(&self) -> Vec<Incarnation> {
+        self.backend.acknowledged_departures()
+    }
+
+    /// Whether this agent knows the departures that earlier processes have acknowledged.
+    pub fn knows_earlier_departures(&self) -> bool {
+        self.backend.knows_earlier_departures()
     }
 
     /// Whether the back end has sent a heartbeat or passed a health check.
@@ -316,6 +327,7 @@
             self.handle_phase_timeout(now, id);
         }
         if self.next_condition_change().is_some_and(|at| at <= now) {
+            self.backend.expire_presumption(now);
             self.silent_until = self.silent_until.filter(|until| now < *until);
             self.breaker.advance(now);
             self.announce_condition_change(now, "rested");
--- a/crates/carried/src/agent/reports.rs
+++ b/crates/carried/src/agent/reports.rs
@@ -3,7 +3,6 @@
 use super::lookups::FIRST_REPORT_TIMEOUT;
 use super::*;
 use crate::backend::{BackendReport, ReportOutcome};
-use crate::incarnation::Incarnation;
 use crate::readiness::MAX_HEARTBEAT_DELAY;
 
 /// Sequence number of a back end's first heartbeat.
@@ -96,14 +95,22 @@
         self.serve_wait_queue(now);
     }
 
-    /// Handles the answer of the back end's health page to a health check that was needed
+    /// Handles the answer of the back end's health page, which was needed
     /// ([`CarriedAgent::health_check`]): the back end is healthy and takes flows.
-    pub fn take_healthy(&mut self, now: Duration, check: u32) {
-        self.backend.take_healthy(check);
+    pub fn take_healthy(&mut self, now: Duration) {
+        self.backend.take_healthy(now);
         self.announce_condition_change(now, "health_page");
         self.serve_wait_queue(now);
     }
 
+    /// Handles the record of the departures that earlier processes of the agent have acknowledged;
+    /// `None` if the record cannot be read now.
+    pub fn take_earlier_departures(&mut self, now: Duration, departed: Option<&[Incarnation]>) {
+        self.backend.take_earlier_departures(now, departed);
+        self.announce_condition_change(now, "departure_record");
+        self.serve_wait_queue(now);
+    }
+
     /// Handles a new start of the back end. Flows of its earlier start are over, but some may have
     /// opened since the new start, before this heartbeat arrived. So all flows go on trial: the
     /// back end's reaction to their next packets shows which of them it holds.
--- a/crates/carried/src/backend.rs
+++ b/crates/carried/src/backend.rs
@@ -52,6 +52,18 @@
     OtherService,
 }
 
+/// What is known of the departures that earlier processes of the agent have acknowledged. The
+/// shared store holds a record of them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum EarlierDepartures {
+    /// The record is being read; no flow is accepted before.
+    Awaited,
+    /// The store does not answer. Flows are accepted as if there were none, until it does.
+    Unavailable,
+    /// All are known, or there was no earlier process.
+    Known,
+}
+
 /// What the agent knows about its back end.
 ///
 /// A heartbeat that was delayed on the network may arrive after its sender crashed: when the next
@@ -64,6 +76,8 @@
 ///   to an earlier process of the agent.
 /// - What a start has reported applies to that start only: a later start under the same id begins
 ///   with fresh state and is accepted at its first heartbeat.
+/// - A start whose leaving was acknowledged is not accepted by later processes either, unless the
+///   acknowledgement could not be recorded or the record cannot be read.
 /// - The service is the one from the settings, whatever a heartbeat names.
 #[derive(Debug)]
 pub(crate) struct Backend {
@@ -74,8 +88,7 @@
     unconfirmed: Option<UnconfirmedStart>,
     /// A start under the current id with an earlier start time that keeps sending heartbeats.
     backdated: Option<UnconfirmedStart>,
-    /// The health check at the agent's start found the back end healthy.
-    is_healthy_at_start: bool,
+    earlier_departures: EarlierDepartures,
     /// Starts that were current before. A heartbeat from one of them means that either this
     /// heartbeat or the one that made the current start current was delayed.
     previous: VecDeque<Incarnation>,
@@ -87,6 +100,8 @@
 struct CurrentStart {
     incarnation: Incarnation,
     sequence: u64,
+    /// When its first and its last heartbeat arrived.
+    first_received: Duration,
     received_at: Duration,
     capacity: u16,
     is_leaving: bool,
@@ -111,9 +126,9 @@
     /// A back end of which only the service, taken from the settings, is known.
     /// `is_first_start`: no earlier process of the agent has run.
     pub(crate) fn new(service: String, is_first_start: bool) -> Self {
-        let readiness = match is_first_start {
-            true => Readiness::verified(),
-            false => Readiness::after_restart(),
+        let (readiness, earlier_departures) = match is_first_start {
+            true => (Readiness::verified(), EarlierDepartures::Known),
+            false => (Readiness::after_restart(), EarlierDepartures::Awaited),
         };
         Backend {
             service,
@@ -121,7 +136,7 @@
             readiness,
             unconfirmed: None,
             backdated: None,
-            is_healthy_at_start: false,
+            earlier_departures,
             previous: VecDeque::new(),
             departed: VecDeque::new(),
         }
@@ -203,8 +218,11 @@
         report: &BackendReport,
         is_later: bool,
     ) -> ReportOutcome {
-        if !is_later && self.condition() == BackendCondition::Leaving {
-            self.readiness.verify(now);
+        if let Some(leaving) = self.current.as_ref().filter(|current| current.is_leaving)
+            && !is_later
+        {
+            // Every start before the leaving one had ended when that one was first heard.
+            self.readiness.verify(leaving.first_received);
         }
         if let Some(current) = self.current.take() {
             remember(&mut self.previous, current.incarnation);
@@ -240,12 +258,19 @@
         if self.current.as_ref().is_none_or(|current| current.incarnation != report.incarnation) {
             self.backdated = None;
         }
+        if self.is_certainly_latest(&report.incarnation) {
+            self.readiness.confirm();
+        }
         if report.is_ready {
             self.readiness.note_heartbeat(now);
         }
+        let same =
+            self.current.as_ref().filter(|current| current.incarnation == report.incarnation);
+        let first_received = same.map_or(now, |current| current.first_received);
         self.current = Some(CurrentStart {
             incarnation: report.incarnation.clone(),
             sequence: report.sequence,
+            first_received,
             received_at: now,
             capacity: report.capacity,
             is_leaving: was_leaving || !report.is_ready,
@@ -254,6 +279,17 @@
         });
     }
 
+    /// Whether a start is later than all that have departed, as their start times show. Earlier
+    /// processes of the agent have acknowledged no departure of it then.
+    fn is_certainly_latest(&self, start: &Incarnation) -> bool {
+        let is_later = |gone: &Incarnation| {
+            gone.started_at_ms.is_some() && start.compare(gone) == StartOrder::Later
+        };
+        self.knows_earlier_departures()
+            && !self.departed.is_empty()
+            && self.departed.iter().all(is_later)
+    }
+
     /// Handles a notice that a start is leaving or gone. A notice without a start time is taken to
     /// mean the current start of that id: a back end that may be leaving must get no new flows.
     pub(crate) fn take_departure(&mut self, now: Duration, gone: &Incarnation) {
@@ -261,7 +297,6 @@
             self.unconfirmed = None;
         }
         let Some(current) = &mut self.current else {
-            self.is_healthy_at_start = false;
             return self.note_departed(now, gone);
         };
         if departure_ends(gone, &current.incarnation) {
@@ -286,28 +321,76 @@
         }
     }
 
-    /// Records that the back end's health page, requested during a verification, answered that the
-    /// back end takes flows.
-    pub(crate) fn take_healthy(&mut self, verification: u32) {
-        let is_current = self.readiness.note_healthy(verification);
-        // After a departure notice only the heartbeat of another start counts.
-        self.is_healthy_at_start = is_current && self.departed.is_empty();
+    /// Records that the back end's health page has answered that the back end takes flows.
+    pub(crate) fn take_healthy(&mut self, now: Duration) {
+        self.readiness.note_healthy(now);
+    }
+
+    /// Whether the answer of the health page is needed.
+    pub(crate) fn needs_health_check(&self) -> bool {
+        self.readiness.needs_health_check(self.has_reported())
+    }
+
+    /// Until when the word of the health page is relied on.
+    pub(crate) fn presumed_until(&self) -> Option<Duration> {
+        self.readiness.presumed_until()
     }
 
-    /// The verification that a health check is needed for, if any.
-    pub(crate) fn health_check(&self) -> Option<u32> {
-        let is_unknown = self.condition() == BackendCondition::Unknown;
-        (is_unknown || !self.readiness.is_verified()).then(|| self.readiness.verification())
+    /// Ends the reliance on the health page if it is due.
+    pub(crate) fn expire_presumption(&mut self, now: Duration) {
+        self.readiness.expire_presumption(now);
+    }
+
+    /// Records the departures that earlier processes of the agent have acknowledged; `None` if they
+    /// cannot be read now.
+    pub(crate) fn take_earlier_departures(
+        &mut self,
+        now: Duration,
+        departed: Option<&[Incarnation]>,
+    ) {
+        match departed {
+            Some(departed) => {
+                self.earlier_departures = EarlierDepartures::Known;
+                departed.iter().for_each(|gone| self.take_departure(now, gone));
+            }
+            None if self.earlier_departures == EarlierDepartures::Awaited => {
+                self.earlier_departures = EarlierDepartures::Unavailable;
+            }
+            None => {}
+        }
+    }
+
+    /// Whether the departures that earlier processes have acknowledged are known.
+    pub(crate) fn knows_earlier_departures(&self) -> bool {
+        self.earlier_departures == EarlierDepartures::Known
+    }
+
+    /// The starts whose leaving was acknowledged, for as long as later processes have to know them:
+    /// until another start takes flows.
+    pub(crate) fn acknowledged_departures(&self) -> Vec<Incarnation> {
+        if self.condition() == BackendCondition::Accepting {
+            return Vec::new();
+        }
+        let current = self.current.as_ref().filter(|current| current.is_leaving);
+        let unconfirmed = self.unconfirmed.as_ref().filter(|start| start.is_leaving);
+        let leaving = [
+            current.map(|current| &current.incarnation),
+            unconfirmed.map(|start| &start.incarnation),
+        ];
+        let leaving = leaving.into_iter().flatten().filter(|start| !self.departed.contains(start));
+        self.departed.iter().chain(leaving).cloned().collect()
     }
 
     pub(crate) fn condition(&self) -> BackendCondition {
         let unconfirmed_leaves =
             self.unconfirmed.as_ref().is_some_and(|unconfirmed| unconfirmed.is_leaving);
+        let may_accept = self.earlier_departures != EarlierDepartures::Awaited;
         match &self.current {
             Some(current) if current.is_leaving || unconfirmed_leaves => BackendCondition::Leaving,
-            Some(_) if !self.readiness.is_verified() => BackendCondition::Unverified,
-            Some(_) => BackendCondition::Accepting,
-            None if self.is_healthy_at_start => BackendCondition::Accepting,
+            Some(_) if may_accept && self.readiness.is_reliable() => BackendCondition::Accepting,
+            Some(_) => BackendCondition::Unverified,
+            None if !self.departed.is_empty() => BackendCondition::Leaving,
+            None if may_accept && self.readiness.is_presumed() => BackendCondition::Accepting,
             None => BackendCondition::Unknown,
         }
     }
@@ -359,6 +442,9 @@
 
 /// Adds a start to the remembered ones, dropping the oldest if there are too many.
 fn remember(starts: &mut VecDeque<Incarnation>, start: Incarnation) {
+    if starts.contains(&start) {
+        return;
+    }
     if starts.len() == MAX_REMEMBERED_STARTS {
         starts.pop_front();
     }
--- a/crates/carried/tests/cold.rs
+++ b/crates/carried/tests/cold.rs
@@ -68,6 +68,7 @@
 fn a_restarted_agent_admits_no_flow_to_a_cold_back_end_in_its_first_second() {
     let mut agent = agent(false);
     agent.adopt(milliseconds(0), configuration_with_limit());
+    agent.take_earlier_departures(milliseconds(0), Some(&[]));
     answer_health_check(&mut agent, milliseconds(0));
     agent.take_report(milliseconds(0), &cold_report(9, Duration::from_secs(60)));
     assert_eq!(admission_times(&mut agent, 0, 1_000), []);
@@ -78,7 +79,7 @@
 fn an_agent_without_a_heartbeat_assumes_a_cold_back_end() {
     let mut agent = agent(true);
     agent.adopt(milliseconds(0), configuration_with_limit());
-    agent.take_healthy(milliseconds(0), 0);
+    agent.take_healthy(milliseconds(0));
     assert_eq!(max_per_second(&admission_times(&mut agent, 0, 3_000)), FLOWS_PER_SECOND);
 }
 
--- a/crates/carried/tests/incarnations.rs
+++ b/crates/carried/tests/incarnations.rs
@@ -45,6 +45,7 @@
 fn a_back_end_serves_again_at_the_first_heartbeat_after_a_crash() {
     for is_first_start in [true, false] {
         let mut agent = agent(is_first_start);
+        agent.take_earlier_departures(milliseconds(0), Some(&[]));
         for sequence in 1..=90 {
             receive(&mut agent, sequence * PERIOD_MS, STARTS_MS[0], sequence, true);
         }
--- a/crates/carried/tests/late_heartbeats.rs
+++ b/crates/carried/tests/late_heartbeats.rs
@@ -90,16 +90,18 @@
     let mut agent = restarted_agent();
     receive(&mut agent, 10, "first", 40, true);
     assert_eq!(receive(&mut agent, 2_000, "second", 1, true), ReportOutcome::Started);
-    // The same holds after a planned shutdown.
+    // The same holds after a planned shutdown, once nothing of the starts before can be on its way.
     receive(&mut agent, 3_000, "second", 2, false);
-    agent.take_departure(milliseconds(8_000), &departed("second"));
-    assert_eq!(receive(&mut agent, 8_500, "third", 1, true), ReportOutcome::Started);
-    assert!(!takes_flows(&mut agent, 8_500, 1), "it may be a late one of a start before");
-    answer_health_check(&mut agent, milliseconds(8_510));
+    agent.take_departure(milliseconds(5_000), &departed("second"));
+    assert_eq!(receive(&mut agent, 6_900, "third", 1, true), ReportOutcome::Started);
+    assert!(!takes_flows(&mut agent, 6_901, 1), "it may be a late one of a start before");
+    answer_health_check(&mut agent, milliseconds(6_910));
+    assert!(!takes_flows(&mut agent, 6_911, 2), "the health page may lie");
     assert_eq!(
-        receive(&mut agent, 8_600, "second", 3, true),
+        receive(&mut agent, 6_950, "second", 3, true),
         ReportOutcome::Outdated,
         "it has departed"
     );
-    assert!(takes_flows(&mut agent, 8_700, 2));
+    receive(&mut agent, 7_000, "third", 2, true);
+    assert!(takes_flows(&mut agent, 7_001, 3), "`second` was first heard 5 s ago");
 }
--- a/crates/carried/tests/readiness.rs
+++ b/crates/carried/tests/readiness.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use loftdrift_carried::{Admission, CarriedAgent, ReportOutcome};
+use loftdrift_carried::{Admission, CarriedAgent, Incarnation, ReportOutcome};
 use loftdrift_testkit::check_fixed_seeds;
 use support::*;
 
@@ -22,6 +22,14 @@
     sent_to_backend(&outputs(agent)) == 1
 }
 
+/// An agent's process that follows another one, which has acknowledged no departure.
+fn restarted() -> CarriedAgent {
+    let mut agent = agent(false);
+    agent.adopt(milliseconds(0), configuration(1, Vec::new()));
+    agent.take_earlier_departures(milliseconds(0), Some(&[]));
+    agent
+}
+
 fn receive(agent: &mut CarriedAgent, now: u64, id: &str, sequence: u64) -> ReportOutcome {
     agent.take_report(milliseconds(now), &report(id, sequence, true))
 }
@@ -34,7 +42,7 @@
 /// replaced, and the new one took late heartbeats for the present.
 #[test]
 fn late_heartbeats_do_not_make_a_restarted_agent_accept_flows_for_a_departed_back_end() {
-    let mut agent = agent(false);
+    let mut agent = restarted();
     for (at, sequence) in [(2_400, 6), (3_600, 7), (4_800, 8)] {
         assert_eq!(receive(&mut agent, at, "departed", sequence), ReportOutcome::Updated);
         assert!(!takes_flows(&mut agent, at + 1));
@@ -44,7 +52,7 @@
 
 #[test]
 fn a_heartbeat_that_was_sent_after_the_restart_makes_the_agent_accept_flows() {
-    let mut agent = agent(false);
+    let mut agent = restarted();
     receive(&mut agent, 600, "one", 6);
     assert!(!takes_flows(&mut agent, MAX_DELAY_MS - 1));
     receive(&mut agent, MAX_DELAY_MS, "one", 10);
@@ -53,8 +61,7 @@
 
 #[test]
 fn the_health_page_makes_a_restarted_agent_accept_flows_at_once() {
-    let mut agent = agent(false);
-    agent.adopt(milliseconds(5), configuration(1, Vec::new()));
+    let mut agent = restarted();
     receive(&mut agent, 10, "one", 6);
     assert!(!takes_flows(&mut agent, 11));
     answer_health_check(&mut agent, milliseconds(12));
@@ -62,17 +69,80 @@
     assert_eq!(agent.health_check(), None, "one answer is enough");
 }
 
+/// The health page may lie, also about a back end that leaves.
 #[test]
-fn a_health_check_that_was_requested_before_a_departure_notice_does_not_count() {
-    let mut agent = agent(false);
-    agent.adopt(milliseconds(5), configuration(1, Vec::new()));
+fn after_a_departure_notice_the_health_page_counts_for_nothing() {
+    let mut agent = restarted();
     receive(&mut agent, 10, "one", 6);
-    let (before, _) = agent.health_check().expect("the state of the back end is not known");
     depart(&mut agent, 20, "two");
-    agent.take_healthy(milliseconds(30), before);
+    agent.take_healthy(milliseconds(30));
     assert!(!takes_flows(&mut agent, 31));
-    answer_health_check(&mut agent, milliseconds(40));
-    assert!(takes_flows(&mut agent, 41), "the notice was another start's");
+    assert_eq!(agent.health_check(), None, "it is not asked");
+    receive(&mut agent, 19 + MAX_DELAY_MS, "one", 9);
+    assert!(!takes_flows(&mut agent, 20 + MAX_DELAY_MS), "it may have been sent before the notice");
+    receive(&mut agent, 20 + MAX_DELAY_MS, "one", 10);
+    assert!(takes_flows(&mut agent, 21 + MAX_DELAY_MS), "the notice was another start's");
+}
+
+/// Guards against new flows to a departed back end: its departure was known to the earlier process
+/// alone.
+#[test]
+fn a_restarted_agent_accepts_flows_only_once_it_knows_of_earlier_departures() {
+    let mut agent = agent(false);
+    agent.adopt(milliseconds(0), configuration(1, Vec::new()));
+    answer_health_check(&mut agent, milliseconds(1));
+    receive(&mut agent, 2, "departed", 6);
+    assert!(!takes_flows(&mut agent, 3), "the record is being read");
+    agent.take_earlier_departures(milliseconds(4), Some(&[departed("departed")]));
+    for at in [5, 2_000, 4_000, 10_000] {
+        receive(&mut agent, at, "departed", at);
+        assert!(!takes_flows(&mut agent, at + 1));
+    }
+    receive(&mut agent, 10_100, "next", 1);
+    assert!(takes_flows(&mut agent, 10_101));
+    assert_eq!(agent.acknowledged_departures(), [], "the record is not needed any more");
+}
+
+#[test]
+fn leaving_that_was_acknowledged_is_to_be_recorded_once() {
+    let mut agent = agent(true);
+    receive(&mut agent, 0, "one", 5);
+    assert_eq!(agent.acknowledged_departures(), []);
+    agent.take_report(milliseconds(100), &report("one", 6, false));
+    assert_eq!(agent.acknowledged_departures(), [departed("one")]);
+    depart(&mut agent, 200, "one");
+    assert_eq!(agent.acknowledged_departures(), [departed("one")]);
+}
+
+/// Without the store nothing is known of departures. A live back end keeps sending heartbeats.
+#[test]
+fn without_the_record_the_health_page_is_relied_on_while_heartbeats_arrive() {
+    let mut agent = agent(false);
+    agent.adopt(milliseconds(0), configuration(1, Vec::new()));
+    agent.take_earlier_departures(milliseconds(10), None);
+    answer_health_check(&mut agent, milliseconds(20));
+    assert!(takes_flows(&mut agent, 21));
+    receive(&mut agent, 2_900, "late", 6);
+    agent.handle_timeout(milliseconds(3_100));
+    assert!(takes_flows(&mut agent, 3_101));
+    agent.handle_timeout(milliseconds(6_000));
+    assert!(!takes_flows(&mut agent, 6_001), "no heartbeat since");
+    assert_eq!(agent.health_check(), None, "the page has answered");
+    // Once the store answers, the record decides.
+    agent.take_earlier_departures(milliseconds(6_100), Some(&[departed("late")]));
+    receive(&mut agent, 12_000, "late", 7);
+    assert!(!takes_flows(&mut agent, 12_001));
+}
+
+/// A back end that is replaced after a long life needs no verification: nothing of the starts before
+/// it can be under way any more.
+#[test]
+fn the_start_after_a_departure_takes_flows_at_its_first_heartbeat() {
+    let mut agent = agent(true);
+    receive(&mut agent, 0, "one", 1);
+    depart(&mut agent, MAX_DELAY_MS, "one");
+    receive(&mut agent, MAX_DELAY_MS + 500, "two", 1);
+    assert!(takes_flows(&mut agent, MAX_DELAY_MS + 501));
 }
 
 /// Guards against new flows to a departed back end: two late heartbeats of the start before it made
@@ -142,6 +212,15 @@
     kind: Kind,
 }
 
+/// What the health page of a live back end answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Page {
+    Silent,
+    Truthful,
+    /// It says that all is well, also while the back end leaves.
+    AlwaysFavourable,
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
     Ready,
@@ -191,7 +270,10 @@
         // What is late arrives within one such delay, and is in doubt for another one.
         let end = begins + 2 * (MAX_DELAY_MS + PERIOD_MS);
         starts.push(Start { id: "last".to_owned(), begins, leaves: None, ends: end });
-        let answers_health: bool = input.arbitrary()?;
+        let page = [Page::Silent, Page::Truthful, Page::AlwaysFavourable];
+        let page = page[input.int_in_range(0..=2)?];
+        // Only the record tells a departed back end from a live one whose page is favourable.
+        let has_record = page == Page::AlwaysFavourable || input.arbitrary()?;
         let mut messages = Vec::new();
         for (number, start) in starts.iter().enumerate() {
             let is_last = number + 1 == starts.len();
@@ -203,24 +285,30 @@
         let kills: Vec<u64> = (0..input.int_in_range(0..=3)?)
             .map(|_| input.int_in_range(100..=begins.max(200)))
             .collect::<Result<_, _>>()?;
-        play(&starts, messages, &kills, answers_health);
+        play(&starts, messages, &kills, page, has_record);
         Ok(())
     });
 }
 
 /// Runs an agent through a timeline, and checks after each 100 ms what it accepts.
-fn play(starts: &[Start], mut messages: Vec<Arrival>, kills: &[u64], answers_health: bool) {
+/// `has_record`: the store answers, so that each process knows what earlier ones acknowledged.
+fn play(starts: &[Start], mut messages: Vec<Arrival>, kills: &[u64], page: Page, has_record: bool) {
     const STEP_MS: u64 = 100;
     messages.sort_by_key(|message| message.at);
     let mut messages = messages.into_iter().peekable();
     let end = starts.last().expect("at least one start").ends;
     let mut process_began = 0;
-    let mut agent = new_process(true);
+    let mut agent = agent(true);
+    agent.adopt(milliseconds(0), configuration(1, Vec::new()));
+    let mut record = Vec::new();
     let mut acknowledged: Vec<bool> = vec![false; starts.len()];
     for step in (0..end).step_by(STEP_MS as usize) {
         if kills.iter().any(|kill| (step..step + STEP_MS).contains(kill)) {
             process_began = step;
-            agent = new_process(false);
+            agent = self::agent(false);
+            agent.adopt(milliseconds(0), configuration(1, Vec::new()));
+            let record: Option<&[Incarnation]> = has_record.then_some(&record);
+            agent.take_earlier_departures(milliseconds(0), record);
         }
         let now = |at: u64| at.saturating_sub(process_began);
         while let Some(message) = messages.next_if(|message| message.at < step + STEP_MS) {
@@ -234,11 +322,18 @@
                 }
             }
             acknowledged[start] |= kind != Kind::Ready;
+            record = agent.acknowledged_departures();
         }
         let at = step + STEP_MS;
+        agent.handle_timeout(milliseconds(now(at)));
         let live = starts.iter().position(|start| start.begins <= at && at < start.ends);
         let is_ready = live.is_some_and(|live| starts[live].takes_flows(at));
-        if answers_health && is_ready {
+        let is_favourable = match page {
+            Page::Silent => false,
+            Page::Truthful => is_ready,
+            Page::AlwaysFavourable => live.is_some(),
+        };
+        if is_favourable {
             answer_health_check(&mut agent, milliseconds(now(at)));
         }
         if let Some(live) = live.filter(|live| acknowledged[*live]) {
@@ -247,10 +342,3 @@
     }
     assert!(takes_flows(&mut agent, end - process_began), "the last start takes flows");
 }
-
-/// An agent's process with a configuration.
-fn new_process(is_first_start: bool) -> CarriedAgent {
-    let mut agent = agent(is_first_start);
-    agent.adopt(milliseconds(0), configuration(1, Vec::new()));
-    agent
-}
--- a/crates/carried/tests/support/mod.rs
+++ b/crates/carried/tests/support/mod.rs
@@ -94,14 +94,15 @@
 pub fn restarted_agent() -> CarriedAgent {
     let mut agent = agent(false);
     agent.adopt(Duration::ZERO, configuration(1, Vec::new()));
+    agent.take_earlier_departures(Duration::ZERO, Some(&[]));
     answer_health_check(&mut agent, Duration::ZERO);
     agent
 }
 
 /// Has the back end's health page answer that the back end takes flows, if the agent asks for it.
 pub fn answer_health_check(agent: &mut CarriedAgent, now: Duration) {
-    if let Some((check, _)) = agent.health_check() {
-        agent.take_healthy(now, check);
+    if agent.health_check().is_some() {
+        agent.take_healthy(now);
     }
 }
 
--- a/crates/lab/src/carried/fault.rs
+++ b/crates/lab/src/carried/fault.rs
@@ -72,6 +72,8 @@
     DepartBackend(usize),
     /// Heartbeats that a back end sends for the first duration arrive late by the second one.
     DelayHeartbeats(usize, Duration, Duration),
+    /// A back end's health page says the opposite of the truth.
+    LyingHealthPage(usize, Duration),
     /// An agent drains and stops as planned, then restarts; its back end keeps running.
     StopAgent(usize),
     /// A back end crashes without notice and restarts.
--- a/crates/lab/src/carried/mod.rs
+++ b/crates/lab/src/carried/mod.rs
@@ -14,6 +14,7 @@
 pub use outcome::CarriedOutcome;
 pub use random_faults::{
     random_faults, random_faults_with_evacuations, random_faults_with_hanging_watches,
-    random_faults_with_late_reports, random_faults_with_restores,
+    random_faults_with_late_reports, random_faults_with_lying_health_pages,
+    random_faults_with_restores,
 };
 pub use world::{CarriedWorld, CarriedWorldSettings};
--- a/crates/lab/src/carried/process.rs
+++ b/crates/lab/src/carried/process.rs
@@ -30,8 +30,8 @@
     pub(super) knows_members: bool,
     /// Input that waits for the processor of a slow balancer.
     pub(super) inbox: Inbox,
-    /// Agents only: number of the last health check that was requested.
-    pub(super) health_check: Option<u32>,
+    /// Agents only: whether the health page was requested since the start.
+    pub(super) has_checked_health: bool,
     /// Balancers only: whether the router sends them new packets.
     pub(super) in_rotation: bool,
     pub(super) missed_probes: u32,
@@ -51,7 +51,7 @@
             wake_at: None,
             knows_members: false,
             inbox: Inbox::default(),
-            health_check: None,
+            has_checked_health: false,
             in_rotation: false,
             missed_probes: 0,
         }
@@ -127,12 +127,9 @@
         }
     }
 
-    /// Number of the health check that an agent needs now.
-    pub(super) fn needed_health_check(&self) -> Option<u32> {
-        match self.core.as_ref()? {
-            Core::Agent(agent) => agent.health_check().map(|(number, _)| number),
-            Core::Balancer(_) => None,
-        }
+    /// Whether an agent needs the answer of the health page now.
+    pub(super) fn needs_health_check(&self) -> bool {
+        matches!(&self.core, Some(Core::Agent(agent)) if agent.health_check().is_some())
     }
 
     pub(super) fn take_output(&mut self) -> Option<Output> {
--- a/crates/lab/src/carried/random_faults.rs
+++ b/crates/lab/src/carried/random_faults.rs
@@ -140,6 +140,28 @@
     faults
 }
 
+/// The faults of [`random_faults_with_late_reports`], beside health pages that say the opposite of
+/// the truth. The store answers every node: what an agent acknowledges without it may be lost.
+pub fn random_faults_with_lying_health_pages(
+    seed: u64,
+    balancers: usize,
+    agents: usize,
+) -> Vec<TimedFault> {
+    let mut faults = random_faults_with_late_reports(seed, balancers, agents);
+    faults.retain(|timed| {
+        !matches!(timed.fault, CarriedFault::StoreDown(_) | CarriedFault::IsolateAgent(..))
+    });
+    let mut random = ChaCha8Rng::seed_from_u64(!seed.rotate_left(16));
+    for agent in 0..agents {
+        let mut milliseconds = |min, max| Duration::from_millis(random.random_range(min..max));
+        let at = milliseconds(FIRST_FAULT_MS, LAST_FAULT_MS);
+        let duration = milliseconds(MAX_FAULT_MS, 2 * MAX_FAULT_MS);
+        faults.push(TimedFault { at, fault: CarriedFault::LyingHealthPage(agent, duration) });
+    }
+    faults.sort_by_key(|timed| timed.at);
+    faults
+}
+
 fn random_fault(random: &mut ChaCha8Rng, balancers: usize, agents: usize) -> CarriedFault {
     let balancer = random.random_range(0..balancers);
     let agent = random.random_range(0..agents);
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -62,6 +62,9 @@
                 let until = self.now + duration;
                 self.late_heartbeats[agent] = Some(LateHeartbeats { until, delay });
             }
+            CarriedFault::LyingHealthPage(agent, duration) => {
+                self.health_pages_lie_until[agent] = self.now + duration;
+            }
             CarriedFault::StopAgent(agent) => self.stop_agent(agent),
             CarriedFault::FailBackend(agent, mode, duration) => {
                 self.backends[agent].failing = Some(mode);
--- a/crates/lab/src/carried/world/health.rs
+++ b/crates/lab/src/carried/world/health.rs
@@ -14,7 +14,6 @@
 pub(super) struct HealthCheck {
     agent: usize,
     incarnation: u64,
-    number: u32,
     attempt: u32,
 }
 
@@ -22,13 +21,13 @@
     /// Requests the health page if the agent needs a check that has not begun.
     pub(super) fn check_health_if_needed(&mut self, node: usize) {
         let process = &mut self.nodes[node];
-        let Some(number) = process.needed_health_check() else { return };
-        if process.health_check.replace(number) == Some(number) {
+        if !process.needs_health_check() || process.has_checked_health {
             return;
         }
+        process.has_checked_health = true;
         let agent = node - self.settings.balancers;
         let incarnation = self.nodes[node].incarnation;
-        let check = HealthCheck { agent, incarnation, number, attempt: 1 };
+        let check = HealthCheck { agent, incarnation, attempt: 1 };
         self.events.push(self.now + ANSWER_DELAY, Event::HealthChecked(check));
     }
 
@@ -36,8 +35,7 @@
     pub(super) fn finish_health_check(&mut self, check: HealthCheck) {
         let node = self.settings.balancers + check.agent;
         let process = &self.nodes[node];
-        let is_current = process.incarnation == check.incarnation
-            && process.needed_health_check() == Some(check.number);
+        let is_current = process.incarnation == check.incarnation && process.needs_health_check();
         if !is_current {
             return;
         }
@@ -45,7 +43,8 @@
             return self.events.push(frozen_until, Event::HealthChecked(check));
         }
         let backend = &self.backends[check.agent];
-        if !backend.is_alive || backend.is_leaving {
+        let is_lying = self.now < self.health_pages_lie_until[check.agent];
+        if !backend.is_alive || backend.is_leaving != is_lying {
             if check.attempt < MAX_ATTEMPTS {
                 let again = HealthCheck { attempt: check.attempt + 1, ..check };
                 self.events.push(self.now + RETRY_DELAY, Event::HealthChecked(again));
@@ -54,7 +53,7 @@
         }
         let uptime = self.nodes[node].uptime(self.now);
         if let Some(core) = self.nodes[node].agent() {
-            core.take_healthy(uptime, check.number);
+            core.take_healthy(uptime);
         }
         self.process_outputs(node);
     }
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -22,8 +22,8 @@
 use crate::queue::EventQueue;
 use loftdrift_carried::{
     BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings,
-    CarriedConfiguration, InputAge, Node, NodeRole, Output, PlainFormat, Policies, ProbeOutcome,
-    Route, RouteTarget, SegmentFormat, ServiceSettings, Version,
+    CarriedConfiguration, Incarnation, InputAge, Node, NodeRole, Output, PlainFormat, Policies,
+    ProbeOutcome, Route, RouteTarget, SegmentFormat, ServiceSettings, Version,
 };
 use loftdrift_wire::FlowKey;
 use rand::{Rng, SeedableRng};
@@ -244,6 +244,10 @@
     balancers_refused_until: Duration,
     /// How late the heartbeats are that each back end sends.
     late_heartbeats: Vec<Option<LateHeartbeats>>,
+    /// Until when the health page of each back end says the opposite of the truth.
+    health_pages_lie_until: Vec<Duration>,
+    /// The store's record of acknowledged departures for each agent.
+    departure_records: Vec<Vec<Incarnation>>,
     loss: f64,
     backend_starts: u64,
     /// Owner of each flow (agent, start of its back end), to count resets of flows still open.
@@ -282,6 +286,8 @@
             store_down_until: Duration::ZERO,
             balancers_refused_until: Duration::ZERO,
             late_heartbeats: vec![None; settings.backends],
+            health_pages_lie_until: vec![Duration::ZERO; settings.backends],
+            departure_records: vec![Vec::new(); settings.backends],
             loss: 0.0,
             backend_starts: 0,
             flow_owners: HashMap::new(),
--- a/crates/lab/src/carried/world/nodes.rs
+++ b/crates/lab/src/carried/world/nodes.rs
@@ -16,7 +16,7 @@
         process.knows_members = false;
         process.watch_hangs_until = Duration::ZERO;
         process.inbox = Inbox::default();
-        process.health_check = None;
+        process.has_checked_health = false;
         let incarnation = process.incarnation;
         let node_description = self.describe(node, incarnation);
         let format = PlainFormat;
@@ -139,6 +139,7 @@
             }
         }
         self.check_health_if_needed(node);
+        self.record_departures(node);
         if let Some(next) = self.nodes[node].next_timeout() {
             self.schedule_wake(node, next.max(self.now + MIN_TIMER_DELAY));
         }
@@ -242,6 +243,9 @@
         if !is_first && (!watches || hangs) {
             return;
         }
+        if is_first {
+            self.read_departures(node);
+        }
         if is_first && self.store_answers(node) {
             self.read_members(node);
         }
@@ -293,7 +297,7 @@
         self.process_outputs(node);
     }
 
-    fn store_answers(&self, node: usize) -> bool {
+    pub(super) fn store_answers(&self, node: usize) -> bool {
         let is_refused = node < self.settings.balancers && self.balancers_refused_until > self.now;
         let is_cut = self.nodes[node].isolated_until > self.now;
         self.store_down_until <= self.now && !is_cut && !is_refused
--- a/crates/lab/src/carried/world/reports.rs
+++ b/crates/lab/src/carried/world/reports.rs
@@ -1,7 +1,6 @@
 //! Reports of back ends to their agents: sent at one time, delivered at that or a later one.
 
 use super::*;
-use loftdrift_carried::{BackendReport, Incarnation};
 
 /// Time after which an unacknowledged departure notice is sent again.
 const DEPARTURE_RETRY_DELAY: Duration = Duration::from_millis(500);
@@ -68,6 +67,28 @@
         self.process_outputs(node);
     }
 
+    /// An agent that has started reads what earlier processes have acknowledged.
+    pub(super) fn read_departures(&mut self, node: usize) {
+        let answers = self.store_answers(node);
+        let uptime = self.nodes[node].uptime(self.now);
+        let Some(agent) = node.checked_sub(self.settings.balancers) else { return };
+        let record = answers.then(|| self.departure_records[agent].clone());
+        if let Some(core) = self.nodes[node].agent() {
+            core.take_earlier_departures(uptime, record.as_deref());
+        }
+    }
+
+    /// Writes what the agent has acknowledged, as soon as the store answers.
+    pub(super) fn record_departures(&mut self, node: usize) {
+        let answers = self.store_answers(node);
+        let Some(agent) = node.checked_sub(self.settings.balancers) else { return };
+        let Some(core) = self.nodes[node].agent().filter(|_| answers) else { return };
+        let departures = core.acknowledged_departures();
+        if core.knows_earlier_departures() || !departures.is_empty() {
+            self.departure_records[agent] = departures;
+        }
+    }
+
     /// The agent has acknowledged that a back end leaves, which ends `after` that.
     fn note_leaving_acknowledged(&mut self, agent: usize, start_id: u64, after: Duration) {
         let backend = &mut self.backends[agent];
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -35,7 +35,8 @@
 pub use carried::{
     CarriedFault, CarriedOutcome, CarriedWorld, CarriedWorldSettings, FailureMode, StoreRestore,
     TimedFault, random_faults, random_faults_with_evacuations, random_faults_with_hanging_watches,
-    random_faults_with_late_reports, random_faults_with_restores,
+    random_faults_with_late_reports, random_faults_with_lying_health_pages,
+    random_faults_with_restores,
 };
 pub use compare::{Comparison, compare};
 pub use event_profile::EventProfile;
--- a/crates/lab/tests/late_reports.rs
+++ b/crates/lab/tests/late_reports.rs
@@ -4,7 +4,8 @@
 mod support;
 
 use loftdrift_lab::{
-    CarriedFault as Fault, CarriedWorld, CarriedWorldSettings, random_faults_with_late_reports,
+    CarriedFault as Fault, CarriedWorld, CarriedWorldSettings, TimedFault,
+    random_faults_with_late_reports, random_faults_with_lying_health_pages,
 };
 use support::carried_runs::{assert_no_violations, run_with_faults};
 use support::seconds;
@@ -48,20 +49,45 @@
     assert_no_violations(run_with_faults(&faults), 0.97);
 }
 
+/// Guards against new flows to a departed back end whose health page lies: its agent's next process
+/// did not know of the departure.
+#[test]
+fn a_departed_back_end_whose_health_page_lies_gets_no_new_flows_whatever_ends_its_agent() {
+    for end in
+        [Fault::StopAgent(0), Fault::KillAgent(0, seconds(0.5)), Fault::KillAll(seconds(0.3))]
+    {
+        let faults = [
+            (4.0, Fault::DelayHeartbeats(0, seconds(3.0), seconds(3.0))),
+            (5.9, Fault::LyingHealthPage(0, seconds(9.0))),
+            (6.0, Fault::DepartBackend(0)),
+            (6.1, end),
+        ];
+        assert_no_violations(run_with_faults(&faults), 0.9);
+    }
+}
+
 #[test]
 fn random_faults_violate_no_invariant() {
-    run_random_faults(1..=RANDOM_RUNS);
+    run_random_faults(1..=RANDOM_RUNS, random_faults_with_late_reports);
+}
+
+#[test]
+fn random_faults_beside_lying_health_pages_violate_no_invariant() {
+    run_random_faults(1..=RANDOM_RUNS, random_faults_with_lying_health_pages);
 }
 
 #[test]
 fn seeds_that_once_violated_an_invariant_violate_none() {
-    run_random_faults(FAILED_SEEDS);
+    run_random_faults(FAILED_SEEDS, random_faults_with_late_reports);
 }
 
-fn run_random_faults(seeds: impl IntoIterator<Item = u64>) {
+fn run_random_faults(
+    seeds: impl IntoIterator<Item = u64>,
+    draw: fn(u64, usize, usize) -> Vec<TimedFault>,
+) {
     for seed in seeds {
         let settings = CarriedWorldSettings { seed, ..CarriedWorldSettings::default() };
-        let faults = random_faults_with_late_reports(seed, settings.balancers, settings.backends);
+        let faults = draw(seed, settings.balancers, settings.backends);
         let outcome = CarriedWorld::new(settings, &faults).run();
         assert!(outcome.keeps_invariants(), "seed {seed}: {outcome:?}\n{faults:#?}");
     }
--- a/crates/node/src/agent_core.rs
+++ b/crates/node/src/agent_core.rs
@@ -1,6 +1,6 @@
 //! Adapts the agent's core to the [`Core`] trait that the driver uses.
 
-use crate::command::{CoreMetrics, HealthCheck, MemberUpdate, NodeStatus};
+use crate::command::{CoreMetrics, MemberUpdate, NodeStatus};
 use crate::core::Core;
 use loftdrift_carried::{
     BackendReport, CarriedAgent, CarriedConfiguration, Incarnation, Output, ProbeOutcome,
@@ -74,10 +74,9 @@
             backend_ended: self.agent.backend_has_ended(),
             configuration: self.agent.configuration_version(),
             watches_store: false,
-            health_check: self
-                .agent
-                .health_check()
-                .map(|(number, path)| HealthCheck { number, path: path.to_owned() }),
+            health_check: self.agent.health_check().map(str::to_owned),
+            departures: self.agent.acknowledged_departures(),
+            knows_earlier_departures: self.agent.knows_earlier_departures(),
         }
     }
 
@@ -105,8 +104,12 @@
         self.agent.take_departure(now, departed);
     }
 
-    fn handle_healthy(&mut self, now: Duration, check: u32) {
-        self.agent.take_healthy(now, check);
+    fn handle_healthy(&mut self, now: Duration) {
+        self.agent.take_healthy(now);
+    }
+
+    fn take_earlier_departures(&mut self, now: Duration, departed: Option<&[Incarnation]>) {
+        self.agent.take_earlier_departures(now, departed);
     }
 
     fn handle_probe(&mut self, now: Duration, outcome: ProbeOutcome) {
--- a/crates/node/src/balancer_core.rs
+++ b/crates/node/src/balancer_core.rs
@@ -77,10 +77,9 @@
         NodeStatus {
             is_ready: self.balancer.is_ready(now),
             is_drained: now.saturating_sub(self.last_packet) > IDLE_PERIOD,
-            backend_ended: false,
             configuration: self.balancer.configuration_version(),
             watches_store: self.balancer.watches_store(now),
-            health_check: None,
+            ..NodeStatus::default()
         }
     }
 
--- a/crates/node/src/command.rs
+++ b/crates/node/src/command.rs
@@ -30,9 +30,11 @@
     BackendDeparture(Incarnation, oneshot::Sender<()>),
     /// A request of the back end could not be parsed.
     UnreadableRequest,
-    /// The back end's health page has answered that the back end takes flows; with the number of
-    /// the health check.
-    BackendHealthy(u32),
+    /// The back end's health page has answered that the back end takes flows.
+    BackendHealthy,
+    /// The departures of back ends that earlier processes of this agent have acknowledged; `None` if
+    /// they cannot be read now.
+    EarlierDepartures(Option<Vec<Incarnation>>),
     /// Result of an attempt to connect to the back end.
     ProbeFinished(ProbeOutcome),
     /// Whether the shared store has answered this node. Whatever it returned was sent to the core
@@ -74,15 +76,10 @@
     pub configuration: Version,
     /// Whether this node should watch the shared store for newer configurations.
     pub watches_store: bool,
-    /// The health check of the back end that the agent needs.
-    pub health_check: Option<HealthCheck>,
-}
-
-/// A health check that an agent's core needs.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct HealthCheck {
-    /// Distinguishes it from earlier ones.
-    pub number: u32,
-    /// Path of the back end's health page.
-    pub path: String,
+    /// Path of the back end's health page, if the agent needs its answer.
+    pub health_check: Option<String>,
+    /// Starts of the back end whose leaving was acknowledged and that later processes have to know.
+    pub departures: Vec<Incarnation>,
+    /// Whether the core knows the departures that earlier processes have acknowledged.
+    pub knows_earlier_departures: bool,
 }
--- a/crates/node/src/core.rs
+++ b/crates/node/src/core.rs
@@ -50,8 +50,10 @@
     fn note_unreadable_request(&mut self) {}
     /// Handles the back end's departure notice.
     fn handle_departure(&mut self, _now: Duration, _departed: &Incarnation) {}
-    /// Handles the answer to a health check: the back end takes flows.
-    fn handle_healthy(&mut self, _now: Duration, _check: u32) {}
+    /// Handles the answer of the back end's health page: the back end takes flows.
+    fn handle_healthy(&mut self, _now: Duration) {}
+    /// Handles the record of the departures that earlier processes have acknowledged.
+    fn take_earlier_departures(&mut self, _now: Duration, _departed: Option<&[Incarnation]>) {}
     /// Handles the result of an attempt to connect to the back end.
     fn handle_probe(&mut self, _now: Duration, _outcome: ProbeOutcome) {}
 }
--- a/crates/node/src/counted_store.rs
+++ b/crates/node/src/counted_store.rs
@@ -3,7 +3,7 @@
 use crate::shared_store::{
     Consistency, Member, MemberList, OperatorChange, OperatorState, SharedStore, StoreFailure,
 };
-use loftdrift_carried::{NodeRole, Position};
+use loftdrift_carried::{Incarnation, NodeRole, Position};
 use loftdrift_counters::{CounterSet, Histogram, PublishedSet, counter_set};
 use std::future::Future;
 use std::sync::{Arc, Mutex, PoisonError};
@@ -34,6 +34,8 @@
         calls_for_entries,
         /// Calls that read a member list.
         calls_for_lists,
+        /// Calls that read or write an agent's record of departures.
+        calls_for_departures,
     }
 }
 
@@ -44,6 +46,7 @@
     Watch,
     Entry,
     List,
+    Departures,
 }
 
 impl StoreCounters {
@@ -53,6 +56,7 @@
             Purpose::Watch => &mut self.calls_for_changes,
             Purpose::Entry => &mut self.calls_for_entries,
             Purpose::List => &mut self.calls_for_lists,
+            Purpose::Departures => &mut self.calls_for_departures,
         }
     }
 
@@ -158,6 +162,18 @@
         self.measure(Purpose::Entry, self.store.remove_member(member, entry_revision)).await
     }
 
+    async fn write_departures(
+        &self,
+        node: &str,
+        departed: &[Incarnation],
+    ) -> Result<(), StoreFailure> {
+        self.measure(Purpose::Departures, self.store.write_departures(node, departed)).await
+    }
+
+    async fn read_departures(&self, node: &str) -> Result<Vec<Incarnation>, StoreFailure> {
+        self.measure(Purpose::Departures, self.store.read_departures(node)).await
+    }
+
     async fn read_members(
         &self,
         role: NodeRole,
--- a/crates/node/src/driver.rs
+++ b/crates/node/src/driver.rs
@@ -162,7 +162,10 @@
             Command::LearnMembers(update) => self.core.learn_members(now, &update),
             Command::AuditMembers(list, reply) => drop(reply.send(self.core.audit(now, &list))),
             Command::InstallSnapshot(snapshot) => self.core.install_snapshot(now, snapshot),
-            Command::BackendHealthy(check) => self.core.handle_healthy(now, check),
+            Command::BackendHealthy => self.core.handle_healthy(now),
+            Command::EarlierDepartures(departed) => {
+                self.core.take_earlier_departures(now, departed.as_deref());
+            }
             Command::ProbeFinished(outcome) => self.core.handle_probe(now, outcome),
             Command::StoreReachable(is_reachable) => self.core.note_store(now, is_reachable),
             Command::Drain => self.core.start_draining(now),
--- a/crates/node/src/health.rs
+++ b/crates/node/src/health.rs
@@ -1,8 +1,7 @@
-//! Requests the back end's health page whenever the core needs to know whether the back end takes
-//! flows: an agent whose process was replaced does not have to wait for heartbeats that are certain
-//! to be current.
+//! Requests the back end's health page when an agent has started: the agent does not have to wait for
+//! heartbeats that are certain to be current.
 
-use crate::command::{Command, HealthCheck, NodeStatus};
+use crate::command::{Command, NodeStatus};
 use hyper::Method;
 use loftdrift_http::HttpClient;
 use std::net::SocketAddrV4;
@@ -17,7 +16,8 @@
 /// the core relies on heartbeats after 5 s.
 const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(100);
 
-/// Carries out the health checks that the core needs, until its task has ended.
+/// Requests the health page while the core needs its answer, a few times at most: it counts only
+/// while the process is young.
 pub(crate) async fn check_when_needed(
     backend: SocketAddrV4,
     mut status: watch::Receiver<NodeStatus>,
@@ -25,48 +25,22 @@
 ) {
     // A kept connection may belong to an earlier start of the back end.
     let client = HttpClient::without_connection_reuse(backend.into(), REQUEST_TIMEOUT);
-    let mut last = None;
-    while let Some(HealthCheck { number, path }) = next_check(&mut status, last).await {
-        last = Some(number);
-        if is_healthy(&client, &path, number, &status).await
-            && commands.send(Command::BackendHealthy(number)).await.is_err()
-        {
-            return;
-        }
-    }
-}
-
-/// Waits for a health check other than the last one; `None` while the process ends.
-async fn next_check(
-    status: &mut watch::Receiver<NodeStatus>,
-    last: Option<u32>,
-) -> Option<HealthCheck> {
-    let number = |status: &NodeStatus| status.health_check.as_ref().map(|check| check.number);
-    let is_new = |status: &NodeStatus| number(status).is_some_and(|number| Some(number) != last);
-    let status = status.wait_for(is_new).await.ok()?;
-    status.health_check.clone()
-}
-
-/// Requests the health page until it answers favourably, a few times at most and only while the
-/// core needs it.
-async fn is_healthy(
-    client: &HttpClient,
-    path: &str,
-    number: u32,
-    status: &watch::Receiver<NodeStatus>,
-) -> bool {
-    let is_needed =
-        || status.borrow().health_check.as_ref().is_some_and(|check| check.number == number);
     let mut delay = INITIAL_RETRY_DELAY;
     for _ in 0..MAX_ATTEMPTS {
-        if !is_needed() {
-            return false;
-        }
-        if client.send_empty(Method::GET, path).await.is_ok() {
-            return true;
+        let Some(path) = needed_page(&mut status).await else { return };
+        if client.send_empty(Method::GET, &path).await.is_ok() {
+            // Sending fails only while the process ends.
+            let _ = commands.send(Command::BackendHealthy).await;
+            return;
         }
         tokio::time::sleep(delay).await;
         delay *= 2;
     }
-    false
+}
+
+/// Waits until the health page's answer is needed and returns its path; `None` while the process
+/// ends.
+async fn needed_page(status: &mut watch::Receiver<NodeStatus>) -> Option<String> {
+    let status = status.wait_for(|status| status.health_check.is_some()).await.ok()?;
+    status.health_check.clone()
 }
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 mod configuration_follower;
 mod core;
 mod counted_store;
+mod departure_record;
 mod driver;
 mod health;
 mod member_audit;
@@ -31,8 +32,9 @@
 mod snapshots;
 mod store_reader;
 
-pub use command::{Command, CoreMetrics, HealthCheck, MemberUpdate, NodeStatus};
+pub use command::{Command, CoreMetrics, MemberUpdate, NodeStatus};
 pub use configuration_follower::ConfigurationFollower;
+pub use departure_record::DepartureRecord;
 pub use member_audit::run as audit_members;
 pub use request_decoder::{Request, RequestDecoder, RequestKind};
 pub use run::run;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -6,6 +6,7 @@
 use crate::configuration_follower::{ConfigurationFollower, initial_fetch_delay};
 use crate::core::Core;
 use crate::counted_store::CountedStore;
+use crate::departure_record::{DepartureRecord, wait_until_recorded};
 use crate::driver::Driver;
 use crate::member_list::MemberListReader;
 use crate::metrics::Metrics;
@@ -22,8 +23,8 @@
 use hyper::StatusCode;
 use hyper::body::Incoming;
 use loftdrift_carried::{
-    CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings, InputAge,
-    NodeRole, ReportOutcome, SegmentFormat,
+    BackendReport, CarriedAgent, CarriedAgentSettings, CarriedBalancer, CarriedBalancerSettings,
+    Incarnation, InputAge, NodeRole, ReportOutcome, SegmentFormat,
 };
 use loftdrift_http::{HttpResponse, text_response};
 use loftdrift_tasks::WatchedTasks;
@@ -128,6 +129,14 @@
     let health_check =
         health::check_when_needed(role.backend, node.status.clone(), node.commands.clone());
     node.tasks.spawn("health check", health_check);
+    let record = DepartureRecord {
+        store: store.clone(),
+        node: settings.name.clone(),
+        status: node.status.clone(),
+        commands: node.commands.clone(),
+        recorded: node.recorded.clone(),
+    };
+    node.tasks.spawn("departure record", record.run());
     node.run(settings, decoder, store, Some(role.control)).await
 }
 
@@ -141,6 +150,8 @@
     audits: mpsc::Receiver<Consistency>,
     /// The core's notices that an auditor found this node's entry missing.
     entry_missing: mpsc::Receiver<()>,
+    /// What the agent's record of departures holds; `None` until that is known.
+    recorded: watch::Sender<Option<Vec<Incarnation>>>,
     tasks: WatchedTasks,
 }
 
@@ -188,6 +199,8 @@
             store_reads: store_read_queue,
             audits: audit_queue,
             entry_missing,
+            // At a first start no earlier process can have written one.
+            recorded: watch::channel(settings.is_first_start.then(Vec::new)).0,
             tasks,
         })
     }
@@ -225,13 +238,12 @@
         self.tasks.spawn("registration", registration.run());
         for address in [settings.readiness, control].into_iter().flatten() {
             let listener = bind_tcp("requests", address).await?;
-            let server = serve_requests(
-                listener,
-                decoder.clone(),
-                self.commands.clone(),
-                self.status.clone(),
-            );
-            self.tasks.spawn("requests", server);
+            let server = RequestServer {
+                decoder: decoder.clone(),
+                commands: self.commands.clone(),
+                recorded: self.recorded.subscribe(),
+            };
+            self.tasks.spawn("requests", server.serve(listener, self.status.clone()));
         }
         let is_balancer = settings.node.role == NodeRole::Balancer;
         if let Some(address) = settings.metrics {
@@ -255,51 +267,65 @@
     }
 }
 
-async fn serve_requests<D: RequestDecoder>(
-    listener: TcpListener,
+/// Answers the requests of the platform and of the back end.
+#[derive(Clone)]
+struct RequestServer<D> {
     decoder: D,
     commands: mpsc::Sender<Command>,
-    status: watch::Receiver<NodeStatus>,
-) {
-    loftdrift_http::serve(listener, move |request| {
-        let (decoder, commands) = (decoder.clone(), commands.clone());
-        let is_ready = status.borrow().is_ready;
-        async move { Some(answer_request(request, decoder, commands, is_ready).await) }
-    })
-    .await;
+    recorded: watch::Receiver<Option<Vec<Incarnation>>>,
 }
 
-async fn answer_request<D: RequestDecoder>(
-    request: hyper::Request<Incoming>,
-    decoder: D,
-    commands: mpsc::Sender<Command>,
-    is_ready: bool,
-) -> HttpResponse {
-    let (head, body) = request.into_parts();
-    let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
-        return text_response(StatusCode::PAYLOAD_TOO_LARGE, "");
-    };
-    let body = body.to_bytes();
-    let method = head.method.as_str();
-    match decoder.decode(Request { method, path: head.uri.path(), body: &body }) {
-        RequestKind::Readiness if is_ready => text_response(StatusCode::OK, ""),
-        RequestKind::Readiness => text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
-        RequestKind::Report(report) => {
-            match call(&commands, |reply| Command::BackendReport(report, reply)).await {
-                Some(ReportOutcome::OtherService) => text_response(StatusCode::CONFLICT, ""),
-                outcome => acknowledge(outcome.map(|_| ())),
+impl<D: RequestDecoder> RequestServer<D> {
+    async fn serve(self, listener: TcpListener, status: watch::Receiver<NodeStatus>) {
+        loftdrift_http::serve(listener, move |request| {
+            let server = self.clone();
+            let is_ready = status.borrow().is_ready;
+            async move { Some(server.answer(request, is_ready).await) }
+        })
+        .await;
+    }
+
+    async fn answer(&self, request: hyper::Request<Incoming>, is_ready: bool) -> HttpResponse {
+        let (head, body) = request.into_parts();
+        let Ok(body) = Limited::new(body, MAX_BODY_BYTES).collect().await else {
+            return text_response(StatusCode::PAYLOAD_TOO_LARGE, "");
+        };
+        let body = body.to_bytes();
+        let method = head.method.as_str();
+        match self.decoder.decode(Request { method, path: head.uri.path(), body: &body }) {
+            RequestKind::Readiness if is_ready => text_response(StatusCode::OK, ""),
+            RequestKind::Readiness => text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
+            RequestKind::Report(report) => self.answer_report(report).await,
+            RequestKind::Departure(departed) => self.answer_departure(departed).await,
+            RequestKind::Malformed(reason) => {
+                log::warn!(reason = reason.as_str(), path = head.uri.path(); "request_malformed");
+                // Only counted, so the answer does not wait if the command queue is full.
+                let _ = self.commands.try_send(Command::UnreadableRequest);
+                text_response(StatusCode::BAD_REQUEST, reason)
             }
+            RequestKind::Unknown => text_response(StatusCode::NOT_FOUND, ""),
+        }
+    }
+
+    async fn answer_report(&self, report: BackendReport) -> HttpResponse {
+        let leaves = (!report.is_ready).then(|| report.incarnation.id.clone());
+        let outcome = call(&self.commands, |reply| Command::BackendReport(report, reply)).await;
+        if outcome == Some(ReportOutcome::OtherService) {
+            return text_response(StatusCode::CONFLICT, "");
         }
-        RequestKind::Departure(departed) => {
-            acknowledge(call(&commands, |reply| Command::BackendDeparture(departed, reply)).await)
+        if let Some(backend) = leaves.filter(|_| outcome.is_some()) {
+            wait_until_recorded(&self.recorded, &backend).await;
         }
-        RequestKind::Malformed(reason) => {
-            log::warn!(reason = reason.as_str(), path = head.uri.path(); "request_malformed");
-            // Only counted, so the answer does not wait if the command queue is full.
-            let _ = commands.try_send(Command::UnreadableRequest);
-            text_response(StatusCode::BAD_REQUEST, reason)
+        acknowledge(outcome.map(|_| ()))
+    }
+
+    async fn answer_departure(&self, departed: Incarnation) -> HttpResponse {
+        let backend = departed.id.clone();
+        let reply = call(&self.commands, |reply| Command::BackendDeparture(departed, reply)).await;
+        if reply.is_some() {
+            wait_until_recorded(&self.recorded, &backend).await;
         }
-        RequestKind::Unknown => text_response(StatusCode::NOT_FOUND, ""),
+        acknowledge(reply)
     }
 }
 
--- a/crates/node/src/shared_store.rs
+++ b/crates/node/src/shared_store.rs
@@ -8,7 +8,7 @@
 //! their revisions are assigned again, so a revision has a meaning only together with the store's
 //! era.
 
-use loftdrift_carried::{CarriedConfiguration, NodeRole, Position};
+use loftdrift_carried::{CarriedConfiguration, Incarnation, NodeRole, Position};
 use std::collections::BTreeSet;
 use std::future::Future;
 use std::net::SocketAddrV4;
@@ -126,7 +126,7 @@
         member: &Member,
     ) -> impl Future<Output = Result<Position, StoreFailure>> + Send;
 
-    /// Removes a node's entry if its last write has this revision; returns [`StoreFailure::Gone`]
+    /// Removes a node's entry and its record of departures if the entry's last write has this revision; returns [`StoreFailure::Gone`]
     /// if there is another entry or none. Returns the position of the removal: if its era differs
     /// from the revision's, the revision may stand for another write.
     fn remove_member(
@@ -135,6 +135,20 @@
         entry_revision: u64,
     ) -> impl Future<Output = Result<Position, StoreFailure>> + Send;
 
+    /// Writes which starts of the back end beside a node have announced that they leave, in place of
+    /// an earlier record; removes the record if there are none.
+    fn write_departures(
+        &self,
+        node: &str,
+        departed: &[Incarnation],
+    ) -> impl Future<Output = Result<(), StoreFailure>> + Send;
+
+    /// Reads the record that was last written for a node, whatever process wrote it.
+    fn read_departures(
+        &self,
+        node: &str,
+    ) -> impl Future<Output = Result<Vec<Incarnation>, StoreFailure>> + Send;
+
     /// Reads all entries of a role.
     fn read_members(
         &self,
--- a/crates/node/tests/panics.rs
+++ b/crates/node/tests/panics.rs
@@ -1,7 +1,8 @@
 //! What becomes of a process when one of its tasks panics.
 
-use loftdrift_carried::NodeRole;
-use loftdrift_carried::{PlainFormat, Position, Segment, SegmentError, SegmentFormat};
+use loftdrift_carried::{
+    Incarnation, NodeRole, PlainFormat, Position, Segment, SegmentError, SegmentFormat,
+};
 use loftdrift_node::{
     Consistency, Member, MemberList, NodeSettings, OperatorChange, OperatorState, Request,
     RequestDecoder, RequestKind, SharedStore, StoreFailure, run,
@@ -68,6 +69,14 @@
         std::future::pending().await
     }
 
+    async fn write_departures(&self, _: &str, _: &[Incarnation]) -> Result<(), StoreFailure> {
+        std::future::pending().await
+    }
+
+    async fn read_departures(&self, _: &str) -> Result<Vec<Incarnation>, StoreFailure> {
+        std::future::pending().await
+    }
+
     async fn read_members(&self, _: NodeRole, _: Consistency) -> Result<MemberList, StoreFailure> {
         std::future::pending().await
     }
--- a/crates/node/tests/restored_store.rs
+++ b/crates/node/tests/restored_store.rs
@@ -1,7 +1,7 @@
 //! How the tasks around a core handle a store that is restored from an older copy between two of
 //! their calls.
 
-use loftdrift_carried::{CarriedConfiguration, NodeRole, Position, Version};
+use loftdrift_carried::{CarriedConfiguration, Incarnation, NodeRole, Position, Version};
 use loftdrift_node::{
     Command, ConfigurationFollower, Consistency, Member, MemberEntry, MemberList, NodeStatus,
     OperatorChange, OperatorState, SharedStore, StoreFailure, audit_members,
@@ -62,6 +62,14 @@
         Ok(Position { era, revision: 90 })
     }
 
+    async fn write_departures(&self, _: &str, _: &[Incarnation]) -> Result<(), StoreFailure> {
+        std::future::pending().await
+    }
+
+    async fn read_departures(&self, _: &str) -> Result<Vec<Incarnation>, StoreFailure> {
+        std::future::pending().await
+    }
+
     async fn read_members(
         &self,
         _: NodeRole,
