--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -132,7 +132,9 @@
         let response = tokio::time::timeout(timeout, exchange).await;
         let (headers, bytes) = response.map_err(|_| self.timeout_error(timeout))??;
         self.count_bytes(bytes.len());
-        let body = serde_json::from_slice(&bytes).map_err(|error| self.malformed_error(error))?;
+        // Bytes that are no text may concern one string of the body only.
+        let text = String::from_utf8_lossy(&bytes);
+        let body = serde_json::from_str(&text).map_err(|error| self.malformed_error(error))?;
         Ok(JsonResponse { headers, body })
     }
 
