Lab: back ends send answers again, and flows rest for nearly as long as they may

Change: answers are sent again until their callers acknowledge them (200 ms, doubling, eight times); a caller acknowledges such an answer and rests from there.

--- a/crates/lab/src/carried/backend.rs
+++ b/crates/lab/src/carried/backend.rs
@@ -36,6 +36,8 @@
     caller_sequence: u32,
     /// Sequence number of the flow's SYN.
     syn_sequence: u32,
+    /// How much of what was sent the caller has acknowledged, as an offset from `sequence`.
+    acknowledged: u32,
 }
 
 impl Flow {
@@ -145,6 +147,8 @@
             return reaction;
         };
         reaction.has_flow = true;
+        let acknowledged = segment.acknowledgement.wrapping_sub(flow.sequence);
+        flow.acknowledged = flow.acknowledged.max(acknowledged);
         let is_new = match flow.stage {
             Stage::Opened => true,
             Stage::Working => false,
@@ -199,6 +203,7 @@
             answer_offset: 0,
             caller_sequence: 0,
             syn_sequence: segment.sequence,
+            acknowledged: 0,
         };
         self.flows.insert(key, flow);
         reaction.accepted_flow = true;
@@ -216,6 +221,14 @@
         started
     }
 
+    /// The answer to a flow's last request, if its caller has not acknowledged it.
+    pub(super) fn unacknowledged_answer(&self, key: &FlowKey) -> Option<Vec<u8>> {
+        let flow = self.flows.get(key).filter(|flow| flow.stage == Stage::Answered)?;
+        let sent = flow.answer_offset + flow.request.len() as u32;
+        let fin = self.is_leaving || !flow.request.starts_with(KEEP_FLOW_PREFIX);
+        (flow.acknowledged < sent).then(|| answer(key, flow, fin))
+    }
+
     /// The current or last request of a flow.
     pub(super) fn request(&self, key: &FlowKey) -> Option<&[u8]> {
         self.flows.get(key).map(|flow| flow.request.as_slice())
--- a/crates/lab/src/carried/caller.rs
+++ b/crates/lab/src/carried/caller.rs
@@ -205,6 +205,14 @@
                 let step = self.handle_reset(now, next_address);
                 CallerStep { flow_reset: true, ..step }
             }
+            // The answer was sent again: its acknowledgement was lost or is late. The flow rests from
+            // this packet on.
+            CallerState::Idle { sequence }
+                if segment.payload_bytes > 0 && segment.end() == sequence =>
+            {
+                let acknowledgement = self.send_acknowledgement(sequence, false);
+                self.wait_until(now + self.pause, Some(acknowledgement))
+            }
             // Any other sequence number is a retransmission of an earlier answer.
             CallerState::Connected { sequence }
                 if segment.payload_bytes > 0 && segment.sequence == sequence =>
--- a/crates/lab/src/carried/world/backends.rs
+++ b/crates/lab/src/carried/world/backends.rs
@@ -5,6 +5,12 @@
 /// Upper bound on the bytes that a caller sends on one flow.
 const MAX_FLOW_BYTES: u32 = 65_536;
 
+/// Delay before an answer is sent again for the first time; it doubles a few times.
+const ANSWER_RESEND_DELAY: Duration = Duration::from_millis(200);
+const MAX_RESEND_DOUBLINGS: u32 = 3;
+/// How often an answer is sent again at most.
+const MAX_ANSWER_RESENDS: u32 = 8;
+
 impl CarriedWorld {
     pub(super) fn new_backend(&mut self, agent: usize) -> SimulatedBackend {
         self.backend_starts += 1;
@@ -99,6 +105,23 @@
         if self.backends[agent].start_id == start_id && self.backends[agent].is_alive {
             let reaction = self.backends[agent].finish(&flow);
             self.apply_reaction(agent, reaction);
+            let resend = Event::ResendAnswer { agent, start_id, flow, tries: 1 };
+            self.events.push(self.now + ANSWER_RESEND_DELAY, resend);
+        }
+    }
+
+    /// A back end sends an answer again that its caller has not acknowledged.
+    pub(super) fn resend_answer(&mut self, agent: usize, start_id: u64, flow: FlowKey, tries: u32) {
+        let backend = &self.backends[agent];
+        if backend.start_id != start_id || !backend.is_alive {
+            return;
+        }
+        let Some(packet) = backend.unacknowledged_answer(&flow) else { return };
+        self.events.push(self.now, Event::FromBackend { agent, packet });
+        if tries < MAX_ANSWER_RESENDS {
+            let delay = ANSWER_RESEND_DELAY * 2_u32.pow(tries.min(MAX_RESEND_DOUBLINGS));
+            let resend = Event::ResendAnswer { agent, start_id, flow, tries: tries + 1 };
+            self.events.push(self.now + delay, resend);
         }
     }
 
--- a/crates/lab/src/carried/world/faults.rs
+++ b/crates/lab/src/carried/world/faults.rs
@@ -185,7 +185,8 @@
         }
         let current = &self.store.wanted().routes[1].targets[0].service;
         let next = if current == SERVICES[0] { SERVICES[1] } else { SERVICES[0] };
-        self.store.write_routes(self.now, configuration(next));
+        let routes = configuration(&self.settings, next);
+        self.store.write_routes(self.now, routes);
         self.written_at = self.now;
         self.changed_at = self.bound_start();
     }
--- a/crates/lab/src/carried/world/layout.rs
+++ b/crates/lab/src/carried/world/layout.rs
@@ -18,7 +18,7 @@
 }
 
 /// Two routes: the first address leads to the first service, the second one to `second`.
-pub(super) fn configuration(second: &str) -> CarriedConfiguration {
+pub(super) fn configuration(settings: &CarriedWorldSettings, second: &str) -> CarriedConfiguration {
     let route = |number: usize, service: &str| Route {
         address: service_address(number),
         targets: vec![RouteTarget { service: service.to_owned(), weight: 1 }],
@@ -36,7 +36,7 @@
         version: Version::default(),
         routes: vec![route(0, SERVICES[0]), route(1, second)],
         services: SERVICES.map(service).to_vec(),
-        idle_timeout_ms: 15_000,
+        idle_timeout_ms: settings.idle_timeout.as_millis() as u32,
         evacuated: BTreeSet::new(),
     }
 }
--- a/crates/lab/src/carried/world/mod.rs
+++ b/crates/lab/src/carried/world/mod.rs
@@ -78,6 +78,8 @@
     pub processing_time: Duration,
     /// Every n-th caller sends several requests on one flow; 0 for none.
     pub long_flow_interval: u64,
+    /// Time for which a flow may rest before nodes may forget it.
+    pub idle_timeout: Duration,
     /// Pauses between two requests on the same flow; the caller's number selects one.
     pub pauses: [Duration; 3],
     /// Virtual duration of the run.
@@ -101,6 +103,7 @@
             requests_per_second: 200,
             processing_time: Duration::from_millis(30),
             long_flow_interval: 4,
+            idle_timeout: Duration::from_secs(15),
             pauses: [300, 900, 2_300].map(Duration::from_millis),
             duration: Duration::from_secs(29),
             seed: 1,
@@ -143,6 +146,12 @@
         start_id: u64,
         flow: FlowKey,
     },
+    ResendAnswer {
+        agent: usize,
+        start_id: u64,
+        flow: FlowKey,
+        tries: u32,
+    },
     BackendHeartbeat {
         agent: usize,
         start_id: u64,
@@ -278,7 +287,7 @@
             caller_numbers: HashMap::new(),
             nodes_by_address: (0..count).map(|node| (address(node), node)).collect(),
             next_port: 1_024,
-            store: Store::new(configuration(SERVICES[1])),
+            store: Store::new(configuration(&settings, SERVICES[1])),
             restored_at: Duration::ZERO,
             changed_at: Duration::ZERO,
             written_at: Duration::ZERO,
@@ -346,6 +355,9 @@
             Event::ToBackend { agent, packet } => self.deliver_to_backend(agent, &packet),
             Event::FromBackend { agent, packet } => self.deliver_from_backend(agent, packet),
             Event::WorkDone { agent, start_id, flow } => self.finish_work(agent, start_id, flow),
+            Event::ResendAnswer { agent, start_id, flow, tries } => {
+                self.resend_answer(agent, start_id, flow, tries);
+            }
             Event::BackendHeartbeat { agent, start_id } => self.heartbeat(agent, start_id),
             Event::ReportArrives { agent, start_id, report } => {
                 self.deliver_report(agent, start_id, &report);
